Read the subject of ordered messages, so that those of one key take turns

Evidence: no log line tells of it, the breaks begin in the first second and need no trouble, restart or refusal. The module keeps the order where it is told a key: the simulator's adapter passes one on (`wire.rs`, `demand`), and tests/rules.rs holds the turns and the rest of a key. On real sockets nothing passed one: `server.rs` never looked at the query, `Arrival` had no place for it, and both `NewMessage`s in `driver.rs` (`arrive`, `resume`) left `key` at none. So every reader-charge counted as one without a key.

Records of the old kind are still read.

The test fails without the change.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,7 +4,7 @@
 use super::Seldom;
 use super::calls::{self, BODY_MOST, Call, Calls, Item};
 use super::discovery::{ListUpdate, Notice};
-use super::journal::{Ending, Journal, JournalError, Taken};
+use super::journal::{Ending, Journal, JournalError, Origin, Taken};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use milletturn::wire::{Names, position};
@@ -13,6 +13,7 @@
     PastAttempt, Sender, Settings,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -41,6 +42,8 @@
 pub struct Arrival {
     pub id: HeaderValue,
     pub key: Option<HeaderValue>,
+    /// What the message is about; messages of one subject take turns in classes that keep order.
+    pub subject: Option<String>,
     pub class: usize,
     pub destination: u64,
     pub time: Micros,
@@ -83,6 +86,13 @@
     }
 }
 
+/// The module's number for a subject. Two subjects with the same number only wait for one another.
+fn key_of(subject: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    subject.hash(&mut hasher);
+    hasher.finish()
+}
+
 struct Attempt {
     endpoint: EndpointId,
     sent: Micros,
@@ -264,7 +274,10 @@
                 })
                 .collect();
             let class = position(&self.class_names, &owed.taken.class);
-            let new = NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now);
+            let new = NewMessage {
+                key: owed.origin.subject.as_deref().map(key_of),
+                ..NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now)
+            };
             self.events.push(Event::Resumed { message: new, attempts: past });
             let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
             self.messages.insert(message, Message { item, open: true, clients: 1, attempts });
@@ -314,6 +327,7 @@
             let began = self.clock.at(arrival.began);
             let left = began + arrival.time - self.clock.at(Instant::now());
             let new = NewMessage {
+                key: arrival.subject.as_deref().map(key_of),
                 again: arrival.again,
                 orphan: arrival.orphan,
                 ..NewMessage::new(message, arrival.class, arrival.destination, left)
@@ -517,7 +531,8 @@
             deadline: began + arrival.time,
             body: arrival.body.to_vec(),
         };
-        let written = self.journal.take(message.0, taken);
+        let origin = Origin { subject: arrival.subject.clone() };
+        let written = self.journal.take(message.0, taken, origin);
         if self.check(written) { Answer::Taken } else { Answer::NoRoom }
     }
 
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -56,6 +56,12 @@
     pub body: Vec<u8>,
 }
 
+/// Whose message it is, which the turns of a life to come need.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    pub subject: Option<String>,
+}
+
 /// One send of a message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sent {
@@ -70,6 +76,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Owed {
     pub taken: Taken,
+    pub origin: Origin,
     pub attempts: Vec<Sent>,
     /// It has ended, but its notice has not been answered.
     pub ending: Option<Ending>,
@@ -79,11 +86,17 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 enum Entry {
+    /// Read only: as messages were written down before their origin was.
     Taken(u64, Taken),
     Sent(u64, Sent),
-    Outcome { message: u64, attempt: u32, never_ran: bool },
+    Outcome {
+        message: u64,
+        attempt: u32,
+        never_ran: bool,
+    },
     Ending(u64, Ending),
     Over(u64),
+    HandedIn(u64, Taken, Origin),
 }
 
 /// What was found at the start.
@@ -195,13 +208,8 @@
 
     fn apply(&mut self, entry: Entry, length: u64) {
         match entry {
-            Entry::Taken(number, taken) => {
-                let owed = Owed { taken, attempts: Vec::new(), ending: None, size: length };
-                self.live += length;
-                if let Some(old) = self.owed.insert(number, owed) {
-                    self.live -= old.size;
-                }
-            }
+            Entry::Taken(number, taken) => self.owe(number, taken, Origin::default(), length),
+            Entry::HandedIn(number, taken, origin) => self.owe(number, taken, origin, length),
             Entry::Over(number) => {
                 if let Some(old) = self.owed.remove(&number) {
                     self.live -= old.size;
@@ -217,6 +225,14 @@
         }
     }
 
+    fn owe(&mut self, number: u64, taken: Taken, origin: Origin, length: u64) {
+        let owed = Owed { taken, origin, attempts: Vec::new(), ending: None, size: length };
+        self.live += length;
+        if let Some(old) = self.owed.insert(number, owed) {
+            self.live -= old.size;
+        }
+    }
+
     fn grow(&mut self, number: u64, length: u64, change: impl FnOnce(&mut Owed)) {
         if let Some(owed) = self.owed.get_mut(&number) {
             owed.size += length;
@@ -226,8 +242,8 @@
     }
 
     /// Writes a message down; it may be promised once this has succeeded.
-    pub fn take(&mut self, number: u64, taken: Taken) -> Result<(), JournalError> {
-        self.append(Entry::Taken(number, taken), self.reserve)
+    pub fn take(&mut self, number: u64, taken: Taken, origin: Origin) -> Result<(), JournalError> {
+        self.append(Entry::HandedIn(number, taken, origin), self.reserve)
     }
 
     /// Writes a send down; its call may begin once this has succeeded.
@@ -317,7 +333,7 @@
 }
 
 fn encode_owed(number: u64, owed: &Owed) -> Result<Vec<u8>, JournalError> {
-    let mut bytes = encode(&Entry::Taken(number, owed.taken.clone()))?;
+    let mut bytes = encode(&Entry::HandedIn(number, owed.taken.clone(), owed.origin.clone()))?;
     for sent in &owed.attempts {
         bytes.extend(encode(&Entry::Sent(number, sent.clone()))?);
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -160,6 +160,7 @@
     let time = time.to_str().ok().and_then(read_time).ok_or(bad("X-Timeout can't be read"))?;
     let envelope = single(headers, "envelope", "Envelope")?.ok_or(bad("Envelope is missing"))?;
     let destination = envelope.to_str().ok().and_then(read_destination).ok_or(bad("dest can't be read"))?;
+    let subject = read_subject(request.uri().query())?.map(str::to_string);
     let retried = single(headers, "x-retried", "X-Retried")?;
     let (again, orphan) = (retried.is_some(), retried.is_some_and(|value| value == "again"));
     let (id, key) = (id.clone(), key.cloned());
@@ -179,7 +180,7 @@
     }
     let (reply, answer) = oneshot::channel();
     let mut guard = Guard { left: Some(id.clone()), inputs: &server.inputs };
-    let arrival = Arrival { id, key, class, destination, time, began, again, orphan, body, reply };
+    let arrival = Arrival { id, key, subject, class, destination, time, began, again, orphan, body, reply };
     if server.inputs.send(Input::Arrived(arrival)).is_err() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "ending"));
     }
@@ -254,6 +255,16 @@
     Micros::try_from(value.saturating_mul(unit).min(TIME_MOST)).ok()
 }
 
+/// The query's `subject`, by which classes that keep order tell whose turn it is; an empty one is none.
+fn read_subject(query: Option<&str>) -> Result<Option<&str>, Refusal> {
+    let mut values = query.unwrap_or("").split('&').filter_map(|pair| pair.strip_prefix("subject="));
+    let value = values.next().filter(|value| !value.is_empty());
+    if values.next().is_some() || value.is_some_and(|value| value.len() > WORD_MOST) {
+        return Err(bad("subject can't be read"));
+    }
+    Ok(value)
+}
+
 fn read_destination(text: &str) -> Option<u64> {
     let mut values = text.split([';', ',']).filter_map(|part| part.trim().strip_prefix("dest="));
     let value = values.next()?;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -117,6 +117,43 @@
     assert_eq!(endpoint.times("m1"), 1);
 }
 
+#[test]
+fn messages_about_one_subject_take_turns_also_across_a_restart() {
+    // the first is answered once the gate is open; none of the later ones may be out before
+    let gate: Arc<Mutex<bool>> = Arc::default();
+    let opened = gate.clone();
+    let endpoint = Endpoint::new(move |request, _| {
+        if request.ids()[0] == "a1" {
+            wait_until("the gate opens", || *opened.lock().expect("not poisoned"));
+        }
+        OK
+    });
+    let agent = Agent::new(vec![list(&[
+        ("s-1", endpoint.address, "one", 7, "up"),
+        ("s-2", endpoint.address, "one", 8, "up"),
+    ])]);
+    let node = Node::new(&agent).ready();
+    let charge = |node: &Node, subject: &str, id: &str, dest: u64| {
+        assert_eq!(node.raw(&about(subject, "charge", id, dest, 20_000)).0, 202);
+    };
+    charge(&node, "a", "a1", 7);
+    wait_until("the first is out", || endpoint.times("a1") == 1);
+    charge(&node, "a", "a2", 8);
+    charge(&node, "b", "b1", 8);
+    wait_until("another subject's is out", || endpoint.times("b1") == 1);
+    assert_eq!(endpoint.times("a2"), 0, "sent while the first of its subject is out");
+    *gate.lock().expect("not poisoned") = true;
+    wait_until("the second follows", || endpoint.times("a2") == 1);
+    // two of a subject are owed when the process dies: where the first can't go, the second doesn't either
+    charge(&node, "c", "c1", 99);
+    charge(&node, "c", "c2", 8);
+    let node = node.restart().ready();
+    charge(&node, "d", "d1", 8);
+    wait_until("another subject's is out", || endpoint.times("d1") == 1);
+    assert_eq!(endpoint.times("c2"), 0, "sent while the first of its subject is owed");
+    assert_eq!(node.raw(&about("e&subject=f", "charge", "e1", 8, 20_000)).0, 400);
+}
+
 /// One keyed and one unsafe message whose first call fares as given: how often each comes in all. An unsafe
 /// one is sent again only if it never ran; a keyed one in any case that leaves it undelivered.
 fn fares(first: Reply) -> (usize, usize, Vec<String>) {
