Leave peers that send no whole request within 2.7 s, not 60

None was closed from this side; the peers left after 9 s or more. From 7 s on exactly 192 client connections stood open, which is `Server.most`, and new ones waited in the kernel's queue.

Lines at fault: `HEAD_TIME` (60 s) and `BODY_TIME` (5 s) in `src/net/server.rs`. A connection without a request may be closed after 2 s, and a client has long left a body that takes longer than 400 ms.

Ruled out: a wedged runtime (requests on open connections were answered in under a millisecond all along). A wrong guess: that the queue for places made the late requests. They have another cause.

The test fails without the change.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -20,10 +20,12 @@
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-/// Longest time for the head of a request, also on a connection that stands idle.
-const HEAD_TIME: Duration = Duration::from_secs(60);
-/// Longest time for a body: the client gives up long before.
-const BODY_TIME: Duration = Duration::from_secs(5);
+/// Longest time for the head of a request, also on a connection that stands idle: one without a request may be
+/// closed after 2 s, and with what a body may take after it, a peer that sends no proper request must have its
+/// end within 3 s.
+const HEAD_TIME: Duration = Duration::from_millis(2100);
+/// Longest time for a body: clients wait 400 ms for their answer.
+const BODY_TIME: Duration = Duration::from_millis(600);
 /// Longest id or key.
 const WORD_MOST: usize = 256;
 /// A longer time to deliver is cut to this.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -3,7 +3,7 @@
 mod node;
 
 use node::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
@@ -154,6 +154,35 @@
     assert_eq!(node.raw(&about("e&subject=f", "charge", "e1", 8, 20_000)).0, 400);
 }
 
+#[test]
+fn peers_that_send_no_whole_request_are_left() {
+    // guards against peers that hold clients' places: the half body's end comes first, whatever the load
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::new(&one(&endpoint)).ready();
+    let text = message("webhook", "m1", 7, 20_000, b"12345");
+    let (order, ends) = std::sync::mpsc::channel();
+    for (name, part) in
+        [("silent", &[][..]), ("half head", &text[..40]), ("half body", &text[..text.len() - 2])]
+    {
+        let mut stream = std::net::TcpStream::connect(node.address).expect("accepts");
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("set");
+        stream.write_all(part).expect("written");
+        let order = order.clone();
+        std::thread::spawn(move || {
+            let mut answer = Vec::new();
+            let ended = stream.read_to_end(&mut answer).is_ok();
+            let _ = order.send((name, ended, String::from_utf8_lossy(&answer).contains(" 408 ")));
+        });
+    }
+    drop(order);
+    let ends: Vec<_> = ends.iter().collect();
+    assert!(ends.iter().all(|(_, ended, _)| *ended), "{ends:?}");
+    assert_eq!(ends[0], ("half body", true, true), "{ends:?}");
+    assert_eq!(node.hand_in("webhook", "m2", 7, 20_000, b"x"), 202);
+    wait_until("the next one is delivered", || endpoint.times("m2") == 1);
+    assert_eq!(endpoint.times("m1"), 0);
+}
+
 /// One keyed and one unsafe message whose first call fares as given: how often each comes in all. An unsafe
 /// one is sent again only if it never ran; a keyed one in any case that leaves it undelivered.
 fn fares(first: Reply) -> (usize, usize, Vec<String>) {
