Hold clients to a third of the descriptors, and let the longest idle leave for newcomers

Evidence: `main.rs` set `Server.most` to half; strace had shown the open client connections stand at just that number from 7 s on while peers arrive that ask nothing or one GET /ready and stay.

The fix: a third, and where no place is free the connection longest without a request (250 ms at least) makes room for one that has come. A line in the log says so.

Ruled out: closing idle connections sooner in general; they may stand for 2 s, and need not go while there is room.

The client test fails with the half, the other one holds the choice of who leaves.

--- a/src/main.rs
+++ b/src/main.rs
@@ -61,8 +61,8 @@
         inputs: inputs.clone(),
         ready: ready_seen,
         draining: draining.clone(),
-        // half for clients; calls, idle connections and files share the rest
-        most: (config.sockets / 2).max(1),
+        // a third for clients; calls, idle connections and files share the rest
+        most: (config.sockets / 3).max(1),
         closing,
     };
     let driver =
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -12,12 +12,13 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use milletturn::{Class, Effect, MILLISECOND, Micros};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Longest time for the head of a request, also on a connection that stands idle: one without a request may be
@@ -26,6 +27,11 @@
 const HEAD_TIME: Duration = Duration::from_millis(2100);
 /// Longest time for a body: clients wait 400 ms for their answer.
 const BODY_TIME: Duration = Duration::from_millis(600);
+/// A connection without a request for this long may be closed to make room: what its client last got has
+/// arrived by then, and a new connection's first request too.
+const SPARE: Duration = Duration::from_millis(250);
+/// How often room is looked for while a client waits for a place.
+const LOOK: Duration = Duration::from_millis(25);
 /// Longest id or key.
 const WORD_MOST: usize = 256;
 /// A longer time to deliver is cut to this.
@@ -55,14 +61,33 @@
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
     let faults = Seldom::default();
     let places = std::sync::Arc::new(Semaphore::new(server.most));
+    let seats = Rc::new(Seats::default());
     loop {
-        // clients beyond the limit wait in the kernel's queue, so that calls never lack descriptors
-        let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let server = server.clone();
+                // one beyond the limit waits here and more in the kernel's queue, so that calls never lack
+                // descriptors; peers that ask for nothing must not keep it waiting
+                let place = loop {
+                    if let Ok(place) = places.clone().try_acquire_owned() {
+                        break place;
+                    }
+                    if let Some(seat) = seats.longest_idle(Instant::now()) {
+                        faults
+                            .log(format_args!("clients: all {} places taken, idle ones leave", server.most));
+                        seat.leave();
+                    }
+                    let Ok(place) = timeout(LOOK, places.clone().acquire_owned()).await else { continue };
+                    let Ok(place) = place else { return };
+                    break place;
+                };
+                let (server, seats) = (server.clone(), seats.clone());
                 tokio::task::spawn_local(async move {
-                    serve_one(stream, server).await;
+                    let (number, seat) = seats.take(Instant::now());
+                    tokio::select! {
+                        () = serve_one(stream, server, &seat) => {}
+                        () = seat.left() => {}
+                    }
+                    seats.give_back(number);
                     drop(place);
                 });
             }
@@ -74,11 +99,67 @@
     }
 }
 
-async fn serve_one(stream: TcpStream, server: Rc<Server>) {
+/// The clients' connections, in the order in which they came.
+#[derive(Default)]
+struct Seats {
+    taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    next: Cell<u64>,
+}
+
+impl Seats {
+    fn take(&self, now: Instant) -> (u64, Rc<Seat>) {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let seat = Rc::new(Seat { idle_since: Cell::new(Some(now)), leave: Notify::new() });
+        self.taken.borrow_mut().insert(number, seat.clone());
+        (number, seat)
+    }
+
+    fn give_back(&self, number: u64) {
+        self.taken.borrow_mut().remove(&number);
+    }
+
+    /// The connection that has been without a request the longest, if it may be closed.
+    fn longest_idle(&self, now: Instant) -> Option<Rc<Seat>> {
+        let taken = self.taken.borrow();
+        let idle = taken.values().filter_map(|seat| Some((seat.idle_since.get()?, seat)));
+        let (_, seat) = idle.filter(|(since, _)| now - *since >= SPARE).min_by_key(|(since, _)| *since)?;
+        Some(seat.clone())
+    }
+}
+
+/// One client's connection.
+struct Seat {
+    /// Since when no request is open on it.
+    idle_since: Cell<Option<Instant>>,
+    leave: Notify,
+}
+
+impl Seat {
+    fn leave(&self) {
+        // not asked twice
+        self.idle_since.set(None);
+        self.leave.notify_one();
+    }
+
+    async fn left(&self) {
+        self.leave.notified().await;
+    }
+}
+
+async fn serve_one(stream: TcpStream, server: Rc<Server>, seat: &Seat) {
     // without it answers still come, only later
     let _ = stream.set_nodelay(true);
     let mut closing = server.closing.clone();
-    let service = service_fn(move |request| answer(request, server.clone()));
+    let service = service_fn(move |request| {
+        let server = server.clone();
+        async move {
+            seat.idle_since.set(None);
+            let answer = answer(request, server).await;
+            seat.idle_since.set(Some(Instant::now()));
+            answer
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
@@ -275,3 +356,26 @@
     }
     value.parse().ok()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn room_is_made_by_the_longest_idle_and_never_by_one_with_a_request() {
+        let (seats, start) = (Seats::default(), Instant::now());
+        let at = |ms| start + Duration::from_millis(ms);
+        let (_, busy) = seats.take(at(0));
+        busy.idle_since.set(None);
+        let (number, first) = seats.take(at(10));
+        let (_, second) = seats.take(at(20));
+        first.idle_since.set(Some(at(30))); // it has had an answer
+        assert!(seats.longest_idle(at(20) + SPARE - LOOK).is_none(), "its first request may be on the way");
+        let leaves = |at| seats.longest_idle(at).expect("room");
+        assert!(Rc::ptr_eq(&leaves(at(1000)), &second));
+        second.leave();
+        assert!(Rc::ptr_eq(&leaves(at(1000)), &first));
+        seats.give_back(number);
+        assert!(seats.longest_idle(at(1000)).is_none());
+    }
+}
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -255,6 +255,7 @@
     discovery: SocketAddr,
     disk_mb: f64,
     idle_s: f64,
+    sockets: usize,
     pub process: Child,
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
@@ -267,17 +268,21 @@
     }
 
     pub fn with(discovery: SocketAddr, disk_mb: f64, idle_s: f64) -> Self {
+        Node::with_sockets(discovery, disk_mb, idle_s, 1024)
+    }
+
+    pub fn with_sockets(discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize) -> Self {
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let name = format!("node-{}-{number}", std::process::id());
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
-        Node::start(folder, discovery, disk_mb, idle_s)
+        Node::start(folder, discovery, disk_mb, idle_s, sockets)
     }
 
-    fn start(folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64) -> Self {
+    fn start(folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize) -> Self {
         let config = format!(
             r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":{disk_mb}}},
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
             "known":{{"rev":0,"all":true,"targets":[]}},
             "settings":{{"az":"a","balancers":1,"zones":["a"],"machineTypes":["one","bulk"],
               "caps":{{"maxOpen":50,"mostTries":12,"mayCancel":true,"secondCopies":true,"connIdle":{idle_s},
@@ -311,7 +316,7 @@
             address.is_some()
         });
         let address = address.expect("found");
-        Node { folder, discovery, disk_mb, idle_s, process, address, log, reading }
+        Node { folder, discovery, disk_mb, idle_s, sockets, process, address, log, reading }
     }
 
     /// Waits until it is ready.
@@ -349,7 +354,7 @@
     /// Kills it if it runs, and starts it again with the same folder.
     pub fn restart(mut self) -> Self {
         self.kill();
-        Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s)
+        Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s, self.sockets)
     }
 
     pub fn journal(&self) -> PathBuf {
@@ -410,6 +415,12 @@
         Client(BufReader::new(stream))
     }
 
+    /// True if the sender has ended the connection.
+    pub fn has_ended(&mut self) -> bool {
+        self.0.get_ref().set_nonblocking(true).expect("set");
+        matches!(self.0.get_mut().read(&mut [0]), Ok(0))
+    }
+
     /// The answer's status and head; none if the connection ends first.
     pub fn send(&mut self, bytes: &[u8]) -> Option<(u16, Request)> {
         self.0.get_mut().write_all(bytes).ok()?;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -183,6 +183,20 @@
     assert_eq!(endpoint.times("m1"), 0);
 }
 
+#[test]
+fn clients_hold_a_third_of_the_descriptors_at_most() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::with_sockets(one(&endpoint).address, 3.0, 5.0, 60).ready();
+    let mut clients: Vec<Client> = (0..25).map(|_| Client::new(&node)).collect();
+    let ready = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    for client in &mut clients {
+        assert_eq!(client.send(ready).expect("answered").0, 200);
+    }
+    // the last ones' turn came only as places fell free
+    let left = clients.iter_mut().map(Client::has_ended).filter(|&ended| ended).count();
+    assert!(left >= 5, "{left} of 25 have ended, so {} were open at once", 25 - left);
+}
+
 /// One keyed and one unsafe message whose first call fares as given: how often each comes in all. An unsafe
 /// one is sent again only if it never ran; a keyed one in any case that leaves it undelivered.
 fn fares(first: Reply) -> (usize, usize, Vec<String>) {
