Let a key wait until the notice of the message before it has its answer

A message that ends by a notice is over only then.

Ruled out: the turns of the key while calls are out (none of the pairs had one out), and the rest after an unsure end (no time-out, reset or cancel stood before it).

Lines at fault: `end_hopeless` in `src/decide.rs` took its own end for the end of the turn, right in the simulator and wrong where notices travel; and the driver told the module nothing of the notices' answers. Now the settings say that ends go by notice (`ends_by_notice`, set by `config.rs` only), the driver passes on `Noticed`, and the line of a key goes on from there. After a restart an end whose notice is still owed holds its key too (`Unnoticed`).

Both tests fail without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -170,6 +170,18 @@
             }
             Event::Accepted(message) => self.accept(message),
             Event::Resumed { message, attempts } => self.resume(message, attempts),
+            Event::Unnoticed(message) => {
+                self.accept(message);
+                if let Some(held) = self.messages.get_mut(&message.id) {
+                    (held.open, held.unnoticed) = (false, true);
+                }
+            }
+            Event::Noticed(message) => {
+                if let Some(held) = self.messages.get_mut(message) {
+                    held.unnoticed = false;
+                }
+                self.forget_if_done(*message);
+            }
             Event::Stopping { ends } => self.ends = Some(*ends),
             Event::ToldWait { endpoint, wait } => {
                 let id = self.unit_of(*endpoint);
@@ -593,6 +605,9 @@
                 Action::Fail(id)
             });
             self.close(id, actions);
+            if let Some(message) = self.messages.get_mut(&id) {
+                message.unnoticed = self.settings.ends_by_notice;
+            }
             self.forget_if_done(id);
         }
     }
@@ -794,9 +809,8 @@
     }
 
     fn forget_if_done(&mut self, id: MessageId) {
-        let Some(message) = self.messages.get(&id).filter(|held| !held.open && !held.is_out()) else {
-            return;
-        };
+        let done = |held: &&Held| !held.open && !held.unnoticed && !held.is_out();
+        let Some(message) = self.messages.get(&id).filter(done) else { return };
         if let Some(key) = message.key
             && let Some(line) = self.keys.get_mut(&key)
         {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -152,6 +152,8 @@
     pub max_client_wait: Micros,
     /// The endpoint list must be asked for.
     pub list_on_request: bool,
+    /// An end that the sender decides is over only once the host tells [`Event::Noticed`].
+    pub ends_by_notice: bool,
     /// The list gives each destination's rate: 0 no, 1 exactly, 0.5 up to half off.
     pub weight_trust: f64,
     /// Position of the remaining share of the limit in a load report.
@@ -196,6 +198,7 @@
             connection_idle: 0,
             max_client_wait: 0,
             list_on_request: false,
+            ends_by_notice: false,
             weight_trust: 0.0,
             report_left: None,
             report_limit: None,
@@ -456,6 +459,10 @@
         /// Its attempts, in the order of their sending; later ones are numbered on from them.
         attempts: Vec<PastAttempt>,
     },
+    /// A message that ended before a restart and whose notice is still owed.
+    Unnoticed(NewMessage),
+    /// The notice of a message that the sender ended has arrived: the message is over.
+    Noticed(MessageId),
     /// The process has been asked to stop: calls that are out then are cut off.
     Stopping {
         /// When it ends.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -89,7 +89,8 @@
         let mut flat = BTreeMap::new();
         flatten("", &file.settings, &mut flat);
         let pairs = flat.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
-        let (settings, names) = read_settings(&Pairs(pairs))?;
+        let (mut settings, names) = read_settings(&Pairs(pairs))?;
+        settings.ends_by_notice = true;
         settings.validate()?;
         Ok(Config {
             name,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -243,7 +243,14 @@
         let now = self.clock.at(Instant::now());
         for (number, owed) in owed {
             self.next_message = self.next_message.max(number + 1);
+            let message = MessageId(number);
+            let class = position(&self.class_names, &owed.taken.class);
+            let new = NewMessage {
+                key: owed.origin.subject.as_deref().map(key_of),
+                ..NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now)
+            };
             if let Some(ending) = owed.ending {
+                self.events.push(Event::Unnoticed(new));
                 self.notify(number, owed.taken.id, ending);
                 continue;
             }
@@ -253,7 +260,6 @@
             ) else {
                 continue;
             };
-            let message = MessageId(number);
             let past: Vec<PastAttempt> = owed
                 .attempts
                 .iter()
@@ -273,11 +279,6 @@
                     out: false,
                 })
                 .collect();
-            let class = position(&self.class_names, &owed.taken.class);
-            let new = NewMessage {
-                key: owed.origin.subject.as_deref().map(key_of),
-                ..NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now)
-            };
             self.events.push(Event::Resumed { message: new, attempts: past });
             let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
             self.messages.insert(message, Message { item, open: true, clients: 1, attempts });
@@ -305,6 +306,7 @@
                 for number in numbers {
                     let written = self.journal.over(number);
                     self.check(written);
+                    self.events.push(Event::Noticed(MessageId(number)));
                 }
             }
         }
@@ -618,7 +620,10 @@
 
     /// The module has ended the message undelivered: the platform is told.
     fn give_up(&mut self, message: MessageId, ending: Ending) {
-        let Some(held) = self.messages.get(&message).filter(|held| held.open) else { return };
+        let Some(held) = self.messages.get(&message).filter(|held| held.open) else {
+            // its client's own answer told it: no notice is owed
+            return self.events.push(Event::Noticed(message));
+        };
         let id = held.item.id.to_str().map(str::to_string).unwrap_or_default();
         let written = self.journal.ending(message.0, ending);
         self.check(written);
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,8 @@
     pub worth: f64,
     /// No final answer yet.
     pub open: bool,
+    /// It has ended, but that has not arrived: its key's turn is not over.
+    pub unnoticed: bool,
     pub attempts: Vec<Attempt>,
     /// Earliest next attempt, and the rest after the one that fails then.
     pub retry_at: Micros,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -212,6 +212,28 @@
     assert!(sent >= rests + 100 * MILLISECOND && sent < rests + 200 * MILLISECOND);
 }
 
+#[test]
+fn where_ends_go_by_notice_a_key_waits_for_it() {
+    let mut settings = settings(40);
+    settings.classes[ORDERED].effect = Effect::Unsafe;
+    settings.ends_by_notice = true;
+    let mut rig = Rig::new(settings, pool(1));
+    rig.tell(vec![with_key(1, 3), with_key(2, 3), with_key(3, 4)]);
+    rig.end(1, Outcome::Error, 20 * MILLISECOND);
+    assert!(rig.failed(1));
+    rig.run(rig.now + SECOND);
+    assert_eq!(rig.sends_of(2).len(), 0, "sent before the first one's notice arrived");
+    assert_eq!(rig.sends_of(3).len(), 1, "another key waits for nothing");
+    rig.tell(vec![Event::Noticed(MessageId(1))]);
+    assert_eq!(rig.sends_of(2).len(), 1);
+    // a notice that a life before still owes holds the key too
+    let old = NewMessage { key: Some(5), ..NewMessage::new(MessageId(5), ORDERED, 7, SECOND) };
+    rig.tell(vec![Event::Unnoticed(old), with_key(6, 5)]);
+    assert_eq!((rig.sends_of(5).len(), rig.sends_of(6).len()), (0, 0));
+    rig.tell(vec![Event::Noticed(MessageId(5))]);
+    assert_eq!(rig.sends_of(6).len(), 1);
+}
+
 #[test]
 fn every_message_ends_once_before_its_deadline() {
     let mut rig = Rig::new(settings(8), pool(2));
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -154,6 +154,31 @@
     assert_eq!(node.raw(&about("e&subject=f", "charge", "e1", 8, 20_000)).0, 400);
 }
 
+#[test]
+fn a_subject_waits_for_the_notice_of_the_one_before_also_across_a_restart() {
+    let endpoint =
+        Endpoint::new(
+            |request, _| {
+                if request.ids()[0] == "a1" { Reply::Answer("500 Oops", String::new()) } else { OK }
+            },
+        );
+    let agent = one(&endpoint);
+    agent.faults.store(usize::MAX, Ordering::SeqCst);
+    let node = Node::new(&agent).ready();
+    assert_eq!(node.raw(&about("a", "charge", "a1", 7, 20_000)).0, 202);
+    assert_eq!(node.raw(&about("a", "charge", "a2", 7, 20_000)).0, 202);
+    wait_until("the first one's notice fails", || node.logged("notices answered 500"));
+    assert_eq!(endpoint.times("a2"), 0);
+    let node = node.restart().ready();
+    wait_until("its notice fails again", || node.logged("notices answered 500"));
+    assert_eq!(node.raw(&about("b", "charge", "b1", 7, 20_000)).0, 202);
+    wait_until("another subject's is out", || endpoint.times("b1") == 1);
+    assert_eq!(endpoint.times("a2"), 0);
+    agent.faults.store(0, Ordering::SeqCst);
+    wait_until("the second follows", || endpoint.times("a2") == 1);
+    assert_eq!(agent.notices(), [failed("a1")]);
+}
+
 #[test]
 fn peers_that_send_no_whole_request_are_left() {
     // guards against peers that hold clients' places: the half body's end comes first, whatever the load
