Refuse bodies that come in chunks, so that none with two ends is taken on

Evidence, by strace: all 37 calls that endpoints answered with 400 carry ids of requests that had both Content-Length and Transfer-Encoding, with a second request hidden in the body. They were answered 202, and an empty body went out, up to six times each.

Lines at fault: `handle` in `src/net/server.rs` trusted hyper, which takes such a request as chunked, drops the length from the headers whichever came first, and only closes the connection after it. A look at the headers thus can't tell it from a plain chunked one.

Ruled out: smuggling of the hidden request (hyper closes after the first, none came out), and damage on the way to the endpoint (bodies of other calls on the same connections went out whole).

The test fails without the change.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{ALLOW, CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{ALLOW, CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -247,6 +247,8 @@
     let retried = single(headers, "x-retried", "X-Retried")?;
     let (again, orphan) = (retried.is_some(), retried.is_some_and(|value| value == "again"));
     let (id, key) = (id.clone(), key.cloned());
+    // hyper drops the length beside a Transfer-Encoding, so two ends of the body can't be told from one
+    let no_length = headers.contains_key(TRANSFER_ENCODING);
     if request.body().size_hint().lower() > BODY_MOST as u64 {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
     }
@@ -258,6 +260,9 @@
         Ok(Err(_)) => return Err(bad("the body is malformed")),
         Ok(Ok(body)) => body.to_bytes(),
     };
+    if no_length {
+        return Err((StatusCode::LENGTH_REQUIRED, "Content-Length is missing or not the body's"));
+    }
     if !*server.ready.borrow() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"));
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -101,6 +101,14 @@
         .replace("Content-Length: 1\r\n", "Transfer-Encoding: chunked\r\n")
         .replace("\r\n\r\nx", "\r\n\r\n");
     assert_eq!(node.raw((large + &chunks).as_bytes()).0, 413);
+    // a body with two ends is no body, whichever header comes first; neither is what hides behind it
+    let hidden = String::from_utf8(message("webhook", "hidden", 7, 9000, b"x")).expect("text");
+    let both = "Content-Length: 99\r\nTransfer-Encoding: chunked\r\n";
+    let swapped = "Transfer-Encoding: chunked\r\nContent-Length: 99\r\n";
+    for lengths in [both, swapped] {
+        let text = good.replace("Content-Length: 1\r\n", lengths).replace("\r\n\r\nx", "\r\n\r\n0\r\n\r\n");
+        assert_eq!(node.raw((text + &hidden).as_bytes()).0, 411, "{lengths}");
+    }
     assert_eq!(node.hand_in("webhook", "most", 7, 20_000, &[b'z'; 65_536]), 202);
     wait_until("the largest body goes out", || endpoint.times("most") == 1);
     assert_eq!(endpoint.count(), 1);
