Refuse destinations beyond 16 bits, which no list can name

Evidence, by strace: what is still taken on and comes from connections that are reset at once is of two kinds. Copies of messages already taken, under the same id, are harmless. The others, 12 at the one sender, name destination 70000, where the recording's list has 0 to 21; they are held until their time is up.

Lines at fault: `read_destination` in `src/net/server.rs` read any number. A number that is only unlisted must still be taken on, since the list comes seconds late; one beyond 16 bits is refused with 400.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -353,13 +353,14 @@
     Ok(value)
 }
 
+/// Destinations have small numbers: one beyond 16 bits is none that a list will ever name.
 fn read_destination(text: &str) -> Option<u64> {
     let mut values = text.split([';', ',']).filter_map(|part| part.trim().strip_prefix("dest="));
     let value = values.next()?;
     if values.next().is_some() || !value.bytes().all(|byte| byte.is_ascii_digit()) {
         return None;
     }
-    value.parse().ok()
+    value.parse::<u16>().ok().map(u64::from)
 }
 
 #[cfg(test)]
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -83,6 +83,7 @@
         (good.replace("9000m", "é"), 400),
         (good.replace("dest=7", "dest=x"), 400),
         (good.replace("dest=7", "dest=-7"), 400),
+        (good.replace("dest=7", "dest=70000"), 400),
         (good.replace("dest=7", "dest=7;dest=8"), 400),
         (good.replace("webhook", "gossip"), 400),
         (good.replace("Class: webhook", "Class: order"), 400),
