Tell the module whose message it is, so that a tenant's share counts

Evidence: the logs show two destinations shut and nothing of tenants. The module weighs a message by its tenant's bucket (`accept` in `src/decide.rs`), and the adapter tells it (`demand` in `src/wire.rs`). The network code did not: `server.rs` never read X-Tenant-Id, and both `NewMessage`s of `driver.rs` left `tenant` at none, so in a queue what is over a share goes by age like the rest.

Ruled out: CPU (0.09 of 0.20 in the worst second), disk (1.6 of 3 MB), descriptors (67 of 384), answers to clients (under a millisecond), and slots: 12 of them out at the most.

The test fails without the change.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -44,6 +44,8 @@
     pub key: Option<HeaderValue>,
     /// What the message is about; messages of one subject take turns in classes that keep order.
     pub subject: Option<String>,
+    /// Whose message it is, for the shares of the tenants.
+    pub tenant: Option<String>,
     pub class: usize,
     pub destination: u64,
     pub time: Micros,
@@ -247,6 +249,7 @@
             let class = position(&self.class_names, &owed.taken.class);
             let new = NewMessage {
                 key: owed.origin.subject.as_deref().map(key_of),
+                tenant: owed.origin.tenant.as_deref().map(|name| position(&self.names.tenants, name)),
                 ..NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now)
             };
             if let Some(ending) = owed.ending {
@@ -330,6 +333,7 @@
             let left = began + arrival.time - self.clock.at(Instant::now());
             let new = NewMessage {
                 key: arrival.subject.as_deref().map(key_of),
+                tenant: arrival.tenant.as_deref().map(|name| position(&self.names.tenants, name)),
                 again: arrival.again,
                 orphan: arrival.orphan,
                 ..NewMessage::new(message, arrival.class, arrival.destination, left)
@@ -533,7 +537,7 @@
             deadline: began + arrival.time,
             body: arrival.body.to_vec(),
         };
-        let origin = Origin { subject: arrival.subject.clone() };
+        let origin = Origin { subject: arrival.subject.clone(), tenant: arrival.tenant.clone() };
         let written = self.journal.take(message.0, taken, origin);
         if self.check(written) { Answer::Taken } else { Answer::NoRoom }
     }
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -60,6 +60,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
     pub subject: Option<String>,
+    pub tenant: Option<String>,
 }
 
 /// One send of a message.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -244,6 +244,9 @@
     let envelope = single(headers, "envelope", "Envelope")?.ok_or(bad("Envelope is missing"))?;
     let destination = envelope.to_str().ok().and_then(read_destination).ok_or(bad("dest can't be read"))?;
     let subject = read_subject(request.uri().query())?.map(str::to_string);
+    let tenant = single(headers, "x-tenant-id", "X-Tenant-Id")?;
+    let tenant = tenant.and_then(|value| value.to_str().ok()).filter(|name| name.len() <= WORD_MOST);
+    let tenant = tenant.map(str::to_string);
     let retried = single(headers, "x-retried", "X-Retried")?;
     let (again, orphan) = (retried.is_some(), retried.is_some_and(|value| value == "again"));
     let (id, key) = (id.clone(), key.cloned());
@@ -268,7 +271,8 @@
     }
     let (reply, answer) = oneshot::channel();
     let mut guard = Guard { left: Some(id.clone()), inputs: &server.inputs };
-    let arrival = Arrival { id, key, subject, class, destination, time, began, again, orphan, body, reply };
+    let arrival =
+        Arrival { id, key, subject, tenant, class, destination, time, began, again, orphan, body, reply };
     if server.inputs.send(Input::Arrived(arrival)).is_err() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "ending"));
     }
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -292,6 +292,8 @@
                 {{"name":"webhook","aim":4.0,"deadline":20.0,"effect":"deduplicated","group":"all","window":12.0}},
                 {{"name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once"}},
                 {{"name":"charge","aim":4.0,"deadline":20.0,"effect":"at_most_once","oneAtATime":true}}],
+              "realms":[{{"name":"acme","allowancePerS":0.01}},{{"name":"beta","allowancePerS":1000.0}}],
+              "overShareWorth":0.1,
               "specifics":{{"callSlots":8,"bundleMax":[1,5],"routesApart":[false,false]}},
               "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
         );
@@ -405,6 +407,12 @@
     text.replacen(" HTTP/1.1", &format!("?subject={subject} HTTP/1.1"), 1).into_bytes()
 }
 
+/// A message of a tenant.
+pub fn of_tenant(tenant: &str, class: &str, id: &str, dest: u64, time_ms: u64) -> Vec<u8> {
+    let text = String::from_utf8(message(class, id, dest, time_ms, b"x")).expect("text");
+    text.replacen("\r\n", &format!("\r\nX-Tenant-Id: {tenant}\r\n"), 1).into_bytes()
+}
+
 /// A connection of a client.
 pub struct Client(BufReader<TcpStream>);
 
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -188,6 +188,34 @@
     assert_eq!(agent.notices(), [failed("a1")]);
 }
 
+#[test]
+fn what_is_over_its_tenants_share_waits_for_what_is_inside() {
+    // the first two fill the window until the gate opens, the next two from then on
+    let gate: Arc<Mutex<bool>> = Arc::default();
+    let opened = gate.clone();
+    let endpoint = Endpoint::new(move |request, _| match request.ids()[0].as_str() {
+        "first0" | "first1" => {
+            wait_until("the gate opens", || *opened.lock().expect("not poisoned"));
+            OK
+        }
+        _ => Reply::Silence,
+    });
+    let node = Node::new(&one(&endpoint)).ready();
+    let hand_in = |tenant, id| assert_eq!(node.raw(&of_tenant(tenant, "order", id, 7, 20_000)).0, 202);
+    for id in ["first0", "first1"] {
+        hand_in("beta", id);
+    }
+    wait_until("the window is full", || endpoint.count() == 2);
+    for (tenant, id) in [("acme", "inside"), ("acme", "over1"), ("acme", "over2"), ("beta", "later")] {
+        hand_in(tenant, id);
+    }
+    *gate.lock().expect("not poisoned") = true;
+    wait_until("both inside their shares are out", || {
+        endpoint.times("inside") + endpoint.times("later") == 2
+    });
+    assert_eq!(endpoint.times("over1") + endpoint.times("over2"), 0);
+}
+
 #[test]
 fn peers_that_send_no_whole_request_are_left() {
     // guards against peers that hold clients' places: the half body's end comes first, whatever the load
