Call off single calls that are lost while their endpoint answers others

By strace of one sender, 68 calls ran for more than 1.5 s, at 20 endpoints, on new connections and on reused ones alike, with their last byte written; next to them the same endpoints answered in 0.1 s. Keyed ones ended at the end of their window (7.5 s), unsafe ones at their deadline (12 s).

Lines at fault: `look_for_silence` in `src/decide.rs` called a call off only where its class had no sign of life at the endpoint since. A call is now taken for lost after three silence limits (3 s at least) in any case; unsafe ones still only when slots are scarce. A keyed one then has time left in its window to go again.

The test fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,6 +48,8 @@
 const RECLAIM_LIMITS: i64 = 2;
 /// So many times longer where only the one class at the one endpoint is without a sign of life.
 const CLASS_LIMITS: i64 = 2;
+/// A call is taken for lost after this many limits, even where others are answered: lower frees slots sooner.
+const LOST_LIMITS: i64 = 3;
 /// Slots in use above which unsafe calls are called off too: lower gives up more, higher frees less.
 const SLOTS_SCARCE: f64 = 0.7;
 /// A unit lags while a call is out for this many usual latencies; all lagging and sick units share the sick
@@ -512,7 +514,9 @@
                 let alive = record.and_then(|classes| classes.get(&held.class)).map(|class| class.alive_at);
                 let limits = (if scarce { 1 } else { RECLAIM_LIMITS }) * if sick { 1 } else { CLASS_LIMITS };
                 let over = self.now - attempt.sent > limits * unit.silence_limit();
-                if over && (sick || alive.unwrap_or(0) < attempt.sent) {
+                // lost on its own, however its endpoint fares with others
+                let lost = self.now - attempt.sent > LOST_LIMITS * unit.silence_limit();
+                if lost || over && (sick || alive.unwrap_or(0) < attempt.sent) {
                     attempt.cancelled = true;
                     actions.push(Action::Cancel { message, attempt: index });
                 }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -29,6 +29,26 @@
     assert!(sent.iter().all(|&id| rig.cancels(id) == 1), "all calls without a sign of life are called off");
 }
 
+#[test]
+fn a_call_that_is_lost_alone_is_called_off_though_others_are_answered() {
+    let mut settings = settings(40);
+    settings.classes[KEYED].effect = Effect::Keyed { window: 20 * SECOND, zone_only: false };
+    let mut rig = Rig::new(settings, vec![entry(1, 7)]);
+    rig.tell(vec![message(1, KEYED, 7), message(2, UNSAFE, 7)]);
+    for id in 10..28 {
+        rig.tell(vec![message(id, KEYED, 7)]);
+        rig.run(rig.now + 200 * MILLISECOND);
+        rig.end(id, Outcome::Success, 200 * MILLISECOND);
+        if rig.now < T0 + 2 * SECOND {
+            assert_eq!(rig.cancels(1), 0, "a long call is let be");
+        }
+    }
+    assert_eq!((rig.cancels(1), rig.cancels(2)), (1, 0), "an unsafe one only when slots are scarce");
+    rig.end(1, Outcome::Cancelled, 3 * SECOND);
+    rig.run(rig.now + SECOND);
+    assert_eq!(rig.sends_of(1).len(), 2, "it goes again");
+}
+
 #[test]
 fn unsafe_calls_are_called_off_only_when_slots_are_scarce() {
     // Round 2: unsafe calls to a silent destination held their slots to long deadlines.
