Tell clients turned away at the limit of held messages when to come back

Symptom: a client that meets the limit (`caps.maxOpen`) gets a 429 without a Retry-After, though the settings allow one and every other refusal carries it.

Evidence: `arrive` in `src/net/driver.rs` turned them away by itself and with no wait: a decision outside the module.

The module now counts what it holds and refuses what comes beyond with the same advice as elsewhere; the driver hands everything on.

The module's test fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -170,7 +170,14 @@
                 self.list_retry = Some(self.now + self.list_rest / 2 + jitter);
                 self.list_rest = (self.list_rest * 2).min(LIST_MOST);
             }
-            Event::Accepted(message) => self.accept(message),
+            Event::Accepted(message) => {
+                let held = self.messages.values().filter(|message| message.open).count();
+                if held < self.settings.max_held {
+                    self.accept(message);
+                } else {
+                    actions.push(Action::Refuse { message: message.id, wait: self.client_wait() });
+                }
+            }
             Event::Resumed { message, attempts } => self.resume(message, attempts),
             Event::Unnoticed(message) => {
                 self.accept(message);
@@ -603,8 +610,7 @@
         for id in ends {
             let message = &self.messages[&id];
             actions.push(if self.may_refuse(message) {
-                let wait = self.settings.max_client_wait / 2;
-                Action::Refuse { message: id, wait: (wait > 0).then_some(wait) }
+                Action::Refuse { message: id, wait: self.client_wait() }
             } else {
                 Action::Fail(id)
             });
@@ -616,6 +622,12 @@
         }
     }
 
+    /// When a client that is turned away should come back, where clients are told.
+    fn client_wait(&self) -> Option<Micros> {
+        let wait = self.settings.max_client_wait / 2;
+        (wait > 0).then_some(wait)
+    }
+
     /// True if no later send can be legal: it may have run and cannot be repeated, or no attempt is left.
     fn is_spent(&self, message: &Held) -> bool {
         let mut risky = message.at_risk();
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -140,7 +140,6 @@
     clock: Clock,
     names: Names,
     bundle_max: Vec<usize>,
-    max_held: usize,
     class_names: Vec<String>,
     journal: Journal,
     calls: Calls,
@@ -150,8 +149,6 @@
     by_uid: HashMap<String, EndpointId>,
     messages: BTreeMap<MessageId, Message>,
     by_id: HashMap<HeaderValue, MessageId>,
-    /// Messages without a final answer.
-    open: usize,
     next_message: u64,
     out: BTreeMap<u64, CallOut>,
     next_call: u64,
@@ -177,7 +174,6 @@
             clock: Clock::new(),
             names,
             bundle_max: settings.kinds.iter().map(|kind| kind.bundle_max).collect(),
-            max_held: settings.max_held,
             class_names: settings.classes.iter().map(|class| class.name.clone()).collect(),
             journal,
             calls,
@@ -187,7 +183,6 @@
             by_uid: HashMap::new(),
             messages: BTreeMap::new(),
             by_id: HashMap::new(),
-            open: 0,
             next_message: 0,
             out: BTreeMap::new(),
             next_call: 0,
@@ -286,7 +281,6 @@
             let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
             self.messages.insert(message, Message { item, open: true, clients: 1, attempts });
             self.by_id.insert(id, message);
-            self.open += 1;
         }
     }
 
@@ -324,8 +318,6 @@
             self.doubled.push((message, arrival.id, arrival.reply));
         } else if self.delivered.contains(&arrival.id) {
             let _ = arrival.reply.send(Answer::Delivered);
-        } else if self.open >= self.max_held {
-            let _ = arrival.reply.send(Answer::Refused { wait: None });
         } else {
             let message = MessageId(self.next_message);
             self.next_message += 1;
@@ -342,7 +334,6 @@
             let item = Item { id: arrival.id.clone(), key: arrival.key.clone(), body: arrival.body.clone() };
             self.messages.insert(message, Message { item, open: true, clients: 1, attempts: Vec::new() });
             self.by_id.insert(arrival.id.clone(), message);
-            self.open += 1;
             self.arrived.insert(message, (arrival, began));
         }
     }
@@ -405,7 +396,6 @@
     fn close(&mut self, message: MessageId) -> bool {
         let Some(held) = self.messages.get_mut(&message).filter(|held| held.open) else { return false };
         held.open = false;
-        self.open -= 1;
         if self.by_id.get(&held.item.id) == Some(&message) {
             self.by_id.remove(&held.item.id);
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -234,6 +234,20 @@
     assert_eq!(rig.sends_of(6).len(), 1);
 }
 
+#[test]
+fn a_message_beyond_those_that_may_be_held_is_told_when_to_come_back() {
+    let mut settings = settings(10);
+    (settings.max_held, settings.max_client_wait) = (5, 3 * SECOND);
+    let mut rig = Rig::new(settings, pool(1));
+    let actions = rig.tell((1..=6).map(|id| message(id, UNSAFE, 7)).collect());
+    let refusals: Vec<&Action> = actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).collect();
+    let wait = Some(3 * SECOND / 2);
+    assert_eq!(refusals, [&Action::Refuse { message: MessageId(6), wait }]);
+    rig.end(1, Outcome::Success, 100 * MILLISECOND);
+    rig.tell(vec![message(7, UNSAFE, 7)]);
+    assert!(!rig.refused(7), "there is room again");
+}
+
 #[test]
 fn every_message_ends_once_before_its_deadline() {
     let mut rig = Rig::new(settings(8), pool(2));
