--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! legality gate, then the proposals: sends, copies, probes, ends. Only the gate knows the rules.
 
 use crate::interface::*;
-use crate::state::{Attempt, Call, Endpoint, Health, Held, KeyLine, Unit, UnitId, seconds};
+use crate::state::{Attempt, Call, Endpoint, Health, Held, KeyLine, Unit, UnitId, Warmup, seconds};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -191,6 +191,20 @@
                 }
                 self.forget_if_done(*message);
             }
+            Event::Disabled(endpoint) => {
+                let known = self.endpoints.entry(*endpoint).or_default();
+                (known.out, known.warmup) = (true, None);
+                actions.push(Action::Disconnect(*endpoint));
+            }
+            Event::Enabled(endpoint) => {
+                let warmup = Warmup { since: self.now, tokens: 1.0, tokens_at: self.now };
+                if let Some(known) = self.endpoints.get_mut(endpoint).filter(|known| known.out) {
+                    (known.out, known.warmup) = (false, Some(warmup));
+                    known.classes.clear(); // it may be another process by now
+                }
+                actions.push(Action::Disconnect(*endpoint));
+                self.forget_gone();
+            }
             Event::Stopping { ends } => self.ends = Some(*ends),
             Event::ToldWait { endpoint, wait } => {
                 let id = self.unit_of(*endpoint);
@@ -239,7 +253,7 @@
     fn forget_gone(&mut self) {
         let attempts = self.messages.values().flat_map(|message| &message.attempts);
         let tried: BTreeSet<EndpointId> = attempts.map(|attempt| attempt.endpoint).collect();
-        self.endpoints.retain(|id, known| known.serving || tried.contains(id));
+        self.endpoints.retain(|id, known| known.serving || known.out || tried.contains(id));
         let known = &self.endpoints;
         self.routes.values_mut().for_each(|routes| routes.retain(|id| known.contains_key(id)));
         self.routes.retain(|_, routes| !routes.is_empty());
@@ -541,7 +555,7 @@
         let settings = &self.settings;
         let out = message.attempts.iter().filter(|attempt| attempt.out).count();
         if !message.open
-            || !target.serving
+            || !target.is_open()
             || target.destination != message.destination
             || message.attempts.len() >= settings.max_attempts
             || self.now + MARGIN >= message.deadline
@@ -643,7 +657,7 @@
     fn is_stuck(&self, message: &Held) -> bool {
         let goes = |unit: &Unit| unit.health == Health::Well && unit.fails < FAIL_TRUST;
         let stuck = |id: &EndpointId| self.units.get(&self.unit_of(*id)).is_some_and(|unit| !goes(unit));
-        let serving = |id: &&EndpointId| self.endpoints.get(id).is_some_and(|known| known.serving);
+        let serving = |id: &&EndpointId| self.endpoints.get(id).is_some_and(Endpoint::is_open);
         self.routes.get(&message.destination).is_none_or(|ids| ids.iter().filter(serving).all(stuck))
     }
 
@@ -712,6 +726,9 @@
             if copy && late || !self.is_wise(unit_id, unsafe_class, copy, joined.is_some()) {
                 continue;
             }
+            if joined.is_none() && !self.is_warm_enough(endpoint, unit_id) {
+                continue;
+            }
             let known = &self.endpoints[&endpoint];
             let record = known.classes.get(&self.messages[&id].class);
             let struck = record.is_some_and(|class| class.struck_until > self.now && class.strikes > 0);
@@ -764,6 +781,33 @@
         advised
     }
 
+    /// True unless the endpoint was put back a short while ago and has had what it can take.
+    /// Guards a restarted endpoint whose fellows are warm: it gets its part of what the destination is known
+    /// to take, at the level of a returning one. Could hold back one that was never restarted for a while.
+    fn is_warm_enough(&mut self, endpoint: EndpointId, id: UnitId) -> bool {
+        let (now, safety) = (self.now, self.settings.safety.clone());
+        let unit = self.unit(id);
+        let known_rate = if unit.best_rate > 0.0 { unit.best_rate.max(unit.share) } else { 1.0 };
+        let open = |id: &&EndpointId| self.endpoints.get(id).is_some_and(Endpoint::is_open);
+        let fellows = self.routes.get(&id.0).map_or(1, |ids| ids.iter().filter(open).count().max(1));
+        let Some(known) = self.endpoints.get_mut(&endpoint) else { return true };
+        let Some(warmup) = &mut known.warmup else { return true };
+        let warm = (now - warmup.since) as f64 / safety.cold_time.max(1) as f64;
+        if warm >= 1.0 {
+            known.warmup = None;
+            return true;
+        }
+        let level = safety.start_capacity + (1.0 - safety.start_capacity) * warm;
+        let rate = known_rate / fellows as f64 * safety.fall_multiple * BUDGET_SHARE * level;
+        warmup.tokens = (warmup.tokens + rate * seconds(now - warmup.tokens_at)).min(1.0);
+        warmup.tokens_at = now;
+        if warmup.tokens < 1.0 {
+            let rest = ((1.0 - warmup.tokens) / rate.max(0.001) * SECOND as f64) as Micros;
+            self.due = self.due.min(now + rest + MILLISECOND);
+        }
+        warmup.tokens >= 1.0
+    }
+
     fn send(
         &mut self, id: MessageId, endpoint: EndpointId, joined: Option<u64>, copy: bool,
         opened: &mut BTreeMap<EndpointId, u64>, actions: &mut Vec<Action>,
@@ -781,6 +825,9 @@
             unit.tokens -= 1.0;
             unit.in_flight += 1;
             unit.sent += 1;
+            if let Some(warmup) = self.endpoints.get_mut(&endpoint).and_then(|known| known.warmup.as_mut()) {
+                warmup.tokens -= 1.0;
+            }
         }
         let silence = self.unit(unit_id).silence_limit();
         let offset = self.unit(unit_id).offset.unwrap_or(FIRST_COPY_DELAY);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -463,6 +463,10 @@
     Unnoticed(NewMessage),
     /// The notice of a message that the sender ended has arrived: the message is over.
     Noticed(MessageId),
+    /// Operators take an endpoint out: nothing new goes there, whatever lists say, until it is put back.
+    Disabled(EndpointId),
+    /// Operators put an endpoint back, which they may have restarted meanwhile.
+    Enabled(EndpointId),
     /// The process has been asked to stop: calls that are out then are cut off.
     Stopping {
         /// When it ends.
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,10 +5,11 @@
 use milletturn::Sender;
 use net::calls::Calls;
 use net::config::Config;
+use net::control::Control;
 use net::driver::{Driver, Input};
 use net::journal::Journal;
 use net::server::{Server, serve};
-use net::{discovery, journal};
+use net::{control, discovery, journal};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -24,6 +25,8 @@
 /// sooner than 3.7 s after SIGTERM.
 const CLOSE_IDLE: Duration = Duration::from_millis(2500);
 const END: Duration = Duration::from_millis(3300);
+/// Orders of operators that may wait.
+const ORDERS: usize = 64;
 
 fn main() -> ExitCode {
     match start() {
@@ -49,6 +52,7 @@
     log_recovery(&config.name, &journal, &recovery);
     let (inputs, received) = mpsc::unbounded_channel();
     let (notices, queue) = mpsc::unbounded_channel();
+    let (orders, ordered) = mpsc::channel(ORDERS);
     let (ready, ready_seen) = watch::channel(false);
     let (close, closing) = watch::channel(false);
     let (moved, agent) = watch::channel(config.discovery);
@@ -59,6 +63,7 @@
     let sender = Sender::new(config.settings.clone(), config.seed)?;
     let version =
         config.known.as_ref().filter(|known| !known.targets.is_empty()).map_or(0, |known| known.version);
+    let control = Control { orders, ready: ready_seen.clone(), draining: draining.clone() };
     let server = Server {
         classes: config.settings.classes.clone(),
         inputs: inputs.clone(),
@@ -72,11 +77,16 @@
         Driver::new(sender, &config.settings, config.names, config.known, journal, calls, notices, ready);
     let listener = TcpListener::bind(config.listen).await?;
     net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
+    if let Some(address) = config.control {
+        let listener = TcpListener::bind(address).await?;
+        net::log(format_args!("{}: operators at {}", config.name, listener.local_addr()?));
+        tokio::task::spawn_local(control::serve(listener, Rc::new(control)));
+    }
     tokio::task::spawn_local(discovery::watch(agent.clone(), version, inputs.clone()));
     tokio::task::spawn_local(discovery::post_notices(agent, queue, inputs.clone()));
     tokio::task::spawn_local(reread(hangup, moved));
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
-    let driver = tokio::task::spawn_local(driver.run(received));
+    let driver = tokio::task::spawn_local(driver.run(received, ordered));
     tokio::select! {
         ended = driver => ended?,
         _ = terminate.recv() => {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -32,6 +32,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they are to.
+    pub control: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     /// Bytes that the lasting folder may hold.
@@ -49,6 +51,8 @@
     listen: String,
     discovery: String,
     #[serde(default)]
+    control: Option<String>,
+    #[serde(default)]
     seed: String,
     limits: Limits,
     #[serde(default)]
@@ -76,6 +80,8 @@
         let name = variable("RELAY_NAME").unwrap_or(file.name);
         let listen = address("RELAY_LISTEN", variable("RELAY_LISTEN").unwrap_or(file.listen))?;
         let discovery = address("RELAY_DISCOVERY", variable("RELAY_DISCOVERY").unwrap_or(file.discovery))?;
+        let control = variable("RELAY_CONTROL").ok().or(file.control);
+        let control = control.map(|text| address("RELAY_CONTROL", text)).transpose()?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Value {
             name: "seed",
             found: file.seed.clone(),
@@ -99,6 +105,7 @@
             name,
             listen,
             discovery,
+            control,
             state,
             seed,
             disk: disk as u64,
--- /dev/null
+++ b/src/net/control.rs
@@ -0,0 +1,128 @@
+//! The operators' address: one call a connection, answered beside whatever else goes on.
+
+use super::driver::{Order, Verdict};
+use super::server::{Seat, accept};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::ALLOW;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Deserialize;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::time::timeout;
+
+/// Callers at once. Beyond them, those that have sent no whole call yet leave first.
+const CALLERS: usize = 32;
+/// Longest time for a call's head, for its body, and for the end of its answer.
+const HEAD_TIME: Duration = Duration::from_millis(2000);
+const BODY_TIME: Duration = Duration::from_millis(1000);
+const ALL_TIME: Duration = Duration::from_secs(5);
+/// Longest body: an id and its name.
+const BODY_MOST: usize = 4096;
+
+/// What the calls need.
+pub struct Control {
+    pub orders: mpsc::Sender<Order>,
+    pub ready: watch::Receiver<bool>,
+    /// Set once the process takes nothing new.
+    pub draining: Rc<Cell<bool>>,
+}
+
+/// The body of an order.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Target {
+    target: String,
+}
+
+/// A no, and why.
+type No = (StatusCode, &'static str);
+
+/// Answers operators for ever.
+pub async fn serve(listener: TcpListener, control: Rc<Control>) {
+    let places = Arc::new(Semaphore::new(CALLERS));
+    accept("control", listener, places, move |stream, seat| {
+        let control = control.clone();
+        async move { serve_one(stream, control, &seat).await }
+    })
+    .await;
+}
+
+async fn serve_one(stream: TcpStream, control: Rc<Control>, seat: &Rc<Seat>) {
+    // without it answers still come, only later
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let control = control.clone();
+        async move { Ok::<_, Infallible>(answer(request, &control, seat).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .keep_alive(false)
+        .max_buf_size(16 * 1024)
+        .serve_connection(TokioIo::new(stream), service);
+    // how a caller leaves is its own affair
+    let _ = timeout(ALL_TIME, connection).await;
+}
+
+async fn answer(request: Request<Incoming>, control: &Control, seat: &Rc<Seat>) -> Response<Full<Bytes>> {
+    let (status, what) = match handle(request, control, seat).await {
+        Ok(what) => (StatusCode::OK, what),
+        Err(no) => no,
+    };
+    let mut response = Response::new(Full::from(format!("{what}\n")));
+    *response.status_mut() = status;
+    if status == StatusCode::METHOD_NOT_ALLOWED {
+        let allowed = if what == ONLY_GET { "GET" } else { "POST" };
+        response.headers_mut().insert(ALLOW, hyper::header::HeaderValue::from_static(allowed));
+    }
+    response
+}
+
+const ONLY_GET: &str = "only GET";
+
+async fn handle(request: Request<Incoming>, control: &Control, seat: &Seat) -> Result<&'static str, No> {
+    let out = match (request.uri().path(), request.method()) {
+        ("/ready", &Method::GET) => {
+            return if *control.ready.borrow() && !control.draining.get() {
+                Ok("ready")
+            } else {
+                Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"))
+            };
+        }
+        ("/ready", _) => return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET)),
+        ("/endpoints/disable", &Method::POST) => true,
+        ("/endpoints/enable", &Method::POST) => false,
+        ("/endpoints/disable" | "/endpoints/enable", _) => {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "only POST"));
+        }
+        _ => return Err((StatusCode::NOT_FOUND, "no such path")),
+    };
+    let body = timeout(BODY_TIME, Limited::new(request.into_body(), BODY_MOST).collect()).await;
+    let body = body
+        .map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?
+        .map_err(|_| (StatusCode::BAD_REQUEST, "the body is malformed or too long"))?;
+    let Target { target: uid } = serde_json::from_slice(&body.to_bytes())
+        .map_err(|_| (StatusCode::BAD_REQUEST, "the body is not {\"target\":\"ID\"}"))?;
+    seat.set_idle(false);
+    let (reply, verdict) = oneshot::channel();
+    control
+        .orders
+        .try_send(Order::SetOut { uid, out, reply })
+        .map_err(|_| (StatusCode::SERVICE_UNAVAILABLE, "no order is taken now"))?;
+    match verdict.await {
+        Ok(Verdict::Done) => Ok("done"),
+        Ok(Verdict::Unknown) => Err((StatusCode::NOT_FOUND, "no such endpoint")),
+        Ok(Verdict::Unwritten) => Err((StatusCode::INSUFFICIENT_STORAGE, "it could not be written down")),
+        Err(_) => Err((StatusCode::SERVICE_UNAVAILABLE, "ending")),
+    }
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -10,7 +10,7 @@
 use milletturn::wire::{Names, position};
 use milletturn::{
     Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
-    PastAttempt, Sender, Settings,
+    PastAttempt, Sender, Settings, Status,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -23,6 +23,8 @@
 const REMEMBERED: usize = 4096;
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(250);
+/// Inputs taken into one turn, so that a turn stays short.
+const MOST_AT_ONCE: usize = 1000;
 
 /// What the rest of the program tells the driver.
 #[derive(Debug)]
@@ -37,6 +39,23 @@
     Noticed(Vec<u64>),
 }
 
+/// What operators order; it overtakes all that waits.
+#[derive(Debug)]
+pub enum Order {
+    /// Take an endpoint out, or put it back.
+    SetOut { uid: String, out: bool, reply: oneshot::Sender<Verdict> },
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Done,
+    /// No list has this endpoint.
+    Unknown,
+    /// It could not be written down.
+    Unwritten,
+}
+
 /// A message that is handed in.
 #[derive(Debug)]
 pub struct Arrival {
@@ -132,6 +151,8 @@
     uid: String,
     address: Option<SocketAddr>,
     bundle_max: usize,
+    /// The last list that named it did not say that it is gone.
+    listed: bool,
 }
 
 /// Owner of the module and the messages.
@@ -196,36 +217,82 @@
         if let Some(known) = known {
             driver.list(known, true);
         }
+        let out: Vec<String> = driver.journal.out().map(str::to_string).collect();
+        for uid in out {
+            let endpoint = driver.endpoint_of(&uid);
+            driver.events.push(Event::Disabled(endpoint));
+        }
         driver.resume();
         driver
     }
 
     /// Turns until the inputs end.
-    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+    pub async fn run(
+        mut self, mut inputs: mpsc::UnboundedReceiver<Input>, mut orders: mpsc::Receiver<Order>,
+    ) {
         let mut sweep = tokio::time::interval(SWEEP);
         self.turns();
         loop {
             let alarm = self.alarm.map(|at| self.clock.instant(at));
             tokio::select! {
-                input = inputs.recv() => match input {
-                    Some(input) => self.learn(input),
-                    None => return,
-                },
-                () = sleep_until(alarm.unwrap_or_else(Instant::now)), if alarm.is_some() => {}
+                // operators wait a second at most, however much waits to be done
+                biased;
+                Some(order) = orders.recv() => self.obey(order),
                 _ = sweep.tick() => {
                     self.calls.sweep();
                     let written = self.journal.retry();
                     self.check(written);
                     continue;
                 }
+                input = inputs.recv() => match input {
+                    Some(input) => self.learn(input),
+                    None => return,
+                },
+                () = sleep_until(alarm.unwrap_or_else(Instant::now)), if alarm.is_some() => {}
             }
-            while let Ok(input) = inputs.try_recv() {
+            for _ in 0..MOST_AT_ONCE {
+                let Ok(input) = inputs.try_recv() else { break };
                 self.learn(input);
             }
             self.turns();
         }
     }
 
+    fn obey(&mut self, order: Order) {
+        let Order::SetOut { uid, out, reply } = order;
+        let was_out = self.journal.is_out(&uid);
+        let listed = self.by_uid.get(&uid).and_then(|endpoint| self.routes.get(endpoint.0 as usize));
+        let verdict = if !was_out && !listed.is_some_and(|route| route.listed) {
+            Verdict::Unknown
+        } else if was_out == out {
+            Verdict::Done
+        } else {
+            let written = self.journal.set_out(&uid, out);
+            if self.check(written) {
+                let endpoint = self.endpoint_of(&uid);
+                self.events.push(if out { Event::Disabled(endpoint) } else { Event::Enabled(endpoint) });
+                Verdict::Done
+            } else {
+                Verdict::Unwritten
+            }
+        };
+        let order = if out { "out" } else { "back" };
+        super::log(format_args!("control: endpoint {uid} {order}: {verdict:?}"));
+        // an operator that has gone sees the log
+        let _ = reply.send(verdict);
+    }
+
+    /// The module's number for an endpoint.
+    fn endpoint_of(&mut self, uid: &str) -> EndpointId {
+        let next = EndpointId(self.routes.len() as u32);
+        let endpoint = *self.by_uid.entry(uid.to_string()).or_insert(next);
+        if endpoint == next {
+            let route = Route { uid: uid.to_string(), address: None, bundle_max: 1, listed: false };
+            self.routes.push(route);
+        }
+        endpoint
+    }
+
     /// A turn, and further ones while its own actions led to news for the module.
     fn turns(&mut self) {
         self.turn();
@@ -411,19 +478,19 @@
     }
 
     fn list(&mut self, update: ListUpdate, old: bool) {
+        if update.full {
+            self.routes.iter_mut().for_each(|route| route.listed = false);
+        }
         let mut entries = Vec::with_capacity(update.targets.len());
         for listed in update.targets {
             let kind = position(&self.names.kinds, &listed.kind);
-            let next = EndpointId(self.routes.len() as u32);
-            let endpoint = *self.by_uid.entry(listed.uid.clone()).or_insert(next);
-            if endpoint == next {
-                self.routes.push(Route { uid: listed.uid, address: None, bundle_max: 1 });
-            }
+            let endpoint = self.endpoint_of(&listed.uid);
             if let Some(route) = self.routes.get_mut(endpoint.0 as usize) {
                 if let Some(before) = route.address.filter(|&before| before != listed.address) {
                     self.calls.disconnect(before);
                 }
                 route.address = Some(listed.address);
+                route.listed = listed.status != Status::Gone;
                 route.bundle_max = self.bundle_max.get(kind).copied().unwrap_or(1);
             }
             entries.push(Entry {
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -98,6 +98,9 @@
     Ending(u64, Ending),
     Over(u64),
     HandedIn(u64, Taken, Origin),
+    /// Operators took this endpoint out, or put it back.
+    PutOut(String),
+    PutBack(String),
 }
 
 /// What was found at the start.
@@ -121,6 +124,8 @@
     /// Kept free of new messages, for the sends, outcomes and ends of those that were taken.
     reserve: u64,
     owed: BTreeMap<u64, Owed>,
+    /// Endpoints that are out, and the bytes that each one's record takes.
+    out: BTreeMap<String, u64>,
     /// Messages that are over, though that could not be written yet.
     unwritten: Vec<u64>,
     /// A write failed half-way and could not be taken back; nothing can be promised any more.
@@ -151,6 +156,7 @@
             live: 0,
             reserve: entries.saturating_mul(SMALL_ENTRY).min(limit / RESERVE_MOST),
             owed: BTreeMap::new(),
+            out: BTreeMap::new(),
             unwritten: Vec::new(),
             broken: false,
         };
@@ -167,7 +173,7 @@
             journal.file.set_len(journal.size)?;
         }
         if recovery.damaged > 0 {
-            journal.live = 0;
+            journal.live = journal.out.values().sum();
             for (&number, owed) in &mut journal.owed {
                 owed.size = encode_owed(number, owed)?.len() as u64;
                 journal.live += owed.size;
@@ -184,6 +190,22 @@
         &self.owed
     }
 
+    /// The endpoints that operators have taken out.
+    pub fn out(&self) -> impl Iterator<Item = &str> {
+        self.out.keys().map(String::as_str)
+    }
+
+    /// True if operators have taken the endpoint out.
+    pub fn is_out(&self, uid: &str) -> bool {
+        self.out.contains_key(uid)
+    }
+
+    /// Writes down that an endpoint is taken out or put back; it may be promised once this has succeeded.
+    pub fn set_out(&mut self, uid: &str, out: bool) -> Result<(), JournalError> {
+        let uid = uid.to_string();
+        self.append(if out { Entry::PutOut(uid) } else { Entry::PutBack(uid) }, 0)
+    }
+
     fn read(&mut self, bytes: &[u8]) -> Recovery {
         let mut recovery = Recovery::default();
         let (mut at, mut bad) = (0, 0);
@@ -222,6 +244,10 @@
                     sent.never_ran = never_ran;
                 }
             }),
+            Entry::PutOut(uid) => {
+                self.live += length - self.out.insert(uid, length).unwrap_or(0);
+            }
+            Entry::PutBack(uid) => self.live -= self.out.remove(&uid).unwrap_or(0),
             Entry::Ending(number, ending) => self.grow(number, length, |owed| owed.ending = Some(ending)),
         }
     }
@@ -306,6 +332,9 @@
     fn compact(&mut self) -> Result<(), JournalError> {
         let new = self.path.with_extension("new");
         let mut bytes = Vec::new();
+        for uid in self.out.keys() {
+            bytes.extend(encode(&Entry::PutOut(uid.clone()))?);
+        }
         for (&number, owed) in &self.owed {
             bytes.extend(encode_owed(number, owed)?);
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod calls;
 pub mod config;
+pub mod control;
 pub mod discovery;
 pub mod driver;
 pub mod journal;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -16,6 +16,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
@@ -59,8 +60,22 @@
 
 /// Accepts clients for ever.
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
+    let places = Arc::new(Semaphore::new(server.most));
+    accept("clients", listener, places, move |stream, seat| {
+        let server = server.clone();
+        async move { serve_one(stream, server, &seat).await }
+    })
+    .await;
+}
+
+/// Accepts connections for ever, as many at once as there are places, and has each handled.
+pub async fn accept<F>(
+    who: &'static str, listener: TcpListener, places: Arc<Semaphore>,
+    handle: impl Fn(TcpStream, Rc<Seat>) -> F,
+) where
+    F: Future<Output = ()> + 'static,
+{
     let faults = Seldom::default();
-    let places = std::sync::Arc::new(Semaphore::new(server.most));
     let seats = Rc::new(Seats::default());
     loop {
         match listener.accept().await {
@@ -72,19 +87,19 @@
                         break place;
                     }
                     if let Some(seat) = seats.longest_idle(Instant::now()) {
-                        faults
-                            .log(format_args!("clients: all {} places taken, idle ones leave", server.most));
+                        faults.log(format_args!("{who}: all places taken, idle ones leave"));
                         seat.leave();
                     }
                     let Ok(place) = timeout(LOOK, places.clone().acquire_owned()).await else { continue };
                     let Ok(place) = place else { return };
                     break place;
                 };
-                let (server, seats) = (server.clone(), seats.clone());
+                let seats = seats.clone();
+                let (number, seat) = seats.take(Instant::now());
+                let handled = handle(stream, seat.clone());
                 tokio::task::spawn_local(async move {
-                    let (number, seat) = seats.take(Instant::now());
                     tokio::select! {
-                        () = serve_one(stream, server, &seat) => {}
+                        () = handled => {}
                         () = seat.left() => {}
                     }
                     seats.give_back(number);
@@ -92,7 +107,7 @@
                 });
             }
             Err(error) => {
-                faults.log(format_args!("clients: no connection accepted: {error}"));
+                faults.log(format_args!("{who}: no connection accepted: {error}"));
                 sleep(Duration::from_millis(50)).await;
             }
         }
@@ -128,14 +143,19 @@
     }
 }
 
-/// One client's connection.
-struct Seat {
+/// One connection that was accepted.
+pub struct Seat {
     /// Since when no request is open on it.
     idle_since: Cell<Option<Instant>>,
     leave: Notify,
 }
 
 impl Seat {
+    /// A whole request has come, or its answer is out.
+    pub fn set_idle(&self, idle: bool) {
+        self.idle_since.set(idle.then(Instant::now));
+    }
+
     fn leave(&self) {
         // not asked twice
         self.idle_since.set(None);
@@ -147,16 +167,16 @@
     }
 }
 
-async fn serve_one(stream: TcpStream, server: Rc<Server>, seat: &Seat) {
+async fn serve_one(stream: TcpStream, server: Rc<Server>, seat: &Rc<Seat>) {
     // without it answers still come, only later
     let _ = stream.set_nodelay(true);
     let mut closing = server.closing.clone();
     let service = service_fn(move |request| {
         let server = server.clone();
         async move {
-            seat.idle_since.set(None);
+            seat.set_idle(false);
             let answer = answer(request, server).await;
-            seat.idle_since.set(Some(Instant::now()));
+            seat.set_idle(true);
             answer
         }
     });
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,6 +19,25 @@
     pub classes: BTreeMap<usize, ClassRecord>,
     /// How often calls lately found no connection.
     pub crowded: f64,
+    /// Taken out by the operators, which holds whatever is listed.
+    pub out: bool,
+    /// It was put back a short while ago and may be cold.
+    pub warmup: Option<Warmup>,
+}
+
+impl Endpoint {
+    /// True if new calls may go there.
+    pub fn is_open(&self) -> bool {
+        self.serving && !self.out
+    }
+}
+
+/// The token bucket of an endpoint that was put back.
+#[derive(Debug)]
+pub struct Warmup {
+    pub since: Micros,
+    pub tokens: f64,
+    pub tokens_at: Micros,
 }
 
 /// How one class fares at one endpoint.
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -258,6 +258,8 @@
     sockets: usize,
     pub process: Child,
     pub address: SocketAddr,
+    /// Where it answers operators.
+    pub control: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
     reading: Arc<AtomicBool>,
 }
@@ -281,7 +283,7 @@
 
     fn start(folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize) -> Self {
         let config = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
+            r#"{{"name":"n1","listen":"127.0.0.1:0","control":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
             "known":{{"rev":0,"all":true,"targets":[]}},
             "settings":{{"az":"a","balancers":1,"zones":["a"],"machineTypes":["one","bulk"],
@@ -312,14 +314,17 @@
                 }
             }
         });
-        let mut address = None;
-        wait_until("the sender listens", || {
-            let log = log.lock().expect("not poisoned");
-            address = log.iter().find_map(|line| line.split_once("listening on ")?.1.parse().ok());
-            address.is_some()
-        });
-        let address = address.expect("found");
-        Node { folder, discovery, disk_mb, idle_s, sockets, process, address, log, reading }
+        let logged = |what: &str| {
+            let mut address = None;
+            wait_until(what, || {
+                let log = log.lock().expect("not poisoned");
+                address = log.iter().find_map(|line| line.split_once(what)?.1.trim().parse().ok());
+                address.is_some()
+            });
+            address.expect("found")
+        };
+        let (address, control) = (logged("listening on "), logged("operators at "));
+        Node { folder, discovery, disk_mb, idle_s, sockets, process, address, control, log, reading }
     }
 
     /// Waits until it is ready.
@@ -332,6 +337,17 @@
         self.raw("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n".as_bytes()).0
     }
 
+    /// An operator's call; the status of its answer.
+    pub fn operate(&self, call: &str, body: &str) -> u16 {
+        let text = format!("{call} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        Client::to(self.control).send(text.as_bytes()).unwrap_or_default().0
+    }
+
+    /// Takes an endpoint out (`disable`) or puts it back (`enable`).
+    pub fn order(&self, what: &str, uid: &str) -> u16 {
+        self.operate(&format!("POST /endpoints/{what}"), &format!(r#"{{"target":"{uid}"}}"#))
+    }
+
     /// Sends the bytes on a connection of their own; the status and head of the answer, 0 if none comes.
     pub fn raw(&self, bytes: &[u8]) -> (u16, Request) {
         let mut client = Client::new(self);
@@ -440,7 +456,11 @@
 
 impl Client {
     pub fn new(node: &Node) -> Self {
-        let stream = TcpStream::connect(node.address).expect("the sender accepts");
+        Client::to(node.address)
+    }
+
+    pub fn to(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("the sender accepts");
         stream.set_read_timeout(Some(PATIENCE)).expect("set");
         Client(BufReader::new(stream))
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -163,6 +163,40 @@
     assert_eq!(rig.sends.len(), known + 1, "a list that names it again counts");
 }
 
+#[test]
+fn an_endpoint_out_stays_out_when_it_is_listed_anew_and_comes_back_cold() {
+    let mut rig = Rig::new(settings(40), pool(2));
+    let out = EndpointId(1);
+    rig.tell(vec![Event::Disabled(out), Event::Disabled(out)]);
+    // gone and back under the same id
+    rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(2, 7)] }]);
+    rig.tell(vec![Event::Listed { listing: Listing::Full, entries: pool(2) }]);
+    for id in 0..20 {
+        rig.tell(vec![message(id, UNSAFE, 7)]);
+        rig.now += 200 * MILLISECOND;
+        rig.end(id, Outcome::Success, 100 * MILLISECOND);
+    }
+    assert!(rig.sends.iter().all(|send| send.2 == 2), "{:?}", rig.sends);
+    // alone, so that all that goes is what it is given; one call back is enough
+    rig.tell(vec![Event::Disabled(EndpointId(2)), Event::Enabled(out)]);
+    let sent_in = |rig: &mut Rig, from: u64| {
+        let before = rig.sends.len();
+        for id in from..from + 40 {
+            rig.tell(vec![message(id, FREE, 7)]);
+            rig.now += 50 * MILLISECOND;
+            let waiting: Vec<_> = rig.sends[before..].iter().map(|send| (send.1, send.3)).collect();
+            waiting.iter().for_each(|&(id, attempt)| {
+                rig.tell(vec![ended(id, attempt, 1, Outcome::Success, 50 * MILLISECOND)]);
+            });
+        }
+        rig.sends.len() - before
+    };
+    let cold = sent_in(&mut rig, 100);
+    rig.run(rig.now + 12 * SECOND);
+    let warm = sent_in(&mut rig, 200);
+    assert!((1..20).contains(&cold) && warm >= 40, "{cold} cold, {warm} warm");
+}
+
 #[test]
 fn a_told_wait_binds_the_destination_or_the_one_route() {
     let wait = Outcome::Refused { wait: Some(2 * SECOND) };
