--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,6 +8,7 @@
 use crate::state::{Attempt, Call, Endpoint, Health, Held, KeyLine, Unit, UnitId, Warmup, seconds};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Copy offset before any latency is known. Shorter finds trouble sooner, longer wastes less.
@@ -86,8 +87,8 @@
 /// Span of a tenant's token bucket, seconds of its share.
 const TENANT_BURST: f64 = 2.0;
 
-/// The decisions of one sender.
-#[derive(Debug)]
+/// The decisions of one sender. All that it knows can be written down and read back by the next process.
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Sender {
     settings: Settings,
     random: Pcg32,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! The module's types: settings, ids, time, events, outcomes and actions. Validates, decides nothing.
 
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fmt;
 
@@ -11,18 +12,18 @@
 pub const MILLISECOND: Micros = 1_000;
 
 /// A message, numbered by the host; never used again after its end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MessageId(pub u64);
 
 /// An endpoint, numbered by the host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub u32);
 
 /// A destination's number.
 pub type DestinationId = u64;
 
 /// What a repeat of a message does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// May be sent any number of times.
     Repeatable,
@@ -38,7 +39,7 @@
 }
 
 /// A class of message.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Its name, unique among the classes.
     pub name: String,
@@ -76,7 +77,7 @@
 }
 
 /// A kind of destination.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Kind {
     /// Its name.
     pub name: String,
@@ -87,7 +88,7 @@
 }
 
 /// A tenant.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Its name.
     pub name: String,
@@ -96,7 +97,7 @@
 }
 
 /// How worth falls after the aim.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fade {
     /// Evenly, down to the late share at the deadline.
     Even,
@@ -105,7 +106,7 @@
 }
 
 /// Figures of the rules.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Safety {
     /// Sends to a draining endpoint end within this time.
     pub drain_grace: Micros,
@@ -126,7 +127,7 @@
 }
 
 /// All that a sender is told at start-up.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Senders of this group, this one counted.
     pub senders: u32,
@@ -400,7 +401,7 @@
 }
 
 /// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Success,
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,18 +6,21 @@
 use net::calls::Calls;
 use net::config::Config;
 use net::control::Control;
-use net::driver::{Driver, Input};
+use net::driver::{Clock, Driver, Input, Shared};
 use net::journal::Journal;
 use net::server::{Server, serve};
+use net::upgrade::{self, Frame, Lock, Taken};
 use net::{control, discovery, journal};
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep};
 
@@ -28,6 +31,9 @@
 /// Orders of operators that may wait.
 const ORDERS: usize = 64;
 
+/// What runs beside the driver.
+type Task = Pin<Box<dyn Future<Output = ()>>>;
+
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
@@ -45,64 +51,117 @@
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
+    let clock = Clock::new();
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
-    let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
-    let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
-    log_recovery(&config.name, &journal, &recovery);
     let (inputs, received) = mpsc::unbounded_channel();
     let (notices, queue) = mpsc::unbounded_channel();
     let (orders, ordered) = mpsc::channel(ORDERS);
     let (ready, ready_seen) = watch::channel(false);
     let (close, closing) = watch::channel(false);
+    let (handed, handed_seen) = watch::channel(false);
     let (moved, agent) = watch::channel(config.discovery);
-    let draining = Rc::new(Cell::new(false));
+    // nothing is taken before the messages are this process's own
+    let draining = Rc::new(Cell::new(true));
+    if let Some(address) = config.control {
+        let control =
+            Control { orders: orders.clone(), ready: ready_seen.clone(), draining: draining.clone() };
+        let listener = TcpListener::bind(address).await?;
+        net::log(format_args!("{}: operators at {}", config.name, listener.local_addr()?));
+        tokio::task::spawn_local(control::serve(listener, Rc::new(control)));
+    }
+    let lock = Lock::open(&config.state)?;
+    let taken = tokio::select! {
+        taken = upgrade::take_over(&lock, &config.state) => taken?,
+        _ = terminate.recv() => return Ok(()),
+    };
+    let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
+    let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
+    log_recovery(&config.name, &journal, &recovery);
     let idle = Duration::from_micros(u64::try_from(config.settings.connection_idle)?);
     let dial = Duration::from_micros(u64::try_from(config.names.dial_timeout)?);
     let calls = Calls::new(idle, dial, config.names.report_fields.clone(), inputs.clone());
-    let sender = Sender::new(config.settings.clone(), config.seed)?;
-    let version =
-        config.known.as_ref().filter(|known| !known.targets.is_empty()).map_or(0, |known| known.version);
-    let control = Control { orders, ready: ready_seen.clone(), draining: draining.clone() };
+    let (sender, handover, link) = match taken {
+        Some(Taken { sender, handover, link }) => (*sender, Some(handover), Some(link)),
+        None => (Sender::new(config.settings.clone(), config.seed)?, None, None),
+    };
+    // a third for clients, those of an old process counted; calls, idle connections and files share the rest
+    let most = (config.sockets / 3).max(1);
+    let elsewhere = handover.as_ref().map_or(0, |handover| handover.clients.min(most - 1));
+    let places = Arc::new(Semaphore::new(most - elsewhere));
     let server = Server {
         classes: config.settings.classes.clone(),
         inputs: inputs.clone(),
         ready: ready_seen,
         draining: draining.clone(),
-        // a third for clients; calls, idle connections and files share the rest
-        most: (config.sockets / 3).max(1),
+        places: places.clone(),
+        handed: handed_seen.clone(),
         closing,
     };
-    let driver =
-        Driver::new(sender, &config.settings, config.names, config.known, journal, calls, notices, ready);
-    let listener = TcpListener::bind(config.listen).await?;
-    net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
-    if let Some(address) = config.control {
-        let listener = TcpListener::bind(address).await?;
-        net::log(format_args!("{}: operators at {}", config.name, listener.local_addr()?));
-        tokio::task::spawn_local(control::serve(listener, Rc::new(control)));
+    let shared = Shared {
+        clock,
+        inputs: inputs.clone(),
+        lock,
+        places,
+        most: most - elsewhere,
+        draining: draining.clone(),
+        handed,
+    };
+    let known = config.known;
+    let mut driver = Driver::new(
+        sender,
+        &config.settings,
+        config.names,
+        known,
+        journal,
+        calls,
+        notices,
+        ready,
+        shared,
+        handover,
+    );
+    if let Some(mut link) = link {
+        // an old process that is gone leaves all to this one just the same
+        let told = link.writer.send(&Frame::Owns).await;
+        net::log(format_args!("{}: upgrade: taken over ({})", config.name, said(&told)));
+        driver.follow(link.listen(inputs.clone()), elsewhere);
     }
-    tokio::task::spawn_local(discovery::watch(agent.clone(), version, inputs.clone()));
-    tokio::task::spawn_local(discovery::post_notices(agent, queue, inputs.clone()));
+    let listener = upgrade::listener(config.passed, config.listen).await?;
+    net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
+    let until_handed = |task| upgrade::until_handed(handed_seen.clone(), task);
+    let watch = discovery::watch(agent.clone(), driver.list_version(), inputs.clone());
+    tokio::task::spawn_local(until_handed(Box::pin(watch) as Task));
+    let post = discovery::post_notices(agent, queue, inputs.clone());
+    tokio::task::spawn_local(until_handed(Box::pin(post)));
+    tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(config.state, orders))));
     tokio::task::spawn_local(reread(hangup, moved));
+    draining.set(false);
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let driver = tokio::task::spawn_local(driver.run(received, ordered));
+    let drain = async {
+        terminate.recv().await;
+        net::log(format_args!("{}: SIGTERM, draining", config.name));
+        draining.set(true);
+        let ends = Instant::now() + END;
+        let _ = inputs.send(Input::Stopping(ends));
+        sleep(CLOSE_IDLE).await;
+        let _ = close.send(true);
+        sleep(END - CLOSE_IDLE).await;
+        net::log(format_args!("{}: ends", config.name));
+    };
     tokio::select! {
+        // it ends by itself only once another process has all
         ended = driver => ended?,
-        _ = terminate.recv() => {
-            net::log(format_args!("{}: SIGTERM, draining", config.name));
-            draining.set(true);
-            let ends = Instant::now() + END;
-            let _ = inputs.send(Input::Stopping(ends));
-            sleep(CLOSE_IDLE).await;
-            let _ = close.send(true);
-            sleep(END - CLOSE_IDLE).await;
-            net::log(format_args!("{}: ends", config.name));
-        }
+        () = drain => {}
     }
     Ok(())
 }
 
+/// What is told of a word that could not be sent.
+fn said(told: &Result<(), upgrade::LinkError>) -> String {
+    told.as_ref().map_or_else(|error| format!("the old process is gone: {error}"), |()| "as it was".into())
+}
+
 /// Rereads the configuration on each SIGHUP. Discovery moves; all else holds from one start to the next.
 async fn reread(mut hangup: Signal, moved: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -13,7 +13,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use milletturn::{MILLISECOND, Micros, Outcome};
-use std::cell::RefCell;
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -51,7 +52,7 @@
 }
 
 /// How one message of a call ended.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Ended {
     pub call: u64,
     /// Its position in the call.
@@ -126,6 +127,8 @@
     idle_most: Duration,
     /// Endpoints that reset idle connections sooner: how long theirs are kept, and until when that holds.
     wary: RefCell<HashMap<SocketAddr, (Duration, Instant)>>,
+    /// No connection is kept any more.
+    leaving: Cell<bool>,
     dial_timeout: Duration,
     report_fields: Vec<String>,
     faults: Seldom,
@@ -162,6 +165,7 @@
             idle: RefCell::default(),
             idle_most,
             wary: RefCell::default(),
+            leaving: Cell::new(false),
             dial_timeout,
             report_fields,
             faults: Seldom::default(),
@@ -180,6 +184,14 @@
         self.0.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes all idle connections and keeps none from now on, or keeps them again.
+    pub fn leave(&self, leaving: bool) {
+        self.0.leaving.set(leaving);
+        if leaving {
+            self.0.idle.borrow_mut().clear();
+        }
+    }
+
     /// Closes connections that would soon be closed from the other side.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -357,7 +369,7 @@
 }
 
 fn give_back(shared: &Shared, address: SocketAddr, connection: Connection) {
-    if connection.sender.is_closed() {
+    if connection.sender.is_closed() || shared.leaving.get() {
         return;
     }
     let mut idle = shared.idle.borrow_mut();
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::path::PathBuf;
 use thiserror::Error;
 
@@ -34,6 +35,8 @@
     pub discovery: SocketAddr,
     /// Where operators call, if they are to.
     pub control: Option<SocketAddr>,
+    /// The number of the listening socket that the platform passed, if it did.
+    pub passed: Option<RawFd>,
     pub state: PathBuf,
     pub seed: u64,
     /// Bytes that the lasting folder may hold.
@@ -82,6 +85,14 @@
         let discovery = address("RELAY_DISCOVERY", variable("RELAY_DISCOVERY").unwrap_or(file.discovery))?;
         let control = variable("RELAY_CONTROL").ok().or(file.control);
         let control = control.map(|text| address("RELAY_CONTROL", text)).transpose()?;
+        let passed = match variable("RELAY_PASSED_SOCKET") {
+            Ok(text) => Some(text.parse().ok().filter(|number| *number >= 0).ok_or(ConfigError::Value {
+                name: "RELAY_PASSED_SOCKET",
+                found: text,
+                wanted: "the number of a descriptor",
+            })?),
+            Err(_) => None,
+        };
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Value {
             name: "seed",
             found: file.seed.clone(),
@@ -106,6 +117,7 @@
             listen,
             discovery,
             control,
+            passed,
             state,
             seed,
             disk: disk as u64,
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -50,7 +50,8 @@
 /// Answers operators for ever.
 pub async fn serve(listener: TcpListener, control: Rc<Control>) {
     let places = Arc::new(Semaphore::new(CALLERS));
-    accept("control", listener, places, move |stream, seat| {
+    let (_lasts, end) = watch::channel(false);
+    accept("control", listener, places, end, move |stream, seat| {
         let control = control.clone();
         async move { serve_one(stream, control, &seat).await }
     })
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,6 +5,10 @@
 use super::calls::{self, BODY_MOST, Call, Calls, Item};
 use super::discovery::{ListUpdate, Notice};
 use super::journal::{Ending, Journal, JournalError, Origin, Taken};
+use super::leaving::Leaving;
+use super::upgrade::{
+    self, Frame, HandedCall, HandedMessage, HandedRoute, Handover, Link, Lock, Passed, Successor, text,
+};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use milletturn::wire::{Names, position};
@@ -12,11 +16,15 @@
     Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
     PastAttempt, Sender, Settings, Status,
 };
+use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 /// Delivered ids that are remembered, for clients whose request crossed a closed connection.
@@ -37,6 +45,9 @@
     Listed(ListUpdate),
     /// Notices that the platform has taken, by number of message.
     Noticed(Vec<u64>),
+    /// What the other process of an upgrade says, and that it says no more.
+    Linked(Frame),
+    LinkLost,
 }
 
 /// What operators order; it overtakes all that waits.
@@ -44,10 +55,12 @@
 pub enum Order {
     /// Take an endpoint out, or put it back.
     SetOut { uid: String, out: bool, reply: oneshot::Sender<Verdict> },
+    /// A next process asks for all that this one holds.
+    HandOver(Successor),
 }
 
 /// What came of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
     Done,
     /// No list has this endpoint.
@@ -76,7 +89,7 @@
 }
 
 /// The answer to a client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     Taken,
     Delivered,
@@ -98,7 +111,8 @@
         Clock { start: Instant::now(), unix: Micros::try_from(unix).unwrap_or(0) }
     }
 
-    fn at(&self, instant: Instant) -> Micros {
+    /// Module time of an instant.
+    pub fn at(&self, instant: Instant) -> Micros {
         self.unix + Micros::try_from(instant.saturating_duration_since(self.start).as_micros()).unwrap_or(0)
     }
 
@@ -131,11 +145,14 @@
     attempts: Vec<Attempt>,
 }
 
-struct CallOut {
-    cancels: mpsc::UnboundedSender<usize>,
+/// A call that has not ended.
+pub struct CallOut {
+    /// Takes the positions that are called off; none where the old process has the call out.
+    pub cancels: Option<mpsc::UnboundedSender<usize>>,
     /// The message and attempt of each position.
     items: Vec<(MessageId, usize)>,
-    left: usize,
+    /// Positions that have not ended.
+    pub left: usize,
 }
 
 /// A turn's sends to one endpoint that travel together.
@@ -155,6 +172,26 @@
     listed: bool,
 }
 
+/// What the driver has in common with the rest of the process.
+pub struct Shared {
+    pub clock: Clock,
+    pub inputs: mpsc::UnboundedSender<Input>,
+    pub lock: Lock,
+    /// The clients' places, and how many there are when none is taken.
+    pub places: Arc<Semaphore>,
+    pub most: usize,
+    /// Tells that the process takes nothing new, and that another has taken over.
+    pub draining: Rc<Cell<bool>>,
+    pub handed: watch::Sender<bool>,
+}
+
+/// What follows once a next process has asked.
+enum Next {
+    GoOn,
+    Leave(Link),
+    End,
+}
+
 /// Owner of the module and the messages.
 pub struct Driver {
     sender: Sender,
@@ -181,6 +218,10 @@
     events: Vec<Event>,
     alarm: Option<Micros>,
     journal_fault: Seldom,
+    list_version: u64,
+    shared: Shared,
+    /// The old process, while it has calls out or clients connected, and the places that its clients hold.
+    predecessor: Option<(mpsc::UnboundedSender<Frame>, usize)>,
 }
 
 impl Driver {
@@ -188,11 +229,12 @@
     #[allow(clippy::too_many_arguments)]
     pub fn new(
         sender: Sender, settings: &Settings, names: Names, known: Option<ListUpdate>, journal: Journal,
-        calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>,
+        calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>, shared: Shared,
+        handover: Option<Handover>,
     ) -> Self {
         let mut driver = Driver {
             sender,
-            clock: Clock::new(),
+            clock: shared.clock,
             names,
             bundle_max: settings.kinds.iter().map(|kind| kind.bundle_max).collect(),
             class_names: settings.classes.iter().map(|class| class.name.clone()).collect(),
@@ -213,8 +255,14 @@
             events: Vec::new(),
             alarm: None,
             journal_fault: Seldom::default(),
+            list_version: 0,
+            shared,
+            predecessor: None,
         };
-        if let Some(known) = known {
+        let taken_over = handover.is_some();
+        if let Some(handover) = handover {
+            driver.take_over(handover);
+        } else if let Some(known) = known {
             driver.list(known, true);
         }
         let out: Vec<String> = driver.journal.out().map(str::to_string).collect();
@@ -222,7 +270,7 @@
             let endpoint = driver.endpoint_of(&uid);
             driver.events.push(Event::Disabled(endpoint));
         }
-        driver.resume();
+        driver.resume(taken_over);
         driver
     }
 
@@ -237,7 +285,14 @@
             tokio::select! {
                 // operators wait a second at most, however much waits to be done
                 biased;
-                Some(order) = orders.recv() => self.obey(order),
+                Some(order) = orders.recv() => match order {
+                    Order::SetOut { uid, out, reply } => self.obey(uid, out, reply),
+                    Order::HandOver(successor) => match self.hand_over(successor).await {
+                        Next::GoOn => {}
+                        Next::Leave(link) => return self.leave(link).run(inputs, orders).await,
+                        Next::End => return,
+                    },
+                },
                 _ = sweep.tick() => {
                     self.calls.sweep();
                     let written = self.journal.retry();
@@ -258,8 +313,7 @@
         }
     }
 
-    fn obey(&mut self, order: Order) {
-        let Order::SetOut { uid, out, reply } = order;
+    fn obey(&mut self, uid: String, out: bool, reply: oneshot::Sender<Verdict>) {
         let was_out = self.journal.is_out(&uid);
         let listed = self.by_uid.get(&uid).and_then(|endpoint| self.routes.get(endpoint.0 as usize));
         let verdict = if !was_out && !listed.is_some_and(|route| route.listed) {
@@ -282,6 +336,230 @@
         let _ = reply.send(verdict);
     }
 
+    /// Hands all to the next process, if that one takes it; nothing is decided meanwhile.
+    async fn hand_over(&mut self, successor: Successor) -> Next {
+        let mut link = match successor {
+            Successor::Heir(link) => link,
+            Successor::Stranger => {
+                super::log(format_args!("upgrade: the new process speaks another version, this one ends"));
+                return Next::End;
+            }
+        };
+        if self.predecessor.is_some() {
+            return Next::GoOn; // it asks again once the process before this one is gone
+        }
+        self.turns();
+        let handover = match self.handover() {
+            Ok(handover) => handover,
+            Err(error) => {
+                super::log(format_args!("upgrade: not handed over: {error}"));
+                return Next::GoOn;
+            }
+        };
+        let (messages, calls) = (self.by_id.len(), self.out.len());
+        let handed = match self.shared.lock.give_up() {
+            Ok(()) => link.hand(handover).await,
+            Err(error) => Err(error.into()),
+        };
+        match handed {
+            Ok(()) => {
+                super::log(format_args!("upgrade: handed over {messages} messages, {calls} calls are out"));
+                Next::Leave(link)
+            }
+            Err(error) => match self.shared.lock.try_take() {
+                Ok(true) => {
+                    super::log(format_args!("upgrade: not taken over, this process goes on: {error}"));
+                    let opened = self.journal.reopen();
+                    if self.check(opened) { Next::GoOn } else { Next::End }
+                }
+                Ok(false) | Err(_) => {
+                    super::log(format_args!("upgrade: another process owns the journal, this one ends"));
+                    Next::End
+                }
+            },
+        }
+    }
+
+    fn handover(&self) -> Result<Handover, postcard::Error> {
+        let route = |route: &Route| HandedRoute {
+            uid: route.uid.clone(),
+            address: route.address,
+            bundle_max: route.bundle_max,
+            listed: route.listed,
+        };
+        let message = |(number, held): (&MessageId, &Message)| HandedMessage {
+            number: number.0,
+            id: text(&held.item.id),
+            key: held.item.key.as_ref().map(text),
+            body: held.item.body.to_vec(),
+            open: held.open,
+            clients: held.clients,
+            attempts: held.attempts.iter().map(|a| (a.endpoint.0, a.sent, a.call, a.item, a.out)).collect(),
+        };
+        let call = |(&number, call): (&u64, &CallOut)| HandedCall {
+            number,
+            items: call.items.iter().map(|&(message, attempt)| (message.0, attempt)).collect(),
+            left: call.left,
+        };
+        Ok(Handover {
+            sender: postcard::to_allocvec(&self.sender)?,
+            names: self.names.clone(),
+            class_names: self.class_names.clone(),
+            routes: self.routes.iter().map(route).collect(),
+            messages: self.messages.iter().map(message).collect(),
+            next_message: self.next_message,
+            out: self.out.iter().map(call).collect(),
+            next_call: self.next_call,
+            delivered: self.delivered.iter().map(text).collect(),
+            list_version: self.list_version,
+            alarm: self.alarm,
+            clients: self.shared.most.saturating_sub(self.shared.places.available_permits()),
+        })
+    }
+
+    /// Takes up what an old process handed over, but for the module itself. Its calls are still out there.
+    fn take_over(&mut self, handover: Handover) {
+        (self.names, self.class_names) = (handover.names, handover.class_names);
+        (self.next_message, self.next_call) = (handover.next_message, handover.next_call);
+        (self.list_version, self.alarm) = (handover.list_version, handover.alarm);
+        for HandedRoute { uid, address, bundle_max, listed } in handover.routes {
+            self.by_uid.insert(uid.clone(), EndpointId(self.routes.len() as u32));
+            self.routes.push(Route { uid, address, bundle_max, listed });
+        }
+        for handed in handover.messages {
+            let Some(item) = handed.item() else { continue };
+            let message = MessageId(handed.number);
+            if handed.open {
+                self.by_id.insert(item.id.clone(), message);
+            }
+            let attempt = |(endpoint, sent, call, item, out)| {
+                let endpoint = EndpointId(endpoint);
+                Attempt { endpoint, sent, call, item, out }
+            };
+            let attempts = handed.attempts.into_iter().map(attempt).collect();
+            let (open, clients) = (handed.open, handed.clients);
+            self.messages.insert(message, Message { item, open, clients, attempts });
+        }
+        for HandedCall { number, items, left } in handover.out {
+            let items = items.into_iter().map(|(message, attempt)| (MessageId(message), attempt)).collect();
+            self.out.insert(number, CallOut { cancels: None, items, left });
+        }
+        self.delivered = handover.delivered.iter().filter_map(|id| HeaderValue::from_str(id).ok()).collect();
+        if self.routes.iter().any(|route| route.listed) {
+            self.ready.send_replace(true);
+        }
+    }
+
+    /// Names the process that this one took over from, and the places that its clients hold.
+    pub fn follow(&mut self, mut link: upgrade::Writer, places: usize) {
+        let (frames, mut queue) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(async move {
+            while let Some(frame) = queue.recv().await {
+                if link.send(&frame).await.is_err() {
+                    return; // the reader of the link tells of its end
+                }
+            }
+        });
+        self.predecessor = Some((frames, places));
+    }
+
+    /// The list that is known, by its version.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
+    fn leave(self, link: Link) -> Leaving {
+        self.shared.draining.set(true);
+        self.shared.handed.send_replace(true);
+        self.calls.leave(true);
+        Leaving {
+            writer: link.listen(self.shared.inputs),
+            clock: self.clock,
+            out: self.out,
+            places: self.shared.places,
+            most: self.shared.most,
+            answers: HashMap::new(),
+            verdicts: HashMap::new(),
+            next: 0,
+        }
+    }
+
+    /// What the old process reports and passes on.
+    fn linked(&mut self, frame: Frame) {
+        let Some((old, _)) = &self.predecessor else { return };
+        let old = old.clone();
+        match frame {
+            Frame::Ended(ended) => self.ended(ended),
+            Frame::Left(id) => {
+                if let Ok(id) = HeaderValue::from_str(&id) {
+                    self.learn(Input::ClientLeft(id));
+                }
+            }
+            Frame::Arrived { number, arrival } => {
+                let (reply, answer) = oneshot::channel();
+                if let Some(arrival) = self.passed(*arrival, reply) {
+                    self.arrive(arrival);
+                }
+                tokio::task::spawn_local(async move {
+                    let answer = answer.await.unwrap_or(Answer::NoRoom);
+                    // the old process is gone, and its clients with it
+                    let _ = old.send(Frame::Answered { number, answer });
+                });
+            }
+            Frame::Ordered { number, uid, out } => {
+                let (reply, verdict) = oneshot::channel();
+                self.obey(uid, out, reply);
+                tokio::task::spawn_local(async move {
+                    let verdict = verdict.await.unwrap_or(Verdict::Unwritten);
+                    let _ = old.send(Frame::Judged { number, verdict });
+                });
+            }
+            _ => {}
+        }
+    }
+
+    fn passed(&self, passed: Passed, reply: oneshot::Sender<Answer>) -> Option<Arrival> {
+        Some(Arrival {
+            id: HeaderValue::from_str(&passed.id).ok()?,
+            key: passed.key.as_deref().map(HeaderValue::from_str).transpose().ok()?,
+            subject: passed.subject,
+            tenant: passed.tenant,
+            class: passed.class,
+            destination: passed.destination,
+            time: passed.time,
+            began: self.clock.instant(passed.began),
+            again: passed.again,
+            orphan: passed.orphan,
+            body: passed.body.into(),
+            reply,
+        })
+    }
+
+    /// The old process has ended: nobody will tell how its last calls do.
+    fn link_lost(&mut self) {
+        let Some((_, places)) = self.predecessor.take() else { return };
+        self.shared.places.add_permits(places);
+        self.shared.most += places;
+        let lost: Vec<(u64, usize)> = self
+            .out
+            .iter()
+            .filter(|(_, call)| call.cancels.is_none())
+            .flat_map(|(&number, call)| (0..call.items.len()).map(move |item| (number, item)))
+            .collect();
+        super::log(format_args!("upgrade: the old process has ended, {} calls with it", lost.len()));
+        for (call, item) in lost {
+            let ended = calls::Ended {
+                call,
+                item,
+                outcome: upgrade::LOST,
+                closed: false,
+                report: Vec::new(),
+                wait: None,
+            };
+            self.ended(ended);
+        }
+    }
+
     /// The module's number for an endpoint.
     fn endpoint_of(&mut self, uid: &str) -> EndpointId {
         let next = EndpointId(self.routes.len() as u32);
@@ -302,7 +580,7 @@
     }
 
     /// Hands back what an earlier life had taken on; what had ended is owed its notice again.
-    fn resume(&mut self) {
+    fn resume(&mut self, taken_over: bool) {
         let owed = self.journal.owed().clone();
         let now = self.clock.at(Instant::now());
         for (number, owed) in owed {
@@ -315,10 +593,15 @@
                 ..NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now)
             };
             if let Some(ending) = owed.ending {
-                self.events.push(Event::Unnoticed(new));
+                if !taken_over {
+                    self.events.push(Event::Unnoticed(new));
+                }
                 self.notify(number, owed.taken.id, ending);
                 continue;
             }
+            if self.messages.contains_key(&message) {
+                continue; // handed over, with all that the journal does not hold
+            }
             let (Ok(id), key) = (
                 HeaderValue::from_str(&owed.taken.id),
                 owed.taken.key.as_deref().and_then(|key| HeaderValue::from_str(key).ok()),
@@ -366,6 +649,8 @@
             Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
             Input::Ended(ended) => self.ended(ended),
             Input::Listed(update) => self.list(update, false),
+            Input::Linked(frame) => self.linked(frame),
+            Input::LinkLost => self.link_lost(),
             Input::Noticed(numbers) => {
                 for number in numbers {
                     let written = self.journal.over(number);
@@ -478,6 +763,10 @@
     }
 
     fn list(&mut self, update: ListUpdate, old: bool) {
+        // a list as known that is empty is none: the first watch is to tell all
+        if !(old && update.targets.is_empty()) {
+            self.list_version = update.version;
+        }
         if update.full {
             self.routes.iter_mut().for_each(|route| route.listed = false);
         }
@@ -665,7 +954,7 @@
         }
         let (cancels, receiver) = mpsc::unbounded_channel();
         let left = bundle.sends.len();
-        self.out.insert(number, CallOut { cancels, items: bundle.sends, left });
+        self.out.insert(number, CallOut { cancels: Some(cancels), items: bundle.sends, left });
         let expires = self.clock.instant(bundle.expires);
         self.calls.start(Call { number, address, items, expires, cancels: receiver });
     }
@@ -675,7 +964,13 @@
         let Some(tried) = tried.filter(|tried| tried.out) else { return };
         if let Some(call) = self.out.get(&tried.call) {
             // a call that has just ended has told how
-            let _ = call.cancels.send(tried.item);
+            match (&call.cancels, &self.predecessor) {
+                (Some(cancels), _) => drop(cancels.send(tried.item)),
+                (None, Some((old, _))) => {
+                    drop(old.send(Frame::Cancel { call: tried.call, item: tried.item }));
+                }
+                (None, None) => {}
+            }
         }
     }
 
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -120,6 +120,8 @@
     file: File,
     size: u64,
     limit: u64,
+    /// What it was opened with, to be opened again.
+    opened: (PathBuf, u64, u64),
     live: u64,
     /// Kept free of new messages, for the sends, outcomes and ends of those that were taken.
     reserve: u64,
@@ -153,6 +155,7 @@
             file,
             size: bytes.len() as u64,
             limit: limit.saturating_sub(ROUNDING),
+            opened: (folder.to_path_buf(), limit, entries),
             live: 0,
             reserve: entries.saturating_mul(SMALL_ENTRY).min(limit / RESERVE_MOST),
             owed: BTreeMap::new(),
@@ -185,6 +188,13 @@
         Ok((journal, recovery))
     }
 
+    /// Reads it anew: another process had it meanwhile.
+    pub fn reopen(&mut self) -> Result<(), JournalError> {
+        let (folder, limit, entries) = self.opened.clone();
+        *self = Journal::open(&folder, limit, entries)?.0;
+        Ok(())
+    }
+
     /// What is owed, by the numbers of [`Journal::take`].
     pub fn owed(&self) -> &BTreeMap<u64, Owed> {
         &self.owed
--- /dev/null
+++ b/src/net/leaving.rs
@@ -0,0 +1,122 @@
+//! What is left to a process that has handed over: it reports how its calls end and passes on what clients and
+//! operators still bring. It decides nothing, writes nothing down and starts no call.
+
+use super::driver::{Answer, Arrival, CallOut, Clock, Input, Order, Verdict};
+use super::upgrade::{Frame, LinkError, Passed, Writer, text};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+/// How often it is looked at whether all is done.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// The old process after the hand-over.
+pub struct Leaving {
+    pub writer: Writer,
+    pub clock: Clock,
+    pub out: BTreeMap<u64, CallOut>,
+    /// The clients' places, and how many there are when none is taken.
+    pub places: Arc<Semaphore>,
+    pub most: usize,
+    pub answers: HashMap<u64, oneshot::Sender<Answer>>,
+    pub verdicts: HashMap<u64, oneshot::Sender<Verdict>>,
+    pub next: u64,
+}
+
+impl Leaving {
+    /// Until no call is out and no client is connected, or the new process is gone.
+    pub async fn run(
+        mut self, mut inputs: mpsc::UnboundedReceiver<Input>, mut orders: mpsc::Receiver<Order>,
+    ) {
+        let mut look = tokio::time::interval(LOOK);
+        loop {
+            let done = tokio::select! {
+                biased;
+                Some(order) = orders.recv() => self.pass_on(order).await,
+                _ = look.tick() => {
+                    let left = self.most.saturating_sub(self.places.available_permits());
+                    if self.out.is_empty() && self.answers.is_empty() && self.verdicts.is_empty() && left == 0 {
+                        super::log(format_args!("upgrade: all is done here, the old process ends"));
+                        return;
+                    }
+                    Ok(())
+                }
+                Some(input) = inputs.recv() => self.learn(input).await,
+            };
+            if let Err(error) = done {
+                // whoever takes the journal next must not meet calls that still run
+                return super::log(format_args!(
+                    "upgrade: the new process is lost, the old one ends: {error}"
+                ));
+            }
+        }
+    }
+
+    async fn pass_on(&mut self, order: Order) -> Result<(), LinkError> {
+        let Order::SetOut { uid, out, reply } = order else { return Ok(()) };
+        self.next += 1;
+        self.verdicts.insert(self.next, reply);
+        self.writer.send(&Frame::Ordered { number: self.next, uid, out }).await
+    }
+
+    async fn learn(&mut self, input: Input) -> Result<(), LinkError> {
+        match input {
+            Input::Arrived(arrival) => {
+                self.next += 1;
+                let (arrival, reply) = self.passed(arrival);
+                self.answers.insert(self.next, reply);
+                self.writer.send(&Frame::Arrived { number: self.next, arrival: Box::new(arrival) }).await
+            }
+            Input::ClientLeft(id) => self.writer.send(&Frame::Left(text(&id))).await,
+            Input::Ended(ended) => {
+                if let Some(call) = self.out.get_mut(&ended.call) {
+                    call.left -= 1;
+                    if call.left == 0 {
+                        self.out.remove(&ended.call);
+                    }
+                }
+                self.writer.send(&Frame::Ended(ended)).await
+            }
+            Input::Linked(Frame::Cancel { call, item }) => {
+                if let Some(cancels) = self.out.get(&call).and_then(|call| call.cancels.as_ref()) {
+                    // a call that has just ended has told how
+                    let _ = cancels.send(item);
+                }
+                Ok(())
+            }
+            Input::Linked(Frame::Answered { number, answer }) => {
+                if let Some(reply) = self.answers.remove(&number) {
+                    let _ = reply.send(answer); // a client that is gone has said so by its guard
+                }
+                Ok(())
+            }
+            Input::Linked(Frame::Judged { number, verdict }) => {
+                if let Some(reply) = self.verdicts.remove(&number) {
+                    let _ = reply.send(verdict); // an operator that has gone sees the log
+                }
+                Ok(())
+            }
+            Input::LinkLost => Err(LinkError::Unexpected),
+            // lists, notices and the end of this process are no affair of the new one
+            Input::Linked(_) | Input::Listed(_) | Input::Noticed(_) | Input::Stopping(_) => Ok(()),
+        }
+    }
+
+    fn passed(&self, arrival: Arrival) -> (Passed, oneshot::Sender<Answer>) {
+        let passed = Passed {
+            id: text(&arrival.id),
+            key: arrival.key.as_ref().map(text),
+            subject: arrival.subject,
+            tenant: arrival.tenant,
+            class: arrival.class,
+            destination: arrival.destination,
+            time: arrival.time,
+            began: self.clock.at(arrival.began),
+            again: arrival.again,
+            orphan: arrival.orphan,
+            body: arrival.body.to_vec(),
+        };
+        (passed, arrival.reply)
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,7 +6,9 @@
 pub mod discovery;
 pub mod driver;
 pub mod journal;
+pub mod leaving;
 pub mod server;
+pub mod upgrade;
 
 /// A line for the log. A reader of the log that has gone away must not take the sender with it, as a failed
 /// `eprintln!` would.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -46,7 +46,9 @@
     /// Set once the process is to end: each answer then closes its connection.
     pub draining: Rc<Cell<bool>>,
     /// Connections that may be open at once.
-    pub most: usize,
+    pub places: Arc<Semaphore>,
+    /// Turns true when another process has taken over: none is accepted here any more.
+    pub handed: watch::Receiver<bool>,
     /// Turns true when idle connections are to be closed too.
     pub closing: watch::Receiver<bool>,
 }
@@ -60,17 +62,17 @@
 
 /// Accepts clients for ever.
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
-    let places = Arc::new(Semaphore::new(server.most));
-    accept("clients", listener, places, move |stream, seat| {
+    let (places, handed) = (server.places.clone(), server.handed.clone());
+    accept("clients", listener, places, handed, move |stream, seat| {
         let server = server.clone();
         async move { serve_one(stream, server, &seat).await }
     })
     .await;
 }
 
-/// Accepts connections for ever, as many at once as there are places, and has each handled.
+/// Accepts connections until told to end, as many at once as there are places, and has each handled.
 pub async fn accept<F>(
-    who: &'static str, listener: TcpListener, places: Arc<Semaphore>,
+    who: &'static str, listener: TcpListener, places: Arc<Semaphore>, mut end: watch::Receiver<bool>,
     handle: impl Fn(TcpStream, Rc<Seat>) -> F,
 ) where
     F: Future<Output = ()> + 'static,
@@ -78,7 +80,11 @@
     let faults = Seldom::default();
     let seats = Rc::new(Seats::default());
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Ok(_) = end.wait_for(|end| *end) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 // one beyond the limit waits here and more in the kernel's queue, so that calls never lack
                 // descriptors; peers that ask for nothing must not keep it waiting
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,13 +1,14 @@
 //! Plain records that the decisions keep. No rule, table or tuned value is here: those are in `decide.rs`.
 
 use crate::interface::{DestinationId, EndpointId, MessageId, Micros, SECOND};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What shares health, waits and limits: a destination, or one endpoint where routes are apart.
 pub type UnitId = (DestinationId, Option<EndpointId>);
 
 /// What is known of one endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Its destination, zone and kind, as listed last.
     pub destination: DestinationId,
@@ -33,7 +34,7 @@
 }
 
 /// The token bucket of an endpoint that was put back.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Warmup {
     pub since: Micros,
     pub tokens: f64,
@@ -41,7 +42,7 @@
 }
 
 /// How one class fares at one endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct ClassRecord {
     pub strikes: u32,
     pub struck_until: Micros,
@@ -49,7 +50,7 @@
 }
 
 /// One send of a message.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Attempt {
     /// Where it went and when.
     pub endpoint: EndpointId,
@@ -67,7 +68,7 @@
 }
 
 /// A message until its end and the end of its attempts.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Held {
     /// Position of its class.
     pub class: usize,
@@ -106,7 +107,7 @@
 }
 
 /// One call in flight, with one message or a bundle.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Call {
     /// Whose window and limit it counts for.
     pub unit: UnitId,
@@ -120,7 +121,7 @@
 }
 
 /// Messages that take turns.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct KeyLine {
     /// Messages of the key, in the order of arrival.
     pub turn: VecDeque<MessageId>,
@@ -129,7 +130,7 @@
 }
 
 /// How a unit seems to be.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub enum Health {
     #[default]
     Well,
@@ -144,7 +145,7 @@
 }
 
 /// What is known of a unit.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Unit {
     pub health: Health,
     /// Calls that may be in flight, and when that was cut last.
@@ -188,7 +189,7 @@
 }
 
 /// The last values of something, oldest first.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Samples(VecDeque<Micros>);
 
 impl Samples {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::decide::Sender;
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::{self, Write as _};
 use std::io::{self, BufRead, Write};
@@ -179,7 +180,7 @@
 }
 
 /// What a host needs of one instance's settings beside the module: the names that later lines use.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
 pub struct Names {
     /// Zones, in the order of their numbers.
     pub zones: Vec<String>,
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -262,6 +263,7 @@
     pub control: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
     reading: Arc<AtomicBool>,
+    passed: Option<Arc<TcpListener>>,
 }
 
 impl Node {
@@ -278,10 +280,29 @@
         let name = format!("node-{}-{number}", std::process::id());
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
-        Node::start(folder, discovery, disk_mb, idle_s, sockets)
+        Node::start(folder, discovery, disk_mb, idle_s, sockets, None)
     }
 
-    fn start(folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize) -> Self {
+    /// One whose listening socket the platform holds and passes to every process.
+    pub fn on_a_passed_socket(agent: &Agent) -> Self {
+        let listener = Arc::new(TcpListener::bind("127.0.0.1:0").expect("a port"));
+        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+        let name = format!("node-{}-{number}", std::process::id());
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(folder.join("state")).expect("a folder");
+        Node::start(folder, agent.address, 3.0, 5.0, 1024, Some(listener))
+    }
+
+    /// Starts a further process on the same folder and socket.
+    pub fn successor(&self) -> Self {
+        let passed = self.passed.clone();
+        Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s, self.sockets, passed)
+    }
+
+    fn start(
+        folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize,
+        passed: Option<Arc<TcpListener>>,
+    ) -> Self {
         let config = format!(
             r#"{{"name":"n1","listen":"127.0.0.1:0","control":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
@@ -300,7 +321,19 @@
               "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
         );
         std::fs::write(folder.join("config.json"), config).expect("written");
-        let started = command(&folder).env("RELAY_DISCOVERY", discovery.to_string()).spawn();
+        let mut command = command(&folder);
+        if let Some(listener) = &passed {
+            // the shell gives the socket, which comes as its input, the number that is told
+            let mut shell = Command::new("/bin/sh");
+            shell.args(["-c", r#"exec "$0" 7<&0 0</dev/null"#]).arg(command.get_program());
+            command.get_envs().for_each(|(name, value)| {
+                shell.env(name, value.expect("set"));
+            });
+            shell.env("RELAY_PASSED_SOCKET", "7").stdout(Stdio::null()).stderr(Stdio::piped());
+            shell.stdin(OwnedFd::from(listener.try_clone().expect("cloned")));
+            command = shell;
+        }
+        let started = command.env("RELAY_DISCOVERY", discovery.to_string()).spawn();
         let mut process = started.expect("the sender starts");
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let (here, errors) = (log.clone(), process.stderr.take().expect("piped"));
@@ -324,7 +357,7 @@
             address.expect("found")
         };
         let (address, control) = (logged("listening on "), logged("operators at "));
-        Node { folder, discovery, disk_mb, idle_s, sockets, process, address, control, log, reading }
+        Node { folder, discovery, disk_mb, idle_s, sockets, process, address, control, log, reading, passed }
     }
 
     /// Waits until it is ready.
@@ -387,7 +420,7 @@
     /// Kills it if it runs, and starts it again with the same folder.
     pub fn restart(mut self) -> Self {
         self.kill();
-        Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s, self.sockets)
+        self.successor()
     }
 
     /// Memory of the process that no file backs, in bytes.
