Take new settings whole or not at all, and keep open messages on their terms

Ruled out by the log: the lost ones are not those of a dropped class; the first at 9.1 s follows the file of 8.8 s.

Tests: two in tests/operations.rs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -144,6 +144,11 @@
         })
     }
 
+    /// The settings as they are now.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// One turn: takes in all events, then appends what to do. The time never goes backwards.
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -192,6 +197,10 @@
                 }
                 self.forget_if_done(*message);
             }
+            Event::Retuned(settings) => {
+                self.settings = (**settings).clone();
+                self.tenant_tokens.resize(self.settings.tenants.len(), (f64::MAX, 0));
+            }
             Event::Disabled(endpoint) => {
                 let known = self.endpoints.entry(*endpoint).or_default();
                 (known.out, known.warmup) = (true, None);
@@ -289,6 +298,7 @@
         }
         let mut held = Held { key, born, deadline, worth, open: true, ..Held::default() };
         (held.class, held.destination, held.retry_rest) = (new.class, new.destination, RETRY_FIRST);
+        held.most_attempts = new.attempts.unwrap_or(self.settings.max_attempts);
         self.messages.insert(new.id, held);
     }
 
@@ -558,7 +568,7 @@
         if !message.open
             || !target.is_open()
             || target.destination != message.destination
-            || message.attempts.len() >= settings.max_attempts
+            || message.attempts.len() >= message.most_attempts
             || self.now + MARGIN >= message.deadline
             || (out > 0 && !settings.second_copies)
         {
@@ -651,7 +661,7 @@
             Effect::Unsafe => risky.next().is_some(),
             Effect::Keyed { window, .. } => risky.any(|attempt| self.now + MARGIN >= attempt.sent + window),
         };
-        closed || message.attempts.len() >= self.settings.max_attempts
+        closed || message.attempts.len() >= message.most_attempts
     }
 
     /// True if every unit of the message's destination is sick, returning or has failed of late.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -225,6 +225,14 @@
         }
     }
 
+    /// The place of a class with just these terms, which is a new one where none has them.
+    pub fn place(&mut self, class: Class) -> usize {
+        self.classes.iter().position(|known| *known == class).unwrap_or_else(|| {
+            self.classes.push(class);
+            self.classes.len() - 1
+        })
+    }
+
     /// Checks that the settings make sense.
     ///
     /// # Errors
@@ -380,12 +388,15 @@
     pub again: bool,
     /// It comes from a sender that died.
     pub orphan: bool,
+    /// Attempts that it was promised when it was taken on; those of the settings where not given.
+    pub attempts: Option<usize>,
 }
 
 impl NewMessage {
     /// A message without key or tenant, handed in for the first time.
     pub fn new(id: MessageId, class: usize, destination: DestinationId, time_left: Micros) -> Self {
-        NewMessage { id, class, destination, time_left, key: None, tenant: None, again: false, orphan: false }
+        let (key, tenant, attempts) = (None, None, None);
+        NewMessage { id, class, destination, time_left, key, tenant, again: false, orphan: false, attempts }
     }
 }
 
@@ -464,6 +475,9 @@
     Unnoticed(NewMessage),
     /// The notice of a message that the sender ended has arrived: the message is over.
     Noticed(MessageId),
+    /// New settings. Classes, kinds, zones and tenants keep their positions, and a class that open messages may
+    /// have keeps its terms: changed ones have a new position.
+    Retuned(Box<Settings>),
     /// Operators take an endpoint out: nothing new goes there, whatever lists say, until it is put back.
     Disabled(EndpointId),
     /// Operators put an endpoint back, which they may have restarted meanwhile.
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use net::control::Control;
 use net::driver::{Clock, Driver, Input, Shared};
 use net::journal::Journal;
-use net::server::{Server, serve};
+use net::server::{Classes, Server, serve};
 use net::upgrade::{self, Frame, Lock, Taken};
 use net::{control, discovery, journal};
 use std::cell::Cell;
@@ -78,9 +78,8 @@
     let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
     let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
     log_recovery(&config.name, &journal, &recovery);
-    let idle = Duration::from_micros(u64::try_from(config.settings.connection_idle)?);
-    let dial = Duration::from_micros(u64::try_from(config.names.dial_timeout)?);
-    let calls = Calls::new(idle, dial, config.names.report_fields.clone(), inputs.clone());
+    let calls = Calls::new(inputs.clone());
+    let classes = Classes::default();
     let (sender, handover, link) = match taken {
         Some(Taken { sender, handover, link }) => (*sender, Some(handover), Some(link)),
         None => (Sender::new(config.settings.clone(), config.seed)?, None, None),
@@ -90,7 +89,7 @@
     let elsewhere = handover.as_ref().map_or(0, |handover| handover.clients.min(most - 1));
     let places = Arc::new(Semaphore::new(most - elsewhere));
     let server = Server {
-        classes: config.settings.classes.clone(),
+        classes: classes.clone(),
         inputs: inputs.clone(),
         ready: ready_seen,
         draining: draining.clone(),
@@ -104,13 +103,14 @@
         lock,
         places,
         most: most - elsewhere,
+        classes,
         draining: draining.clone(),
         handed,
     };
     let known = config.known;
     let mut driver = Driver::new(
         sender,
-        &config.settings,
+        config.settings,
         config.names,
         known,
         journal,
@@ -134,7 +134,7 @@
     let post = discovery::post_notices(agent, queue, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(post)));
     tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(config.state, orders))));
-    tokio::task::spawn_local(reread(hangup, moved));
+    tokio::task::spawn_local(reread(hangup, config.text, moved, inputs.clone()));
     draining.set(false);
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let driver = tokio::task::spawn_local(driver.run(received, ordered));
@@ -162,15 +162,23 @@
     told.as_ref().map_or_else(|error| format!("the old process is gone: {error}"), |()| "as it was".into())
 }
 
-/// Rereads the configuration on each SIGHUP. Discovery moves; all else holds from one start to the next.
-async fn reread(mut hangup: Signal, moved: watch::Sender<SocketAddr>) {
+/// Rereads the configuration on each SIGHUP: settings and discovery come from a file that is whole, or neither.
+async fn reread(
+    mut hangup: Signal, mut text: Vec<u8>, moved: watch::Sender<SocketAddr>,
+    inputs: mpsc::UnboundedSender<Input>,
+) {
     while hangup.recv().await.is_some() {
-        let read = tokio::task::spawn_blocking(Config::discovery_now).await;
+        let before = text.clone();
+        let read = tokio::task::spawn_blocking(move || Config::reread(&before)).await;
         match read.map_err(|error| error.to_string()).and_then(|read| read.map_err(|error| error.to_string()))
         {
-            Ok(agent) => {
-                net::log(format_args!("SIGHUP: discovery at {agent}"));
-                moved.send_if_modified(|old| std::mem::replace(old, agent) != agent);
+            Ok(new) => {
+                let names = new.settings.classes.iter().map(|class| class.name.as_str()).collect::<Vec<_>>();
+                let names = names.join(", ");
+                net::log(format_args!("SIGHUP: classes {names}; discovery at {}", new.discovery));
+                text = new.text;
+                let _ = inputs.send(Input::Retuned(Box::new((new.settings, new.names))));
+                moved.send_if_modified(|old| std::mem::replace(old, new.discovery) != new.discovery);
             }
             Err(error) => net::log(format_args!("SIGHUP: configuration left as it was: {error}")),
         }
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -124,13 +124,13 @@
 struct Shared {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     /// Connections are given up somewhat before the endpoint would close them.
-    idle_most: Duration,
+    idle_most: Cell<Duration>,
     /// Endpoints that reset idle connections sooner: how long theirs are kept, and until when that holds.
     wary: RefCell<HashMap<SocketAddr, (Duration, Instant)>>,
     /// No connection is kept any more.
     leaving: Cell<bool>,
-    dial_timeout: Duration,
-    report_fields: Vec<String>,
+    dial_timeout: Cell<Duration>,
+    report_fields: RefCell<Vec<String>>,
     faults: Seldom,
     inputs: mpsc::UnboundedSender<Input>,
 }
@@ -154,25 +154,30 @@
 }
 
 impl Calls {
-    /// No connections yet. `idle` is when endpoints close idle ones, zero where that is not known.
-    pub fn new(
-        idle: Duration, dial_timeout: Duration, report_fields: Vec<String>,
-        inputs: mpsc::UnboundedSender<Input>,
-    ) -> Self {
-        let idle = if idle.is_zero() { Duration::from_secs(5) } else { idle };
-        let idle_most = (idle * 9 / 10).min(idle.saturating_sub(Duration::from_millis(300)));
+    /// No connections yet.
+    pub fn new(inputs: mpsc::UnboundedSender<Input>) -> Self {
         Calls(Rc::new(Shared {
             idle: RefCell::default(),
-            idle_most,
+            idle_most: Cell::default(),
             wary: RefCell::default(),
             leaving: Cell::new(false),
-            dial_timeout,
-            report_fields,
+            dial_timeout: Cell::default(),
+            report_fields: RefCell::default(),
             faults: Seldom::default(),
             inputs,
         }))
     }
 
+    /// From now on. `idle` is when endpoints close idle connections, zero where that is not known.
+    pub fn retune(&self, idle: Micros, dial_timeout: Micros, report_fields: Vec<String>) {
+        let span = |micros| Duration::from_micros(u64::try_from(micros).unwrap_or(0));
+        let idle = if idle > 0 { span(idle) } else { Duration::from_secs(5) };
+        let idle_most = (idle * 9 / 10).min(idle.saturating_sub(Duration::from_millis(300)));
+        self.0.idle_most.set(idle_most);
+        self.0.dial_timeout.set(span(dial_timeout));
+        self.0.report_fields.replace(report_fields);
+    }
+
     /// Starts a call; its messages' ends come as inputs.
     pub fn start(&self, call: Call) {
         let shared = self.0.clone();
@@ -207,7 +212,7 @@
 impl Shared {
     /// How long idle connections to the endpoint are kept.
     fn keep(&self, address: SocketAddr) -> Duration {
-        self.wary.borrow().get(&address).map_or(self.idle_most, |(keep, _)| *keep)
+        self.wary.borrow().get(&address).map_or(self.idle_most.get(), |(keep, _)| *keep)
     }
 
     /// A connection that had stood idle was reset with a call on it: its endpoint closes them sooner than told.
@@ -262,7 +267,7 @@
     loop {
         let (mut connection, rested) = match take_idle(shared, address).await {
             Some((connection, rested)) => (connection, Some(rested)),
-            None => match timeout(shared.dial_timeout, connect(address)).await {
+            None => match timeout(shared.dial_timeout.get(), connect(address)).await {
                 Ok(Ok(connection)) => (connection, None),
                 Ok(Err(_)) | Err(_) => return Outcome::NoConnection.into(),
             },
@@ -301,7 +306,7 @@
     response: Response<Incoming>,
 ) -> Answer {
     let (head, body) = response.into_parts();
-    let report = report_of(&head.headers, &shared.report_fields);
+    let report = report_of(&head.headers, &shared.report_fields.borrow());
     let wait = wait_of(&head.headers);
     let refused = Outcome::Refused { wait };
     let (outcome, closed) = match head.status {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -12,6 +12,11 @@
 use std::path::PathBuf;
 use thiserror::Error;
 
+/// The last good file, in the lasting folder.
+const LAST: &str = "config.last";
+/// Keys of a class that may be absent by the rules of the settings.
+const MAY_LACK: [&str; 2] = ["aimStretch", "oneAtATime"];
+
 /// Why the sender cannot start.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -23,6 +28,8 @@
     Json { path: PathBuf, error: serde_json::Error },
     #[error("{name} is '{found}', not {wanted}")]
     Value { name: &'static str, found: String, wanted: &'static str },
+    #[error("{0} is missing")]
+    Incomplete(String),
     #[error(transparent)]
     Settings(#[from] SettingsError),
 }
@@ -39,7 +46,9 @@
     pub passed: Option<RawFd>,
     pub state: PathBuf,
     pub seed: u64,
-    /// Bytes that the lasting folder may hold.
+    /// The file.
+    pub text: Vec<u8>,
+    /// Bytes that the journal may hold.
     pub disk: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
@@ -70,19 +79,65 @@
 }
 
 impl Config {
-    /// Where discovery is by the file as it stands now. The variables are those of the start: only the file can
-    /// tell of a move.
-    pub fn discovery_now() -> Result<SocketAddr, ConfigError> {
-        address("discovery", read_file()?.discovery)
+    /// The file as it stands now, if it is whole beside the one in force. The variables are those of the start:
+    /// only the file can tell where discovery has moved.
+    pub fn reread(before: &[u8]) -> Result<Self, ConfigError> {
+        let text = read_file()?;
+        let state = PathBuf::from(variable("RELAY_STATE")?);
+        let discovery = |file: &File| address("discovery", file.discovery.clone());
+        let config = Config::read(text, state, Some(before), discovery)?;
+        config.keep();
+        Ok(config)
     }
 
-    /// Reads the file that `RELAY_CONFIG` names; the other variables come before what stands in it.
+    /// Reads the file that `RELAY_CONFIG` names; the other variables come before what stands in it. Where that
+    /// file is broken, the last good one does, which the lasting folder keeps. A start does not hold the file
+    /// against an older one: that is how operators drop a key.
     pub fn from_env() -> Result<Self, ConfigError> {
-        let file = read_file()?;
         let state = PathBuf::from(variable("RELAY_STATE")?);
+        let discovery = |file: &File| {
+            let text = variable("RELAY_DISCOVERY").unwrap_or(file.discovery.clone());
+            address("RELAY_DISCOVERY", text)
+        };
+        let last = std::fs::read(state.join(LAST)).ok();
+        let read = read_file().and_then(|text| Config::read(text, state.clone(), None, discovery));
+        let config = match (read, last) {
+            (Ok(config), _) => config,
+            (Err(error), Some(last)) => {
+                super::log(format_args!("configuration broken, the last good one holds: {error}"));
+                Config::read(last, state, None, discovery).map_err(|_| error)?
+            }
+            (Err(error), None) => return Err(error),
+        };
+        config.keep();
+        Ok(config)
+    }
+
+    /// Keeps the text for a start beside a broken file. Without it all goes on, but for that.
+    fn keep(&self) {
+        let new = self.state.join(LAST).with_extension("new");
+        let written = std::fs::create_dir_all(&self.state)
+            .and_then(|()| std::fs::write(&new, &self.text))
+            .and_then(|()| std::fs::rename(&new, self.state.join(LAST)));
+        if let Err(error) = written {
+            super::log(format_args!("configuration not kept: {error}"));
+        }
+    }
+
+    fn read(
+        text: Vec<u8>, state: PathBuf, before: Option<&[u8]>,
+        discovery: impl FnOnce(&File) -> Result<SocketAddr, ConfigError>,
+    ) -> Result<Self, ConfigError> {
+        let json = |error| ConfigError::Json { path: config_path(), error };
+        let whole: Value = serde_json::from_slice(&text).map_err(json)?;
+        if let Some(before) = before.and_then(|before| serde_json::from_slice::<Value>(before).ok()) {
+            complete("", &before, &whole)?;
+        }
+        numbers(&whole["settings"])?;
+        let file: File = serde_json::from_value(whole).map_err(json)?;
+        let discovery = discovery(&file)?;
         let name = variable("RELAY_NAME").unwrap_or(file.name);
         let listen = address("RELAY_LISTEN", variable("RELAY_LISTEN").unwrap_or(file.listen))?;
-        let discovery = address("RELAY_DISCOVERY", variable("RELAY_DISCOVERY").unwrap_or(file.discovery))?;
         let control = variable("RELAY_CONTROL").ok().or(file.control);
         let control = control.map(|text| address("RELAY_CONTROL", text)).transpose()?;
         let passed = match variable("RELAY_PASSED_SOCKET") {
@@ -120,7 +175,9 @@
             passed,
             state,
             seed,
-            disk: disk as u64,
+            // the last good file stands beside the journal, twice while it is replaced
+            disk: (disk as u64).saturating_sub(2 * text.len() as u64 + 4096),
+            text,
             sockets: file.limits.sockets,
             known: parse_list(&file.known),
             settings,
@@ -133,10 +190,58 @@
     std::env::var(name).map_err(|_| ConfigError::Variable(name))
 }
 
-fn read_file() -> Result<File, ConfigError> {
+fn config_path() -> PathBuf {
+    variable("RELAY_CONFIG").unwrap_or_default().into()
+}
+
+fn read_file() -> Result<Vec<u8>, ConfigError> {
     let path = PathBuf::from(variable("RELAY_CONFIG")?);
-    let text = std::fs::read(&path).map_err(|error| ConfigError::Read { path: path.clone(), error })?;
-    serde_json::from_slice(&text).map_err(|error| ConfigError::Json { path, error })
+    std::fs::read(&path).map_err(|error| ConfigError::Read { path, error })
+}
+
+/// Checks that a new file holds what the one in force does, in the same form: each key of an object, and in each
+/// item of a list of objects the keys that all items have so far. Lists of endpoints may be empty, others not.
+fn complete(path: &str, before: &Value, new: &Value) -> Result<(), ConfigError> {
+    let lacks = |what: &str| Err(ConfigError::Incomplete(format!("{path}{what}")));
+    match (before, new) {
+        // for the start alone
+        _ if ["/known", "/control", "/seed"].contains(&path) => Ok(()),
+        (Value::Object(before), Value::Object(new)) => {
+            before.iter().try_for_each(|(name, value)| match new.get(name) {
+                Some(new) => complete(&format!("{path}/{name}"), value, new),
+                None if MAY_LACK.contains(&name.as_str()) => Ok(()),
+                None => lacks(&format!("/{name}")),
+            })
+        }
+        (Value::Array(before), Value::Array(new)) => {
+            if new.is_empty() && !before.is_empty() {
+                return lacks(" items");
+            }
+            let Some(Value::Object(first)) = before.first() else { return Ok(()) };
+            let common = first.iter().filter(|(name, _)| before.iter().all(|item| item.get(name).is_some()));
+            let common = Value::Object(common.map(|(name, value)| (name.clone(), value.clone())).collect());
+            let mut items = new.iter().enumerate();
+            items.try_for_each(|(at, item)| complete(&format!("{path}/{at}"), &common, item))
+        }
+        (Value::String(_), Value::String(_))
+        | (Value::Number(_), Value::Number(_))
+        | (Value::Bool(_), Value::Bool(_))
+        | (Value::Null, _) => Ok(()),
+        _ => lacks(" in its form"),
+    }
+}
+
+/// Deadlines and attempts are numbers above zero, attempts whole ones.
+fn numbers(settings: &Value) -> Result<(), ConfigError> {
+    let positive = |name: &'static str, value: &Value, whole: bool| {
+        let number = value.as_f64().filter(|number| *number > 0.0 && (!whole || number.fract() == 0.0));
+        let wanted = "a number above zero";
+        number.map(drop).ok_or(ConfigError::Value { name, found: value.to_string(), wanted })
+    };
+    positive("caps.mostTries", &settings["caps"]["mostTries"], true)?;
+    let classes = settings["classes"].as_array().filter(|classes| !classes.is_empty());
+    let classes = classes.ok_or(ConfigError::Incomplete("/settings/classes".to_string()))?;
+    classes.iter().try_for_each(|class| positive("classes.deadline", &class["deadline"], false))
 }
 
 fn address(name: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,8 +4,9 @@
 use super::Seldom;
 use super::calls::{self, BODY_MOST, Call, Calls, Item};
 use super::discovery::{ListUpdate, Notice};
-use super::journal::{Ending, Journal, JournalError, Origin, Taken};
+use super::journal::{Ending, Journal, JournalError, Origin, Taken, Terms};
 use super::leaving::Leaving;
+use super::server::{Classes, Named};
 use super::upgrade::{
     self, Frame, HandedCall, HandedMessage, HandedRoute, Handover, Link, Lock, Passed, Successor, text,
 };
@@ -13,8 +14,8 @@
 use hyper::header::HeaderValue;
 use milletturn::wire::{Names, position};
 use milletturn::{
-    Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
-    PastAttempt, Sender, Settings, Status,
+    Action, Class, Effect, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage,
+    Outcome, PastAttempt, Sender, Settings, Status,
 };
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -45,6 +46,8 @@
     Listed(ListUpdate),
     /// Notices that the platform has taken, by number of message.
     Noticed(Vec<u64>),
+    /// New settings, checked.
+    Retuned(Box<(Settings, Names)>),
     /// What the other process of an upgrade says, and that it says no more.
     Linked(Frame),
     LinkLost,
@@ -121,6 +124,44 @@
     }
 }
 
+/// Gives what both settings name the place that it had, and what is new one at the end; the places of the new
+/// settings' classes. What is named no more stays for the messages and endpoints that still have it.
+fn keep_places(new: &mut Settings, old: Settings, known: &mut Names, names: Names) -> Vec<usize> {
+    let place = |list: &mut Vec<String>, name: &str| {
+        list.iter().position(|known| known == name).unwrap_or_else(|| {
+            list.push(name.to_string());
+            list.len() - 1
+        })
+    };
+    let classes = std::mem::replace(&mut new.classes, old.classes);
+    let places = classes.into_iter().map(|class| new.place(class)).collect();
+    for kind in std::mem::replace(&mut new.kinds, old.kinds) {
+        match place(&mut known.kinds, &kind.name) {
+            at if at < new.kinds.len() => new.kinds[at] = kind,
+            _ => new.kinds.push(kind),
+        }
+    }
+    for tenant in std::mem::replace(&mut new.tenants, old.tenants) {
+        match place(&mut known.tenants, &tenant.name) {
+            at if at < new.tenants.len() => new.tenants[at] = tenant,
+            _ => new.tenants.push(tenant),
+        }
+    }
+    let zone = names.zones.get(usize::from(new.zone)).cloned();
+    let fees = std::mem::replace(&mut new.zone_fees, old.zone_fees);
+    for (at, name) in names.zones.iter().enumerate() {
+        let to = place(&mut known.zones, name);
+        if let Some(&fee) = fees.get(at) {
+            new.zone_fees.resize(new.zone_fees.len().max(to + 1), 0.0);
+            new.zone_fees[to] = fee;
+        }
+    }
+    new.zone = zone.map_or(u16::MAX, |zone| place(&mut known.zones, &zone) as u16);
+    known.classes = new.classes.iter().map(|class| class.name.clone()).collect();
+    (known.report_fields, known.dial_timeout) = (names.report_fields, names.dial_timeout);
+    places
+}
+
 /// The module's number for a subject. Two subjects with the same number only wait for one another.
 fn key_of(subject: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
@@ -167,7 +208,8 @@
 struct Route {
     uid: String,
     address: Option<SocketAddr>,
-    bundle_max: usize,
+    /// Its kind, by position in the settings.
+    kind: usize,
     /// The last list that named it did not say that it is gone.
     listed: bool,
 }
@@ -180,6 +222,8 @@
     /// The clients' places, and how many there are when none is taken.
     pub places: Arc<Semaphore>,
     pub most: usize,
+    /// What clients may name.
+    pub classes: Classes,
     /// Tells that the process takes nothing new, and that another has taken over.
     pub draining: Rc<Cell<bool>>,
     pub handed: watch::Sender<bool>,
@@ -197,8 +241,8 @@
     sender: Sender,
     clock: Clock,
     names: Names,
-    bundle_max: Vec<usize>,
-    class_names: Vec<String>,
+    /// As the module has them: all that was ever in force, each in its place.
+    settings: Settings,
     journal: Journal,
     calls: Calls,
     notices: mpsc::UnboundedSender<Notice>,
@@ -228,16 +272,15 @@
     /// Sets the module up and hands it the list as last known and what the journal holds.
     #[allow(clippy::too_many_arguments)]
     pub fn new(
-        sender: Sender, settings: &Settings, names: Names, known: Option<ListUpdate>, journal: Journal,
+        sender: Sender, settings: Settings, names: Names, known: Option<ListUpdate>, journal: Journal,
         calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>, shared: Shared,
         handover: Option<Handover>,
     ) -> Self {
         let mut driver = Driver {
+            settings: sender.settings().clone(),
             sender,
             clock: shared.clock,
-            names,
-            bundle_max: settings.kinds.iter().map(|kind| kind.bundle_max).collect(),
-            class_names: settings.classes.iter().map(|class| class.name.clone()).collect(),
+            names: names.clone(),
             journal,
             calls,
             notices,
@@ -262,7 +305,9 @@
         let taken_over = handover.is_some();
         if let Some(handover) = handover {
             driver.take_over(handover);
-        } else if let Some(known) = known {
+        }
+        driver.retune(settings, names);
+        if let Some(known) = known.filter(|_| !taken_over) {
             driver.list(known, true);
         }
         let out: Vec<String> = driver.journal.out().map(str::to_string).collect();
@@ -336,6 +381,23 @@
         let _ = reply.send(verdict);
     }
 
+    /// Puts new settings in force for all that comes from now on.
+    fn retune(&mut self, mut settings: Settings, names: Names) {
+        let calls = (settings.connection_idle, names.dial_timeout, names.report_fields.clone());
+        let before = (self.settings.clone(), self.names.clone());
+        let places = keep_places(&mut settings, before.0, &mut self.names, names);
+        let named = |index: usize| {
+            let class: &Class = &settings.classes[index];
+            Named { name: class.name.clone(), index, keyed: matches!(class.effect, Effect::Keyed { .. }) }
+        };
+        self.shared.classes.replace(places.into_iter().map(named).collect());
+        self.calls.retune(calls.0, calls.1, calls.2);
+        if settings != *self.sender.settings() {
+            self.events.push(Event::Retuned(Box::new(settings.clone())));
+        }
+        self.settings = settings;
+    }
+
     /// Hands all to the next process, if that one takes it; nothing is decided meanwhile.
     async fn hand_over(&mut self, successor: Successor) -> Next {
         let mut link = match successor {
@@ -384,7 +446,7 @@
         let route = |route: &Route| HandedRoute {
             uid: route.uid.clone(),
             address: route.address,
-            bundle_max: route.bundle_max,
+            kind: route.kind,
             listed: route.listed,
         };
         let message = |(number, held): (&MessageId, &Message)| HandedMessage {
@@ -404,7 +466,6 @@
         Ok(Handover {
             sender: postcard::to_allocvec(&self.sender)?,
             names: self.names.clone(),
-            class_names: self.class_names.clone(),
             routes: self.routes.iter().map(route).collect(),
             messages: self.messages.iter().map(message).collect(),
             next_message: self.next_message,
@@ -419,12 +480,12 @@
 
     /// Takes up what an old process handed over, but for the module itself. Its calls are still out there.
     fn take_over(&mut self, handover: Handover) {
-        (self.names, self.class_names) = (handover.names, handover.class_names);
+        self.names = handover.names;
         (self.next_message, self.next_call) = (handover.next_message, handover.next_call);
         (self.list_version, self.alarm) = (handover.list_version, handover.alarm);
-        for HandedRoute { uid, address, bundle_max, listed } in handover.routes {
+        for HandedRoute { uid, address, kind, listed } in handover.routes {
             self.by_uid.insert(uid.clone(), EndpointId(self.routes.len() as u32));
-            self.routes.push(Route { uid, address, bundle_max, listed });
+            self.routes.push(Route { uid, address, kind, listed });
         }
         for handed in handover.messages {
             let Some(item) = handed.item() else { continue };
@@ -565,7 +626,7 @@
         let next = EndpointId(self.routes.len() as u32);
         let endpoint = *self.by_uid.entry(uid.to_string()).or_insert(next);
         if endpoint == next {
-            let route = Route { uid: uid.to_string(), address: None, bundle_max: 1, listed: false };
+            let route = Route { uid: uid.to_string(), address: None, kind: usize::MAX, listed: false };
             self.routes.push(route);
         }
         endpoint
@@ -583,13 +644,28 @@
     fn resume(&mut self, taken_over: bool) {
         let owed = self.journal.owed().clone();
         let now = self.clock.at(Instant::now());
+        for owed in owed.values() {
+            if let Some(terms) = &owed.terms {
+                self.settings.place(terms.class(&owed.taken.class));
+            }
+        }
+        if self.settings != *self.sender.settings() {
+            self.events.push(Event::Retuned(Box::new(self.settings.clone())));
+        }
         for (number, owed) in owed {
             self.next_message = self.next_message.max(number + 1);
             let message = MessageId(number);
-            let class = position(&self.class_names, &owed.taken.class);
+            let class = match &owed.terms {
+                Some(terms) => self.settings.place(terms.class(&owed.taken.class)),
+                None => {
+                    let named = |class: &Class| class.name == owed.taken.class;
+                    self.settings.classes.iter().rposition(named).unwrap_or(usize::MAX)
+                }
+            };
             let new = NewMessage {
                 key: owed.origin.subject.as_deref().map(key_of),
                 tenant: owed.origin.tenant.as_deref().map(|name| position(&self.names.tenants, name)),
+                attempts: owed.terms.as_ref().map(|terms| terms.attempts as usize),
                 ..NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now)
             };
             if let Some(ending) = owed.ending {
@@ -649,6 +725,10 @@
             Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
             Input::Ended(ended) => self.ended(ended),
             Input::Listed(update) => self.list(update, false),
+            Input::Retuned(new) => {
+                let (settings, names) = *new;
+                self.retune(settings, names);
+            }
             Input::Linked(frame) => self.linked(frame),
             Input::LinkLost => self.link_lost(),
             Input::Noticed(numbers) => {
@@ -780,7 +860,7 @@
                 }
                 route.address = Some(listed.address);
                 route.listed = listed.status != Status::Gone;
-                route.bundle_max = self.bundle_max.get(kind).copied().unwrap_or(1);
+                route.kind = kind;
             }
             entries.push(Entry {
                 endpoint,
@@ -873,18 +953,22 @@
     }
 
     fn write_down(&mut self, message: MessageId, arrival: &Arrival, began: Micros) -> Answer {
-        let text = |value: &HeaderValue| value.to_str().map(str::to_string).unwrap_or_default();
+        // what came from an old process has its class's place too
+        let class = self.settings.classes.get(arrival.class);
+        let Some(terms) = class.map(|class| Terms::of(class, self.settings.max_attempts)) else {
+            return Answer::NoRoom;
+        };
         let taken = Taken {
             id: text(&arrival.id),
             key: arrival.key.as_ref().map(text),
-            class: self.class_names.get(arrival.class).cloned().unwrap_or_default(),
+            class: class.map(|class| class.name.clone()).unwrap_or_default(),
             destination: arrival.destination,
             taken_at: began,
             deadline: began + arrival.time,
             body: arrival.body.to_vec(),
         };
         let origin = Origin { subject: arrival.subject.clone(), tenant: arrival.tenant.clone() };
-        let written = self.journal.take(message.0, taken, origin);
+        let written = self.journal.take(message.0, taken, origin, terms);
         if self.check(written) { Answer::Taken } else { Answer::NoRoom }
     }
 
@@ -897,11 +981,12 @@
         held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true });
         let size = calls::bulk_size(&held.item);
         let open = held.open;
-        let Some((uid, most)) =
-            self.routes.get(endpoint.0 as usize).map(|route| (route.uid.clone(), route.bundle_max))
+        let Some((uid, kind)) =
+            self.routes.get(endpoint.0 as usize).map(|route| (route.uid.clone(), route.kind))
         else {
             return self.unsent(message, attempt, endpoint);
         };
+        let most = self.settings.kinds.get(kind).map_or(1, |kind| kind.bundle_max);
         // one that is not open was dropped in this very turn
         let written = open.then(|| self.journal.sent(message.0, &uid, now));
         if !written.is_some_and(|written| self.check(written)) {
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -5,6 +5,7 @@
 //! beyond what lets old and new stand side by side under the limit, what is still owed is written to a new
 //! file that then takes the old one's name.
 
+use milletturn::{Class, Effect};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -63,6 +64,32 @@
     pub tenant: Option<String>,
 }
 
+/// What its class promised when it was taken on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    pub effect: Effect,
+    pub aim: i64,
+    pub deadline: i64,
+    pub worth: f64,
+    pub late_share: f64,
+    pub ordered: bool,
+    pub attempts: u32,
+}
+
+impl Terms {
+    /// The terms of a class, with the attempts that a message has now.
+    pub fn of(class: &Class, attempts: usize) -> Self {
+        let &Class { effect, aim, deadline, worth, late_share, ordered, .. } = class;
+        Terms { effect, aim, deadline, worth, late_share, ordered, attempts: attempts as u32 }
+    }
+
+    /// The class that they are the terms of.
+    pub fn class(&self, name: &str) -> Class {
+        let &Terms { effect, aim, deadline, worth, late_share, ordered, .. } = self;
+        Class { name: name.to_string(), effect, aim, deadline, worth, late_share, ordered }
+    }
+}
+
 /// One send of a message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sent {
@@ -74,10 +101,12 @@
 }
 
 /// What the journal still holds of a message.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Owed {
     pub taken: Taken,
     pub origin: Origin,
+    /// Not known of messages that an earlier program wrote down.
+    pub terms: Option<Terms>,
     pub attempts: Vec<Sent>,
     /// It has ended, but its notice has not been answered.
     pub ending: Option<Ending>,
@@ -97,10 +126,12 @@
     },
     Ending(u64, Ending),
     Over(u64),
+    /// Read only: as messages were written down before their terms were.
     HandedIn(u64, Taken, Origin),
     /// Operators took this endpoint out, or put it back.
     PutOut(String),
     PutBack(String),
+    TakenOn(u64, Taken, Origin, Terms),
 }
 
 /// What was found at the start.
@@ -241,8 +272,11 @@
 
     fn apply(&mut self, entry: Entry, length: u64) {
         match entry {
-            Entry::Taken(number, taken) => self.owe(number, taken, Origin::default(), length),
-            Entry::HandedIn(number, taken, origin) => self.owe(number, taken, origin, length),
+            Entry::Taken(number, taken) => self.owe(number, taken, Origin::default(), None, length),
+            Entry::HandedIn(number, taken, origin) => self.owe(number, taken, origin, None, length),
+            Entry::TakenOn(number, taken, origin, terms) => {
+                self.owe(number, taken, origin, Some(terms), length);
+            }
             Entry::Over(number) => {
                 if let Some(old) = self.owed.remove(&number) {
                     self.live -= old.size;
@@ -262,8 +296,8 @@
         }
     }
 
-    fn owe(&mut self, number: u64, taken: Taken, origin: Origin, length: u64) {
-        let owed = Owed { taken, origin, attempts: Vec::new(), ending: None, size: length };
+    fn owe(&mut self, number: u64, taken: Taken, origin: Origin, terms: Option<Terms>, length: u64) {
+        let owed = Owed { taken, origin, terms, attempts: Vec::new(), ending: None, size: length };
         self.live += length;
         if let Some(old) = self.owed.insert(number, owed) {
             self.live -= old.size;
@@ -279,8 +313,10 @@
     }
 
     /// Writes a message down; it may be promised once this has succeeded.
-    pub fn take(&mut self, number: u64, taken: Taken, origin: Origin) -> Result<(), JournalError> {
-        self.append(Entry::HandedIn(number, taken, origin), self.reserve)
+    pub fn take(
+        &mut self, number: u64, taken: Taken, origin: Origin, terms: Terms,
+    ) -> Result<(), JournalError> {
+        self.append(Entry::TakenOn(number, taken, origin, terms), self.reserve)
     }
 
     /// Writes a send down; its call may begin once this has succeeded.
@@ -373,7 +409,11 @@
 }
 
 fn encode_owed(number: u64, owed: &Owed) -> Result<Vec<u8>, JournalError> {
-    let mut bytes = encode(&Entry::HandedIn(number, owed.taken.clone(), owed.origin.clone()))?;
+    let (taken, origin) = (owed.taken.clone(), owed.origin.clone());
+    let mut bytes = encode(&match owed.terms.clone() {
+        Some(terms) => Entry::TakenOn(number, taken, origin, terms),
+        None => Entry::HandedIn(number, taken, origin),
+    })?;
     for sent in &owed.attempts {
         bytes.extend(encode(&Entry::Sent(number, sent.clone()))?);
     }
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -98,8 +98,12 @@
                 Ok(())
             }
             Input::LinkLost => Err(LinkError::Unexpected),
-            // lists, notices and the end of this process are no affair of the new one
-            Input::Linked(_) | Input::Listed(_) | Input::Noticed(_) | Input::Stopping(_) => Ok(()),
+            // the new one reads lists and settings itself, and posts notices
+            Input::Retuned(_)
+            | Input::Linked(_)
+            | Input::Listed(_)
+            | Input::Noticed(_)
+            | Input::Stopping(_) => Ok(()),
         }
     }
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use milletturn::{Class, Effect, MILLISECOND, Micros};
+use milletturn::{MILLISECOND, Micros};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -38,9 +38,23 @@
 /// A longer time to deliver is cut to this.
 const TIME_MOST: u64 = 7 * 86_400_000_000;
 
+/// A class that messages may name.
+#[derive(Debug, Clone)]
+pub struct Named {
+    pub name: String,
+    /// Its position in the module's settings.
+    pub index: usize,
+    /// Its messages carry a key of their own.
+    pub keyed: bool,
+}
+
+/// The classes of now, which change with the settings.
+pub type Classes = Rc<RefCell<Vec<Named>>>;
+
 /// What the connections share.
 pub struct Server {
-    pub classes: Vec<Class>,
+    /// The classes that messages may name now.
+    pub classes: Classes,
     pub inputs: mpsc::UnboundedSender<Input>,
     pub ready: watch::Receiver<bool>,
     /// Set once the process is to end: each answer then closes its connection.
@@ -245,8 +259,8 @@
     let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
     let headers = request.headers();
     let named = single(headers, "x-priority-class", "X-Priority-Class")?;
-    let class = server.classes.iter().position(|class| class.name == first);
-    let Some(class) = class else {
+    let class = server.classes.borrow().iter().find(|class| class.name == first).cloned();
+    let Some(Named { index: class, keyed, .. }) = class else {
         // a class that nobody knows, or a path that is none
         return Err(if named.is_some_and(|name| name == first) {
             bad("unknown class")
@@ -262,7 +276,7 @@
     }
     let id = word(single(headers, "x-request-id", "X-Request-ID")?)?.ok_or(bad("X-Request-ID is missing"))?;
     let key = word(single(headers, "idempotency-key", "Idempotency-Key")?)?;
-    if key.is_none() && matches!(server.classes[class].effect, Effect::Keyed { .. }) {
+    if key.is_none() && keyed {
         return Err(bad("Idempotency-Key is missing"));
     }
     let time = single(headers, "x-timeout", "X-Timeout")?.ok_or(bad("X-Timeout is missing"))?;
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -98,7 +98,6 @@
     /// The module, encoded.
     pub sender: Vec<u8>,
     pub names: Names,
-    pub class_names: Vec<String>,
     pub routes: Vec<HandedRoute>,
     pub messages: Vec<HandedMessage>,
     pub next_message: u64,
@@ -116,7 +115,7 @@
 pub struct HandedRoute {
     pub uid: String,
     pub address: Option<std::net::SocketAddr>,
-    pub bundle_max: usize,
+    pub kind: usize,
     pub listed: bool,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,8 @@
     pub deadline: Micros,
     /// What its delivery is worth.
     pub worth: f64,
+    /// Attempts that it may have.
+    pub most_attempts: usize,
     /// No final answer yet.
     pub open: bool,
     /// It has ended, but that has not arrived: its key's turn is not over.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -611,7 +611,8 @@
     fields.optional("a cost")?.map(|text| parse_number(text, "a cost")).transpose()?;
     let class = position(&instance.names.classes, fields.text("a class")?);
     let (again, orphan) = (bits & 2 != 0, bits & 16 != 0);
-    Ok(Event::Accepted(NewMessage { id, class, destination, time_left, key, tenant, again, orphan }))
+    let new = NewMessage::new(id, class, destination, time_left);
+    Ok(Event::Accepted(NewMessage { key, tenant, again, orphan, ..new }))
 }
 
 struct Seconds(Micros);
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -3,7 +3,7 @@
 mod node;
 
 use node::*;
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -197,9 +197,114 @@
     let mut asks =
         std::os::unix::net::UnixStream::connect(old.folder.join("state/upgrade.sock")).expect("it waits");
     asks.write_all(&[2, 0, 0, 0, 0, 99]).expect("written");
-    assert!(old.process.wait().expect("it ends").success());
+    wait_until("it ends", || old.process.try_wait().expect("asked").is_some());
     *gate.lock().expect("not poisoned") = true;
     let new = old.successor().ready();
     assert!(new.logged("1 messages owed"));
     wait_until("it goes again", || endpoint.times("held") == 2);
 }
+
+/// The configuration with a part replaced.
+fn changed(node: &Node, from: &str, to: &str) -> String {
+    let text = std::fs::read_to_string(node.folder.join("config.json")).expect("the configuration");
+    assert!(text.contains(from), "{from}");
+    text.replace(from, to)
+}
+
+fn bring(node: &Node, text: &str) {
+    std::fs::write(node.folder.join("config.json"), text).expect("written");
+    node.hang_up();
+}
+
+#[test]
+fn new_settings_bind_new_messages_and_open_ones_keep_theirs_also_across_a_restart() {
+    // each first call fails: what may be repeated goes again, what may not fails
+    let endpoint = Endpoint::new({
+        let seen: Mutex<Vec<String>> = Mutex::default();
+        move |request, _| {
+            let (id, mut seen) = (request.ids().remove(0), seen.lock().expect("not poisoned"));
+            if seen.contains(&id) {
+                return OK;
+            }
+            seen.push(id);
+            Reply::Answer("500 Oops", String::new())
+        }
+    });
+    let uids = ["s-1", "s-2", "s-3", "s-4", "s-5"];
+    let entries: Vec<_> =
+        uids.iter().zip(1..).map(|(&uid, dest)| (uid, endpoint.address, "one", dest, "up")).collect();
+    let agent = Agent::new(vec![list(&entries)]);
+    let node = Node::new(&agent).ready();
+    // the endpoints are out, so that all is still open when the settings change
+    uids.iter().for_each(|uid| assert_eq!(node.order("disable", uid), 200));
+    assert_eq!(node.hand_in("webhook", "old-a", 1, 20_000, b"x"), 202);
+    assert_eq!(node.hand_in("order", "old-b", 2, 20_000, b"x"), 202);
+    // the effects change places, one class comes and one goes
+    let text =
+        changed(&node, r#""effect":"deduplicated","group":"all","window":12.0"#, r#""effect":"EFFECT""#)
+            .replace(
+                r#""name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once""#,
+                r#""name":"order","aim":4.0,"deadline":20.0,"effect":"idempotent""#,
+            )
+            .replace("EFFECT", "at_most_once")
+            .replace(r#""name":"charge""#, r#""name":"charge-ii""#);
+    bring(&node, &text);
+    wait_until("the new class is known", || node.hand_in("charge-ii", "new-c", 3, 20_000, b"x") == 202);
+    assert_eq!(node.hand_in("charge", "gone", 7, 20_000, b"x"), 400);
+    assert_eq!(node.hand_in("webhook", "new-a", 4, 20_000, b"x"), 202);
+    assert_eq!(node.hand_in("order", "new-b", 5, 20_000, b"x"), 202);
+    let node = node.restart().ready();
+    assert!(node.logged("5 messages owed"));
+    uids.iter().for_each(|uid| assert_eq!(node.order("enable", uid), 200));
+    let failed = |id: &str| agent.notices().contains(&format!(r#"{{"id":"{id}","state":"failed"}}"#));
+    wait_until("what may not be repeated fails", || failed("old-b") && failed("new-a") && failed("new-c"));
+    wait_until("what may be goes again", || endpoint.times("old-a") == 2 && endpoint.times("new-b") == 2);
+    assert!(["old-b", "new-a", "new-c"].iter().all(|id| endpoint.times(id) == 1));
+}
+
+#[test]
+fn nothing_is_taken_from_a_broken_file_and_a_start_beside_one_has_the_last_good_settings() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let (agent, elsewhere) = (two(&endpoint, &endpoint), Agent::new(Vec::new()));
+    let node = Node::new(&agent).ready();
+    let good = std::fs::read_to_string(node.folder.join("config.json")).expect("the configuration");
+    let moved = good
+        .replace(&agent.address.to_string(), &elsewhere.address.to_string())
+        .replace("webhook", "webhook-x");
+    let broken = [
+        String::new(),
+        moved[..moved.len() - 1].to_string(),
+        moved.replace(r#""mostTries":12"#, r#""mostTries":0"#),
+        moved.replace(r#""mostTries":12"#, r#""mostTries":2.5"#),
+        moved.replace(r#""mostTries":12"#, r#""mostTries":"12""#),
+        moved.replace(r#""mostTries":12,"#, ""),
+        moved.replacen(r#""deadline":20.0"#, r#""deadline":0"#, 1),
+        moved.replacen(r#""deadline":20.0"#, r#""deadline":-20.0"#, 1),
+        moved.replacen(r#""deadline":20.0"#, r#""deadline":null"#, 1),
+        moved.replacen(r#""deadline":20.0,"#, "", 1),
+        moved.replacen(r#""aim":4.0,"#, "", 1),
+        moved.replace(r#""overShareWorth":0.1,"#, ""),
+        moved.replace(r#""limits""#, r#""limit""#),
+        moved.replace(r#""classes""#, r#""class""#),
+    ];
+    for (number, text) in broken.iter().enumerate() {
+        bring(&node, text);
+        wait_until("it is told why", || {
+            let log = node.log.lock().expect("not poisoned");
+            log.iter().filter(|line| line.contains("configuration left as it was")).count() > number
+        });
+    }
+    assert_eq!(elsewhere.watches.load(std::sync::atomic::Ordering::SeqCst), 0, "discovery has not moved");
+    assert_eq!(node.hand_in("webhook-x", "m1", 7, 20_000, b"x"), 400);
+    assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
+    wait_until("delivered", || endpoint.times("m1") == 1);
+    let mut node = node;
+    node.kill();
+    let mut process = command(&node.folder).spawn().expect("it starts");
+    let errors = BufReader::new(process.stderr.take().expect("piped"));
+    let lines: Vec<String> =
+        errors.lines().map_while(Result::ok).take_while(|line| !line.contains("listening on")).collect();
+    assert!(lines.iter().any(|line| line.contains("the last good one holds")), "{lines:?}");
+    process.kill().expect("it listens");
+    process.wait().expect("ended");
+}
