--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,6 +51,9 @@
 const CLASS_LIMITS: i64 = 2;
 /// A call is taken for lost after this many limits, even where others are answered: lower frees slots sooner.
 const LOST_LIMITS: i64 = 3;
+/// Where slots are scarce, a repeatable one that others overtook is lost after this many copy offsets: lower
+/// frees slots sooner, higher repeats less work.
+const LOST_OFFSETS: i64 = 5;
 /// Slots in use above which unsafe calls are called off too: lower gives up more, higher frees less.
 const SLOTS_SCARCE: f64 = 0.7;
 /// A unit lags while a call is out for this many usual latencies; all lagging and sick units share the sick
@@ -507,6 +510,7 @@
     /// Guards against hung, vanished or crawling destinations that would fill the slots of healthy ones.
     /// Could harm where one long call is the unit's only traffic, so a lone call gets twice the time.
     fn look_for_silence(&mut self, actions: &mut Vec<Action>) {
+        let scarce = self.calls.len() >= share_of(self.settings.call_slots, SLOTS_SCARCE);
         for call in self.calls.values() {
             if let Some(unit) = self.units.get_mut(&call.unit) {
                 unit.look_anew();
@@ -516,7 +520,9 @@
             let Some(unit) = self.units.get_mut(&call.unit) else { continue };
             let age = self.now - call.sent;
             let limit = unit.silence_limit();
-            for at in [1, 2, 4].map(|limits| call.sent + limits * limit + MILLISECOND) {
+            let overtaken = call.sent + LOST_OFFSETS * unit.offset.unwrap_or(FIRST_COPY_DELAY);
+            let limits = [1, 2, 4].map(|limits| call.sent + limits * limit);
+            for at in limits.into_iter().chain(scarce.then_some(overtaken)).map(|at| at + MILLISECOND) {
                 self.due = if at > self.now { self.due.min(at) } else { self.due };
             }
             unit.lags |= age > SILENT_LEAST.max(unit.usual.unwrap_or(FIRST_COPY_DELAY) * LAG_USUAL);
@@ -532,7 +538,6 @@
         let busy: BTreeSet<UnitId> = self.calls.values().map(|call| call.unit).collect();
         let ids: Vec<_> = busy.into_iter().filter(|id| self.units.get(id).is_some_and(silent)).collect();
         ids.into_iter().for_each(|id| self.fall_sick(id, true, "silent", actions));
-        let scarce = self.calls.len() >= share_of(self.settings.call_slots, SLOTS_SCARCE);
         for (&message, held) in &mut self.messages {
             let class = self.settings.classes.get(held.class);
             let repeatable = class.is_some_and(|class| class.effect != Effect::Unsafe);
@@ -547,7 +552,11 @@
                 let limits = (if scarce { 1 } else { RECLAIM_LIMITS }) * if sick { 1 } else { CLASS_LIMITS };
                 let over = self.now - attempt.sent > limits * unit.silence_limit();
                 // lost on its own, however its endpoint fares with others
-                let lost = self.now - attempt.sent > LOST_LIMITS * unit.silence_limit();
+                let age = self.now - attempt.sent;
+                let offset = unit.offset.unwrap_or(FIRST_COPY_DELAY);
+                let overtaken = scarce && repeatable && unit.alive_at > attempt.sent;
+                let lost =
+                    age > LOST_LIMITS * unit.silence_limit() || overtaken && age > LOST_OFFSETS * offset;
                 if lost || over && (sick || alive.unwrap_or(0) < attempt.sent) {
                     attempt.cancelled = true;
                     actions.push(Action::Cancel { message, attempt: index });
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -49,6 +49,28 @@
     assert_eq!(rig.sends_of(1).len(), 2, "it goes again");
 }
 
+#[test]
+fn a_repeatable_call_that_others_overtook_goes_soon_when_slots_are_scarce() {
+    // single calls that were never answered held most of ten slots for three seconds each
+    for (slots, scarce) in [(4, true), (40, false)] {
+        let mut rig = Rig::new(settings(slots), vec![entry(1, 7), entry(2, 8), entry(3, 9)]);
+        warm(&mut rig);
+        rig.tell(vec![message(1, FREE, 7), message(2, UNSAFE, 8), message(3, FREE, 9)]);
+        assert_eq!(rig.sends.iter().filter(|send| send.1 <= 3).count(), 3);
+        let sent = rig.now;
+        for id in 10..16 {
+            rig.tell(vec![message(id, FREE, 7 + id % 2)]);
+            rig.run(rig.now + 100 * MILLISECOND);
+            rig.end(id, Outcome::Success, 100 * MILLISECOND);
+            if rig.now <= sent + 400 * MILLISECOND {
+                assert_eq!(rig.cancels(1), 0, "a long call is let be");
+            }
+        }
+        assert_eq!(rig.cancels(1) == 1, scarce, "{slots} slots, five times the usual latency");
+        assert_eq!((rig.cancels(2), rig.cancels(3)), (0, 0), "an unsafe one, and one that none overtook");
+    }
+}
+
 #[test]
 fn unsafe_calls_are_called_off_only_when_slots_are_scarce() {
     // Round 2: unsafe calls to a silent destination held their slots to long deadlines.
