--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,7 +51,7 @@
 const CLASS_LIMITS: i64 = 2;
 /// A call is taken for lost after this many limits, even where others are answered: lower frees slots sooner.
 const LOST_LIMITS: i64 = 3;
-/// Where slots are scarce, a repeatable one that others overtook is lost after this many copy offsets: lower
+/// Where no slot is free, a repeatable one that others overtook is lost after this many copy offsets: lower
 /// frees slots sooner, higher repeats less work.
 const LOST_OFFSETS: i64 = 5;
 /// Slots in use above which unsafe calls are called off too: lower gives up more, higher frees less.
@@ -511,6 +511,7 @@
     /// Could harm where one long call is the unit's only traffic, so a lone call gets twice the time.
     fn look_for_silence(&mut self, actions: &mut Vec<Action>) {
         let scarce = self.calls.len() >= share_of(self.settings.call_slots, SLOTS_SCARCE);
+        let full = self.calls.len() >= self.settings.call_slots;
         for call in self.calls.values() {
             if let Some(unit) = self.units.get_mut(&call.unit) {
                 unit.look_anew();
@@ -522,7 +523,7 @@
             let limit = unit.silence_limit();
             let overtaken = call.sent + LOST_OFFSETS * unit.offset.unwrap_or(FIRST_COPY_DELAY);
             let limits = [1, 2, 4].map(|limits| call.sent + limits * limit);
-            for at in limits.into_iter().chain(scarce.then_some(overtaken)).map(|at| at + MILLISECOND) {
+            for at in limits.into_iter().chain(full.then_some(overtaken)).map(|at| at + MILLISECOND) {
                 self.due = if at > self.now { self.due.min(at) } else { self.due };
             }
             unit.lags |= age > SILENT_LEAST.max(unit.usual.unwrap_or(FIRST_COPY_DELAY) * LAG_USUAL);
@@ -554,7 +555,7 @@
                 // lost on its own, however its endpoint fares with others
                 let age = self.now - attempt.sent;
                 let offset = unit.offset.unwrap_or(FIRST_COPY_DELAY);
-                let overtaken = scarce && repeatable && unit.alive_at > attempt.sent;
+                let overtaken = full && repeatable && unit.alive_at > attempt.sent;
                 let lost =
                     age > LOST_LIMITS * unit.silence_limit() || overtaken && age > LOST_OFFSETS * offset;
                 if lost || over && (sick || alive.unwrap_or(0) < attempt.sent) {
