Come back to discovery by the number of senders that share it, each at its own moment

Line at fault: the back-off in src/net/discovery.rs, one second at most and the same for all, so that 30 calls a second kept discovery from answering any. It now grows with the number of senders, is spread by chance, and the first try after a start with a known list too.

The test fails without the change.

--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use net::calls::Calls;
 use net::config::Config;
 use net::control::Control;
+use net::discovery::Backoff;
 use net::driver::{Clock, Driver, Input, Shared};
 use net::journal::Journal;
 use net::server::{Classes, Server, serve};
@@ -75,6 +76,7 @@
         taken = upgrade::take_over(&lock, &config.state) => taken?,
         _ = terminate.recv() => return Ok(()),
     };
+    let senders = config.settings.senders;
     let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
     let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
     log_recovery(&config.name, &journal, &recovery);
@@ -129,7 +131,8 @@
     let listener = upgrade::listener(config.passed, config.listen).await?;
     net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
     let until_handed = |task| upgrade::until_handed(handed_seen.clone(), task);
-    let watch = discovery::watch(agent.clone(), driver.list_version(), inputs.clone());
+    let backoff = Backoff::new(senders, config.seed);
+    let watch = discovery::watch(agent.clone(), driver.list_version(), backoff, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(watch) as Task));
     let post = discovery::post_notices(agent, queue, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(post)));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,6 +10,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use milletturn::Status;
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -29,6 +31,10 @@
 const ANSWER: Duration = Duration::from_secs(1);
 const RETRY_FIRST: Duration = Duration::from_millis(50);
 const RETRY_MOST: Duration = Duration::from_millis(1000);
+/// The same for each sender that shares discovery: so many calls a second may come from all together, where all
+/// have lost their watches at one moment.
+const RETRY_FIRST_EACH: Duration = Duration::from_millis(25);
+const RETRY_MOST_EACH: Duration = Duration::from_millis(300);
 /// A longer line is not kept.
 const LONGEST_LINE: usize = 4 << 20;
 /// Notices in one request.
@@ -134,8 +140,14 @@
 }
 
 /// Watches the list for ever, wherever the agent is, and hands each change on.
-pub async fn watch(mut agent: Receiver<SocketAddr>, mut version: u64, inputs: mpsc::UnboundedSender<Input>) {
-    let mut rest = RETRY_FIRST;
+pub async fn watch(
+    mut agent: Receiver<SocketAddr>, mut version: u64, mut backoff: Backoff,
+    inputs: mpsc::UnboundedSender<Input>,
+) {
+    // with a list to serve from, many that start at one moment do not all ask at that moment
+    if version > 0 {
+        sleep(backoff.start()).await;
+    }
     let mut told = String::new();
     loop {
         let before = version;
@@ -146,7 +158,7 @@
                 Err(error) => error.to_string(),
             },
             Ok(()) = agent.changed() => {
-                (rest, told) = (RETRY_FIRST, String::new());
+                (backoff.rest, told) = (backoff.first, String::new());
                 continue;
             }
         };
@@ -155,17 +167,52 @@
             told = error;
         }
         if version != before {
-            (rest, told) = (RETRY_FIRST, String::new());
+            (backoff.rest, told) = (backoff.first, String::new());
         }
-        rest = rest_or_move(rest, &mut agent).await;
+        let next = (backoff.rest * 2).min(backoff.most);
+        let moved = rest_or_move(backoff.spread(), &mut agent).await;
+        backoff.rest = if moved { backoff.first } else { next };
+    }
+}
+
+/// How long to rest between two tries: longer each time, never just as long as others do, and by the number of
+/// senders, since their tries together are what discovery must bear.
+#[derive(Debug)]
+pub struct Backoff {
+    random: Pcg32,
+    first: Duration,
+    most: Duration,
+    rest: Duration,
+}
+
+impl Backoff {
+    /// For one of so many senders.
+    pub fn new(senders: u32, seed: u64) -> Self {
+        let first = RETRY_FIRST.max(RETRY_FIRST_EACH * senders);
+        let most = RETRY_MOST.max(RETRY_MOST_EACH * senders);
+        Backoff { random: Pcg32::seed_from_u64(seed), first, most, rest: first }
+    }
+
+    /// The rest before the first try; none for the few senders that can't crowd discovery.
+    fn start(&mut self) -> Duration {
+        if self.first > RETRY_MOST { self.first.mul_f64(2.0 * self.part()) } else { Duration::ZERO }
+    }
+
+    /// The next rest: from half to one and a half times as long as is due.
+    fn spread(&mut self) -> Duration {
+        self.rest.mul_f64(0.5 + self.part())
+    }
+
+    fn part(&mut self) -> f64 {
+        f64::from(self.random.next_u32()) / f64::from(u32::MAX)
     }
 }
 
-/// Rests before another try, shorter if the agent moves meanwhile; the next rest.
-async fn rest_or_move(rest: Duration, agent: &mut Receiver<SocketAddr>) -> Duration {
+/// Rests before another try, shorter if the agent moves meanwhile, which it tells.
+async fn rest_or_move(rest: Duration, agent: &mut Receiver<SocketAddr>) -> bool {
     tokio::select! {
-        () = sleep(rest) => (rest * 2).min(RETRY_MOST),
-        Ok(()) = agent.changed() => RETRY_FIRST,
+        () = sleep(rest) => false,
+        Ok(()) = agent.changed() => true,
     }
 }
 
@@ -272,7 +319,8 @@
                         }
                     }
                 }
-                rest = rest_or_move(rest, &mut agent).await;
+                let moved = rest_or_move(rest, &mut agent).await;
+                rest = if moved { RETRY_FIRST } else { (rest * 2).min(RETRY_MOST) };
             }
         }
     }
@@ -309,3 +357,38 @@
     };
     timeout(within, exchange).await.map_err(|_| CallError::Time)?
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Tries within `from` and `to` of so many senders that all lose their watches at 0 and find no room.
+    fn tries(senders: u32, from: Duration, to: Duration) -> usize {
+        let count = |seed| {
+            let (mut backoff, mut at, mut count) = (Backoff::new(senders, seed), Duration::ZERO, 0);
+            while at < to {
+                let next = (backoff.rest * 2).min(backoff.most);
+                at += backoff.spread();
+                backoff.rest = next;
+                count += usize::from(at >= from && at < to);
+            }
+            count
+        };
+        (0..u64::from(senders)).map(count).sum()
+    }
+
+    #[test]
+    fn many_senders_together_try_seldom_and_few_try_soon() {
+        let second = Duration::from_secs(1);
+        assert!(tries(2, Duration::ZERO, second) >= 6);
+        let crowd = [24, 48].map(|senders| tries(senders, 20 * second, 40 * second));
+        assert!(crowd.iter().all(|&tries| tries <= 100), "{crowd:?} in 20 s");
+        let first = tries(48, Duration::ZERO, second / 10);
+        assert_eq!(first, 0, "none comes back at once");
+        // those that start at one moment do not ask at one moment, where they have a list
+        let mut starts: Vec<_> = (0..48).map(|seed| Backoff::new(48, seed).start()).collect();
+        starts.sort_unstable();
+        assert!(starts[36] - starts[12] > second / 2, "{starts:?}");
+        assert_eq!(Backoff::new(3, 1).start(), Duration::ZERO);
+    }
+}
