--- a/src/decide.rs
+++ b/src/decide.rs
@@ -114,6 +114,9 @@
     ends: Option<Micros>,
     /// The next time at which something may be due; the alarm is set by it.
     due: Micros,
+    /// Messages for which an endpoint was looked for in the last turn.
+    #[serde(skip)]
+    weighed: usize,
 }
 
 impl Sender {
@@ -144,6 +147,7 @@
             list_rest: LIST_FIRST,
             ends: None,
             due: Micros::MAX,
+            weighed: 0,
         })
     }
 
@@ -152,6 +156,11 @@
         &self.settings
     }
 
+    /// For how many messages the last turn looked for an endpoint: what its CPU time grows with.
+    pub fn weighed(&self) -> usize {
+        self.weighed
+    }
+
     /// One turn: takes in all events, then appends what to do. The time never goes backwards.
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -684,7 +693,16 @@
 
     fn send_due(&mut self, actions: &mut Vec<Action>) {
         let mut due: Vec<(f64, MessageId)> = Vec::new();
+        // weighing hundreds that can't go anyway takes more CPU than all that do
+        let is_open = |id: &EndpointId| self.endpoints.get(id).is_some_and(Endpoint::is_open);
+        let open: BTreeSet<DestinationId> =
+            self.routes.iter().filter(|(_, ids)| ids.iter().any(is_open)).map(|(&id, _)| id).collect();
+        let bundles = self.settings.kinds.iter().any(|kind| kind.bundle_max > 1);
+        self.weighed = 0;
         for (&id, message) in &self.messages {
+            if !open.contains(&message.destination) {
+                continue;
+            }
             let out = message.is_out();
             let turn = message.key.is_none_or(|key| self.keys[&key].turn.front() == Some(&id));
             let at = if out { message.copy_at } else { message.retry_at };
@@ -697,6 +715,10 @@
         due.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut opened: BTreeMap<EndpointId, u64> = BTreeMap::new();
         for (_, id) in due {
+            if !bundles && self.calls.len() >= self.settings.call_slots {
+                break; // the end of a call brings the next turn
+            }
+            self.weighed += 1;
             let copy = self.messages[&id].is_out();
             let full = copy && self.copies_out >= share_of(self.settings.call_slots, COPY_SHARE);
             // a copy skipped at the ceiling comes up again next turn: its offset is not doubled
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -284,3 +284,24 @@
     assert!(unsafe_sends >= 60, "{unsafe_sends} unsafe messages sent");
     assert!(lost[0] >= 1 && lost[1] <= 8, "lost to the failing endpoint: {lost:?}");
 }
+
+#[test]
+fn a_turn_looks_only_at_messages_that_may_go() {
+    // with hundreds held for endpoints that were out, turns took all of the CPU
+    let mut rig = Rig::new(settings(4), two_destinations());
+    rig.sender = {
+        let mut settings = settings(4);
+        settings.kinds.retain(|kind| kind.bundle_max == 1);
+        Sender::new(settings, 11).expect("settings make sense")
+    };
+    rig.tell(vec![Event::Listed { listing: Listing::Full, entries: two_destinations() }]);
+    rig.tell(vec![Event::Disabled(EndpointId(1))]);
+    rig.tell((0..300).map(|id| message(id, FREE, 7)).collect());
+    assert_eq!((rig.sender.weighed(), rig.sends.len()), (0, 0));
+    rig.tell((300..303).map(|id| message(id, FREE, 8)).collect());
+    assert_eq!(rig.sender.weighed(), 3);
+    assert!(!rig.sends.is_empty());
+    // back in, all are looked at again
+    rig.tell(vec![Event::Enabled(EndpointId(1))]);
+    assert!(rig.sends.iter().any(|send| send.2 == 1));
+}
