Stay away longer after a refusal and grow slower where many senders share a limit

Counted over the logs, per destination and 100 ms: the limit's debt grows with each refused call, so nothing passes until all senders together are well under it; the hundred learn of it one refusal each, come back after half an interval of their pace, and every success then raises each one's pace by half, a quarter a second for the fleet, before any has heard that it was too much. Ruled out: slots (never all taken), CPU (0.01 of 0.2 cores), discovery, copies (under 2% of calls). At fault: Unit::slow_down (the tokens left after a refusal) and Unit::grow.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,8 @@
 /// not by time, keeps the refused share the same however few calls a sender makes.
 const PACE_GROWTH: f64 = 0.25;
 const PACE_GROWTH_MOST: f64 = 0.5;
+/// Part of the growth that a crowd gives up: all have grown before any hears that it was too much.
+const CROWD_GROWTH: f64 = 0.8;
 /// Pace that a first refusal leaves at least, calls a second, and that any leaves to all senders together.
 /// Higher retries sooner, lower spares a destination that hundreds of senders share.
 const PACE_FIRST: f64 = 0.35;
@@ -66,6 +68,8 @@
 /// Refusals in a row, over at least this long, that mean shut rather than throttled.
 const SHUT_RUN: u32 = 4;
 const SHUT_SPAN: Micros = SECOND;
+/// Senders that hear of a limit almost as soon as one alone does. Higher lets a larger fleet act as a few do.
+const FEW_SENDERS: f64 = 4.0;
 /// Part of the fail-back budget that is used. Higher returns sooner, lower leaves room for other senders.
 const BUDGET_SHARE: f64 = 0.7;
 /// Calls in a fall span that all senders together may try at a sick unit, however little each knows of it.
@@ -377,7 +381,7 @@
         }
         let (now, span, cold) = (self.now, self.settings.safety.fall_span, self.settings.safety.cold_time);
         let (slots, senders) = (self.settings.call_slots as f64, f64::from(self.settings.senders));
-        let phase = self.phase();
+        let (phase, crowd) = (self.phase(), self.crowd());
         let silence = self.unit(unit_id).silence_limit();
         if let Some(endpoint) = self.endpoints.get_mut(&endpoint_id) {
             for score in [self.crowded.entry(endpoint.kind).or_default(), &mut endpoint.crowded] {
@@ -405,7 +409,7 @@
                 unit.remember_latency(latency);
                 unit.refused_run = 0;
                 unit.succeeded = true;
-                unit.grow();
+                unit.grow(crowd);
                 unit.fails -= FAIL_WEIGHT * unit.fails;
                 unit.served.push(now, usize::MAX);
                 let rate = unit.served_rate(now, span);
@@ -429,13 +433,15 @@
                     _ => {}
                 }
             }
-            Outcome::Refused { .. } => {
+            Outcome::Refused { wait } => {
                 unit.refused_since = if unit.refused_run == 0 { now } else { unit.refused_since };
                 unit.refused_run += 1;
                 let shut = unit.refused_run >= SHUT_RUN && now - unit.refused_since >= SHUT_SPAN;
                 let rate = unit.served_rate(now, span);
                 if unit.cut(sent, now) {
-                    unit.slow_down(rate, senders, phase);
+                    // a told wait keeps all away until there is room
+                    let unheard = if wait.is_some() { 0.0 } else { crowd };
+                    unit.slow_down(rate, senders, unheard, phase);
                 }
                 if shut {
                     self.fall_sick(unit_id, false, "shut", actions);
@@ -448,7 +454,7 @@
                 // with a call or more in a span the failure score is soon sure
                 let rare = unit.usual_rate(now, cold) * seconds(span) < 1.0;
                 if fresh && lone && rare {
-                    unit.slow_down(rate, senders, phase);
+                    unit.slow_down(rate, senders, crowd, phase);
                 }
                 unit.succeeded = false;
                 if unit.fails > FAIL_SICK {
@@ -945,6 +951,11 @@
         (known.destination, apart.then_some(endpoint))
     }
 
+    /// The part of all senders that has not heard yet what this one has; none where they are few.
+    fn crowd(&self) -> f64 {
+        (1.0 - FEW_SENDERS / f64::from(self.settings.senders)).max(0.0)
+    }
+
     /// A random part of one token, so that senders do not all start at once.
     fn phase(&mut self) -> f64 {
         f64::from(self.random.next_u32()) / f64::from(u32::MAX)
@@ -1001,7 +1012,7 @@
 
     /// A refusal, or a failure with no success since the last cut, slows the pace down.
     /// The even share of a told limit is left only for demand: other senders may need theirs.
-    fn slow_down(&mut self, served: f64, senders: f64, phase: f64) {
+    fn slow_down(&mut self, served: f64, senders: f64, crowd: f64, phase: f64) {
         let pace = if self.pace.is_finite() { self.pace } else { self.best_rate.max(PACE_FIRST / PACE_CUT) };
         let factor = if self.succeeded { PACE_CUT } else { PACE_HALVED };
         let share = self.told_limit.map_or(f64::INFINITY, |_| self.share);
@@ -1009,11 +1020,13 @@
         self.pace = cut.max(PACE_LEAST / senders);
         self.tokens =
             if self.tokens < f64::MAX { self.tokens.min(phase.max(self.tokens - 1.0)) } else { phase };
+        // refused calls of those that have not heard yet use the limit up: this one stays away meanwhile
+        self.tokens -= crowd;
         self.succeeded = false;
     }
 
-    fn grow(&mut self) {
-        let growth = PACE_GROWTH * (self.best_rate / self.pace).max(1.0);
+    fn grow(&mut self, crowd: f64) {
+        let growth = PACE_GROWTH * (1.0 - CROWD_GROWTH * crowd) * (self.best_rate / self.pace).max(1.0);
         let most = self.told_limit.unwrap_or(f64::INFINITY);
         self.pace = (self.pace + growth.min(PACE_GROWTH_MOST * self.pace)).min(most);
     }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -115,6 +115,54 @@
     }
 }
 
+#[test]
+fn a_crowd_that_was_refused_stays_away_until_the_limit_has_room_again() {
+    // Refused calls use limits up: a hundred that each came back within a call's time kept one shut for seconds.
+    for count in [60, 100, 300] {
+        let told = |settings: &mut Settings| settings.weight_trust = 0.5;
+        let mut fleet = Fleet::new(count, 3, told);
+        let entries: Vec<Entry> = (1..=2).map(|n| Entry { weight: 60.0, ..entry(n, 7) }).collect();
+        for index in 0..count {
+            fleet.tell(index, vec![Event::Listed { listing: Listing::Full, entries: entries.clone() }]);
+        }
+        fleet.hand_in();
+        fleet.play(T0 + 60 * MILLISECOND, |_| Outcome::Refused { wait: None });
+        let start = fleet.now - T0;
+        fleet.play(T0 + 6 * SECOND, |_| Outcome::Success);
+        let soon = fleet.sent_within(start, start + SECOND);
+        assert!(soon <= 6, "{count} senders: {soon} of 60 again within a second of their refusal");
+        let later = fleet.sent_within(start, 6 * SECOND);
+        assert!(later >= 12, "{count} senders: {later} of 60 again in 6 s");
+    }
+}
+
+#[test]
+fn a_crowd_grows_no_faster_than_it_hears() {
+    // Each of a hundred grew by half with each success: all together were far over before a few had heard so.
+    let calls = |senders: u32| {
+        let mut settings = settings(8);
+        settings.senders = senders;
+        let mut rig = Rig::new(settings, vec![entry(1, 7)]);
+        rig.tell((0..900).map(|id| message(id, FREE, 7)).collect());
+        let mut answered = 0;
+        while rig.now < T0 + 24 * SECOND {
+            let out = rig.sends[answered..].to_vec();
+            answered = rig.sends.len();
+            let next = rig.now + 40 * MILLISECOND;
+            rig.run(next);
+            for send in out {
+                let first = send.0 == T0;
+                let outcome = if first { Outcome::Refused { wait: None } } else { Outcome::Success };
+                rig.tell(vec![ended(send.1, send.3, send.2, outcome, 40 * MILLISECOND)]);
+            }
+        }
+        rig.sends.iter().filter(|send| send.0 > T0 + 19 * SECOND).count()
+    };
+    let (few, many) = (calls(3), calls(100));
+    assert!(many * 2 <= few, "{many} calls in 5 s of one in a hundred, {few} of one in three");
+    assert!(many >= 3, "{many} calls in 5 s: it grows all the same");
+}
+
 #[test]
 fn those_who_were_told_a_wait_do_not_start_together_at_its_end() {
     // Round 14: a shut destination told all the same end; they came back at once and pushed it over.
