Do not take an outage for a crowded endpoint

One call without connection counts 0.2 and each success takes 0.002 of it off (CROWDED_WEIGHT x CROWDED): a sender with half a call a second never gets under 0.1 again. Ruled out: the endpoint's idle limit (0 closed as idle) and the cap of 200 kept (at most 27 descriptors). At fault: the scores in learn_outcome, which took calls that found nobody in an outage for a crowd. They count now only while others are served, and the return of a destination clears its endpoints.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -383,10 +383,12 @@
         let (slots, senders) = (self.settings.call_slots as f64, f64::from(self.settings.senders));
         let (phase, crowd) = (self.phase(), self.crowd());
         let silence = self.unit(unit_id).silence_limit();
+        let served = self.unit(unit_id).succeeded;
         if let Some(endpoint) = self.endpoints.get_mut(&endpoint_id) {
             for score in [self.crowded.entry(endpoint.kind).or_default(), &mut endpoint.crowded] {
                 match outcome {
-                    Outcome::NoConnection => *score += CROWDED_WEIGHT * (1.0 - *score),
+                    // where nothing else is served it is not crowded but out
+                    Outcome::NoConnection if served => *score += CROWDED_WEIGHT * (1.0 - *score),
                     Outcome::Success => *score -= CROWDED_WEIGHT * CROWDED * *score,
                     _ => {}
                 }
@@ -400,7 +402,7 @@
                 class.struck_until = now + ((span / 4) << class.strikes.min(3));
             }
         }
-        let unit = self.unit(unit_id);
+        let Some(unit) = self.units.get_mut(&unit_id) else { return };
         if matches!(outcome, Outcome::Success | Outcome::Error | Outcome::Refused { .. }) {
             unit.alive_at = now;
         }
@@ -427,6 +429,12 @@
                     Health::Sick { .. } => {
                         unit.fails = unit.fails.min(FAIL_SICK - FAIL_WEIGHT / 2.0);
                         unit.health = Health::Returning { since: now };
+                        // what found no connection then says nothing of how crowded it is now
+                        let ids = self.routes.get(&unit_id.0).into_iter().flatten();
+                        let of_unit = |id: &&EndpointId| unit_id.1.is_none_or(|route| route == **id);
+                        for id in ids.filter(of_unit) {
+                            self.endpoints.entry(*id).and_modify(|known| known.crowded = 0.0);
+                        }
                         actions.push(Action::Log(format!("destination {} returns", unit_id.0)));
                     }
                     Health::Returning { since } if now - since > cold => unit.health = Health::Well,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -258,6 +258,45 @@
     assert_eq!(closes(&rig), before + 1, "its kind is crowded and its next call is far");
 }
 
+#[test]
+fn an_outage_is_not_taken_for_a_crowd() {
+    // After an outage each call of a hundred senders was a new connection for the rest of the day.
+    let mut kept = settings(8);
+    (kept.senders, kept.connection_idle) = (100, 15 * SECOND);
+    let mut rig = Rig::new(kept, vec![entry(1, 7), entry(2, 7)]);
+    let closes = |rig: &Rig| rig.count(|a| matches!(a, Action::Disconnect(_)));
+    for id in 0..8 {
+        let next = rig.now + 500 * MILLISECOND;
+        rig.run(next);
+        rig.tell(vec![message(id, FREE, 7)]);
+        rig.end(id, Outcome::Success, 20 * MILLISECOND);
+    }
+    rig.tell(vec![message(50, FREE, 7)]);
+    let mut failed = 0;
+    for _ in 0..6 {
+        if rig.sends_of(50).len() > failed {
+            failed += 1;
+            rig.end(50, Outcome::NoConnection, MILLISECOND);
+        }
+        let next = rig.now + 4 * SECOND;
+        rig.run(next);
+    }
+    assert!(rig.count(|a| matches!(a, Action::Log(text) if text.contains("sick"))) == 1, "it was out");
+    rig.end(50, Outcome::Success, 20 * MILLISECOND);
+    let before = closes(&rig);
+    for id in 100..106 {
+        let next = rig.now + 6 * SECOND;
+        rig.run(next);
+        rig.tell(vec![message(id, FREE, 7)]);
+        let next = rig.now + 4 * SECOND;
+        rig.run(next);
+        if !rig.sends_of(id).is_empty() {
+            rig.end(id, Outcome::Success, 20 * MILLISECOND);
+        }
+    }
+    assert_eq!(closes(&rig), before, "connections are kept again once it is back");
+}
+
 #[test]
 fn a_used_up_told_limit_holds_a_sender_to_its_even_share() {
     // Round 22: each of fifty senders tried a little, all together more than refused calls left of the limit.
