Tell the rate of one in a crowd by all its calls and the list, not by its best 1.5 s

Ruled out: the floor of 0.35 a call each alone (PACE_FIRST; with listed rates it now shrinks with the crowd too); one more interval of rest for each refusal in a row changed nothing and is not kept. At fault: learn_outcome (seen, and the floor of the cut by what was served) and Unit::slow_down. A sender in a crowd now takes all its calls, with the listed rate in place of the first three. A weight that can't be read counts as none, and then the old first pace holds, so that nothing starves.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,6 +65,8 @@
 const USUAL_SLOWNESS: i64 = 50;
 /// Latencies seen before they are believed: fewer finds trouble sooner, more spares small destinations.
 const LATENCIES_LEAST: usize = 8;
+/// Calls for which the listed rate of a destination stands in, as long as a sender has made few of its own.
+const RATE_CALLS: f64 = 3.0;
 /// Refusals in a row, over at least this long, that mean shut rather than throttled.
 const SHUT_RUN: u32 = 4;
 const SHUT_SPAN: Micros = SECOND;
@@ -268,9 +270,11 @@
             known.serving = entry.status == Status::Serving;
             self.routes.entry(entry.destination).or_default().insert(entry.endpoint);
             let id = self.unit_of(entry.endpoint);
-            let told = self.settings.weight_trust * entry.weight / f64::from(self.settings.senders);
+            let weight = if entry.weight.is_finite() { entry.weight.max(0.0) } else { 0.0 };
+            let told = self.settings.weight_trust * weight / f64::from(self.settings.senders);
+            let listed = if told > 0.0 { told / self.settings.weight_trust } else { 0.0 };
             let unit = self.unit(id);
-            (unit.share, unit.best_rate) = (told, unit.best_rate.max(told));
+            (unit.share, unit.best_rate, unit.listed) = (told, unit.best_rate.max(told), listed);
         }
         self.forget_gone();
     }
@@ -414,7 +418,8 @@
                 unit.grow(crowd);
                 unit.fails -= FAIL_WEIGHT * unit.fails;
                 unit.served.push(now, usize::MAX);
-                let rate = unit.served_rate(now, span);
+                // one in a crowd makes too few calls in a span to tell a rate by
+                let rate = unit.served_rate(now, span) * (1.0 - crowd) + unit.own_rate(now) * crowd;
                 // what is served while returning must not raise the budget of the return itself
                 let seen = if unit.health == Health::Well { rate } else { 0.0 };
                 unit.best_rate = unit.best_rate.max(seen);
@@ -449,7 +454,7 @@
                 if unit.cut(sent, now) {
                     // a told wait keeps all away until there is room
                     let unheard = if wait.is_some() { 0.0 } else { crowd };
-                    unit.slow_down(rate, senders, unheard, phase);
+                    unit.slow_down(rate * (1.0 - crowd), senders, unheard, phase);
                 }
                 if shut {
                     self.fall_sick(unit_id, false, "shut", actions);
@@ -462,7 +467,7 @@
                 // with a call or more in a span the failure score is soon sure
                 let rare = unit.usual_rate(now, cold) * seconds(span) < 1.0;
                 if fresh && lone && rare {
-                    unit.slow_down(rate, senders, crowd, phase);
+                    unit.slow_down(rate * (1.0 - crowd), senders, crowd, phase);
                 }
                 unit.succeeded = false;
                 if unit.fails > FAIL_SICK {
@@ -1018,10 +1023,19 @@
         self.served.len() as f64 / seconds(span)
     }
 
+    /// Calls a second that this sender makes, as far as so few tell, else its even part of the listed rate.
+    fn own_rate(&self, now: Micros) -> f64 {
+        let prior = if self.listed > 0.0 { RATE_CALLS / self.listed } else { 0.0 };
+        let calls = if self.listed > 0.0 { RATE_CALLS } else { 0.0 };
+        (self.sent as f64 + calls) / (seconds(now - self.since) + prior).max(1.0)
+    }
+
     /// A refusal, or a failure with no success since the last cut, slows the pace down.
     /// The even share of a told limit is left only for demand: other senders may need theirs.
     fn slow_down(&mut self, served: f64, senders: f64, crowd: f64, phase: f64) {
-        let pace = if self.pace.is_finite() { self.pace } else { self.best_rate.max(PACE_FIRST / PACE_CUT) };
+        // a rough rate beats one that is the same for each, however many they are
+        let first = if self.listed > 0.0 { PACE_FIRST * (1.0 - crowd) } else { PACE_FIRST };
+        let pace = if self.pace.is_finite() { self.pace } else { self.best_rate.max(first / PACE_CUT) };
         let factor = if self.succeeded { PACE_CUT } else { PACE_HALVED };
         let share = self.told_limit.map_or(f64::INFINITY, |_| self.share);
         let cut = (pace * factor).max(served * PACE_CUT).min(share.max(pace * PACE_HALVED));
--- a/src/state.rs
+++ b/src/state.rs
@@ -182,6 +182,8 @@
     /// The limit that answers report, and this sender's even share of what list or answers tell, or 0.
     pub told_limit: Option<f64>,
     pub share: f64,
+    /// Its even part of the rate that the list gives, taken at its word, or 0.
+    pub listed: f64,
     /// Calls a second allowed, infinite before any refusal; whether a call succeeded since its last cut.
     pub pace: f64,
     pub succeeded: bool,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -121,7 +121,8 @@
     for count in [60, 100, 300] {
         let told = |settings: &mut Settings| settings.weight_trust = 0.5;
         let mut fleet = Fleet::new(count, 3, told);
-        let entries: Vec<Entry> = (1..=2).map(|n| Entry { weight: 60.0, ..entry(n, 7) }).collect();
+        let weight = 0.6 * count as f64;
+        let entries: Vec<Entry> = (1..=2).map(|n| Entry { weight, ..entry(n, 7) }).collect();
         for index in 0..count {
             fleet.tell(index, vec![Event::Listed { listing: Listing::Full, entries: entries.clone() }]);
         }
@@ -163,6 +164,31 @@
     assert!(many >= 3, "{many} calls in 5 s: it grows all the same");
 }
 
+#[test]
+fn a_crowd_takes_two_calls_by_chance_for_no_rate() {
+    // The best second and a half of one with half a call a second is three times its rate: a hundred that each
+    // slowed down from there were still over the limit, and grew towards it.
+    let mut fleet = Fleet::new(100, 3, |settings| settings.weight_trust = 0.5);
+    let entries: Vec<Entry> = (1..=2).map(|n| Entry { weight: 60.0, ..entry(n, 7) }).collect();
+    for index in 0..100 {
+        fleet.tell(index, vec![Event::Listed { listing: Listing::Full, entries: entries.clone() }]);
+    }
+    let waiting = |fleet: &mut Fleet, ids: std::ops::Range<u64>| {
+        ids.for_each(|id| fleet.tell((id % 100) as usize, vec![message(id, FREE, 7)]));
+    };
+    // each makes three calls within a second, and then none for a while
+    waiting(&mut fleet, 0..300);
+    fleet.play(T0 + 20 * SECOND, |_| Outcome::Success);
+    let begin = fleet.now;
+    waiting(&mut fleet, 300..400);
+    fleet.play(begin + 60 * MILLISECOND, |_| Outcome::Refused { wait: None });
+    let refused = fleet.now - T0;
+    fleet.play(begin + 6 * SECOND, |_| Outcome::Success);
+    let soon = fleet.sent_within(refused, refused + 1_200 * MILLISECOND);
+    assert!(soon <= 35, "{soon} of 100 again in 1.2 s, where 60 a second are known to pass");
+    assert!(fleet.sent_within(refused, refused + 5 * SECOND) >= 80);
+}
+
 #[test]
 fn those_who_were_told_a_wait_do_not_start_together_at_its_end() {
     // Round 14: a shut destination told all the same end; they came back at once and pushed it over.
