Bring a crowd back as fast as a returning destination allows

Each sender counts the return from its own first success, up to 7 s after it, and its part of the budget from half of the listed rate. At fault: Health::Returning { since: now } in learn_outcome and the budget in Unit::allowed_rate. In a crowd the return counts from the middle of the time since the last failure, and the budget from three quarters of the listed rate, which even a rate listed half too high leaves under 1.4 of what there is; it falls at 2.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,6 +74,10 @@
 const FEW_SENDERS: f64 = 4.0;
 /// Part of the fail-back budget that is used. Higher returns sooner, lower leaves room for other senders.
 const BUDGET_SHARE: f64 = 0.7;
+/// Part of a rough listed rate that a destination surely takes when warm. Higher returns sooner, lower spares
+/// one
+/// that is listed too high.
+const LISTED_SURE: f64 = 0.75;
 /// Calls in a fall span that all senders together may try at a sick unit, however little each knows of it.
 /// Higher finds the return sooner, lower spares a small destination.
 const TRIALS: f64 = 3.0;
@@ -410,6 +414,9 @@
         if matches!(outcome, Outcome::Success | Outcome::Error | Outcome::Refused { .. }) {
             unit.alive_at = now;
         }
+        if outcome.failed() || matches!(outcome, Outcome::Refused { .. }) {
+            unit.failed_at = now;
+        }
         match outcome {
             Outcome::Success => {
                 unit.remember_latency(latency);
@@ -431,9 +438,12 @@
                     {
                         unit.health = Health::Well;
                     }
-                    Health::Sick { .. } => {
+                    Health::Sick { since, .. } => {
                         unit.fails = unit.fails.min(FAIL_SICK - FAIL_WEIGHT / 2.0);
-                        unit.health = Health::Returning { since: now };
+                        // it came back between the last failure and now; one in a crowd seldom looks
+                        let unseen = now - unit.failed_at.max(since);
+                        let since = now - (unseen as f64 / 2.0 * crowd) as Micros;
+                        unit.health = Health::Returning { since };
                         // what found no connection then says nothing of how crowded it is now
                         let ids = self.routes.get(&unit_id.0).into_iter().flatten();
                         let of_unit = |id: &&EndpointId| unit_id.1.is_none_or(|route| route == **id);
@@ -966,7 +976,7 @@
 
     /// The part of all senders that has not heard yet what this one has; none where they are few.
     fn crowd(&self) -> f64 {
-        (1.0 - FEW_SENDERS / f64::from(self.settings.senders)).max(0.0)
+        crowd(f64::from(self.settings.senders))
     }
 
     /// A random part of one token, so that senders do not all start at once.
@@ -1067,7 +1077,8 @@
         let warm = (now - since) as f64 / cold as f64;
         let level = safety.start_capacity + (1.0 - safety.start_capacity) * warm.min(1.0);
         let usual = self.usual_rate(now, cold);
-        let budget = self.best_rate.clamp(usual, 2.0 * usual).max(self.share)
+        let listed = self.listed * (LISTED_SURE * crowd(senders));
+        let budget = self.best_rate.clamp(usual, 2.0 * usual).max(self.share).max(listed)
             * safety.fall_multiple
             * BUDGET_SHARE
             * level;
@@ -1088,6 +1099,11 @@
     }
 }
 
+/// The part of so many senders that has not heard yet what one has; none where they are few.
+fn crowd(senders: f64) -> f64 {
+    (1.0 - FEW_SENDERS / senders).max(0.0)
+}
+
 fn share_of(slots: usize, share: f64) -> usize {
     ((slots as f64 * share).floor() as usize).max(1)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -164,6 +164,8 @@
     pub fails: f64,
     /// Last answer that shows life.
     pub alive_at: Micros,
+    /// Last failure or refusal.
+    pub failed_at: Micros,
     /// First refusal of the present run, and its length.
     pub refused_since: Micros,
     pub refused_run: u32,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -218,6 +218,44 @@
     }
 }
 
+#[test]
+fn a_crowd_comes_back_as_fast_as_the_return_allows_and_no_faster() {
+    // A hundred that each took their own first success for the moment of the return were half as fast as it.
+    let mut fleet = Fleet::new(100, 6, |settings| {
+        settings.weight_trust = 0.5;
+        (settings.safety.start_capacity, settings.safety.cold_time) = (0.18, 11 * SECOND);
+        settings.safety.fall_span = 1_500 * MILLISECOND;
+    });
+    let entries: Vec<Entry> = (1..=2).map(|n| Entry { weight: 60.0, ..entry(n, 7) }).collect();
+    for index in 0..100 {
+        fleet.tell(index, vec![Event::Listed { listing: Listing::Full, entries: entries.clone() }]);
+    }
+    // each makes a call in 2.5 s, then it is out, and messages wait at each
+    for round in 0..4 {
+        for index in 0..100u64 {
+            fleet.tell(index as usize, vec![message(1000 * round + index, FREE, 7)]);
+        }
+        let next = fleet.now + 2_500 * MILLISECOND;
+        fleet.play(next, |_| Outcome::Success);
+    }
+    for id in 0..1000u64 {
+        fleet.tell((id % 100) as usize, vec![message(10_000 + id, FREE, 7)]);
+    }
+    let back = fleet.now + 6 * SECOND;
+    fleet.play(back, |_| Outcome::Error);
+    fleet.play(back + 8 * SECOND, |_| Outcome::Success);
+    let back = back - T0;
+    let sent = fleet.sent_within(back, back + 6 * SECOND);
+    assert!(sent >= 170, "{sent} calls in the first 6 s of its return");
+    // a destination that takes two thirds of what is listed, a fifth more for a while, falls at twice its level
+    for start in (0..65).map(|tenth| tenth * 100 * MILLISECOND) {
+        let span = fleet.sent_within(back + start, back + start + 1_500 * MILLISECOND) as f64;
+        let level = 0.18 + 0.82 * (start as f64 / (11 * SECOND) as f64);
+        let falls = 2.0 * 1.5 * 48.0 * level;
+        assert!(span <= falls, "{span} calls in 1.5 s from {start}, it falls at {falls}");
+    }
+}
+
 #[test]
 fn with_three_slots_a_hung_destination_leaves_one_and_copies_still_start() {
     let mut rig = Rig::new(settings(3), vec![entry(1, 7), entry(2, 7), entry(3, 8)]);
