Serve on where the lock, operators' address or passed socket is not to be had

A start failed where the operators' address was taken, the passed socket was none or locks were refused; only the local socket was forgiven. Each is now off with one log line that says why. At fault: the binds and the lock in run, listener and take_over. Tests start the real program with a folder in the place of the local socket, and with a taken address and a passed number that is no socket.

--- a/src/main.rs
+++ b/src/main.rs
@@ -67,9 +67,15 @@
     if let Some(address) = config.control {
         let control =
             Control { orders: orders.clone(), ready: ready_seen.clone(), draining: draining.clone() };
-        let listener = TcpListener::bind(address).await?;
-        net::log(format_args!("{}: operators at {}", config.name, listener.local_addr()?));
-        tokio::task::spawn_local(control::serve(listener, Rc::new(control)));
+        // messages are served without it too
+        match TcpListener::bind(address).await {
+            Ok(listener) => {
+                let address = listener.local_addr().unwrap_or(address);
+                net::log(format_args!("{}: operators at {address}", config.name));
+                tokio::task::spawn_local(control::serve(listener, Rc::new(control)));
+            }
+            Err(error) => net::log(format_args!("{}: operators off, {address}: {error}", config.name)),
+        }
     }
     let lock = Lock::open(&config.state)?;
     let taken = tokio::select! {
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -24,7 +24,7 @@
 
 /// What the two processes say to each other, the state of the module included. To be raised with every change
 /// of [`Frame`], of what it holds, or of anything that the module keeps.
-const VERSION: u32 = 1;
+const VERSION: u32 = 2;
 /// Asks the old process to leave the journal and go, handing over nothing else.
 const JOURNAL_ALONE: u32 = 0;
 const LOCK: &str = "lock";
@@ -281,8 +281,14 @@
     let mut version = VERSION;
     let mut told = String::new();
     loop {
-        if lock.try_take()? {
-            return Ok(None);
+        match lock.try_take() {
+            Ok(true) => return Ok(None),
+            Ok(false) => {}
+            Err(error) => {
+                // where nothing can be locked nobody hands over either, and a start does not wait for it
+                super::log(format_args!("upgrade: off, no lock to be had: {error}"));
+                return Ok(None);
+            }
         }
         match ask(folder, version).await {
             Ok(handed) if lock.try_take()? => return Ok(Some(handed)),
@@ -333,7 +339,7 @@
     let listener = match UnixListener::bind(&path) {
         Ok(listener) => listener,
         Err(error) => {
-            return super::log(format_args!("upgrade: none without a restart, no socket: {error}"));
+            return super::log(format_args!("upgrade: off, no socket to be had: {error}"));
         }
     };
     loop {
@@ -362,9 +368,16 @@
     passed: Option<RawFd>, address: std::net::SocketAddr,
 ) -> Result<TcpListener, io::Error> {
     if let Some(descriptor) = passed {
-        let listener = inherit(descriptor)?;
-        listener.set_nonblocking(true)?;
-        return TcpListener::from_std(listener);
+        let taken = inherit(descriptor).and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            TcpListener::from_std(listener)
+        });
+        match taken {
+            Ok(listener) => return Ok(listener),
+            Err(error) => {
+                super::log(format_args!("passed socket {descriptor}: off, one is bound here: {error}"))
+            }
+        }
     }
     let until = Instant::now() + BIND_TIME;
     loop {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -174,7 +174,7 @@
     // one that asks, is told all, and is gone before it owns anything
     let mut asks =
         std::os::unix::net::UnixStream::connect(old.folder.join("state/upgrade.sock")).expect("it waits");
-    asks.write_all(&[2, 0, 0, 0, 0, 1]).expect("written");
+    asks.write_all(&[2, 0, 0, 0, 0, 2]).expect("written");
     let mut length = [0; 4];
     std::io::Read::read_exact(&mut asks, &mut length).expect("it hands over");
     drop(asks);
@@ -310,3 +310,58 @@
     process.kill().expect("it listens");
     process.wait().expect("ended");
 }
+
+#[test]
+fn a_sender_serves_where_the_local_socket_can_not_be_bound() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = two(&endpoint, &endpoint);
+    let mut node = Node::new(&agent).ready();
+    node.kill();
+    let socket = node.journal().with_file_name("upgrade.sock");
+    let _ = std::fs::remove_file(&socket);
+    // what is no socket and can't be removed as a file stands where it belongs
+    std::fs::create_dir(&socket).expect("a folder in its place");
+    let node = node.restart().ready();
+    wait_until("one line tells what is off", || node.logged("upgrade: off, no socket to be had"));
+    assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
+    wait_until("delivered", || endpoint.times("m1") == 1);
+}
+
+#[test]
+fn a_sender_serves_where_operators_address_and_passed_socket_are_not_to_be_had() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = two(&endpoint, &endpoint);
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let other = Node::new(&agent);
+    let config = other.journal().with_file_name("../config.json");
+    let folder =
+        std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("off-{}", std::process::id()));
+    std::fs::create_dir_all(folder.join("state")).expect("a folder");
+    std::fs::copy(config, folder.join("config.json")).expect("copied");
+    let mut process = command(&folder)
+        .env("RELAY_DISCOVERY", agent.address.to_string())
+        .env("RELAY_CONTROL", taken.local_addr().expect("bound").to_string())
+        .env("RELAY_PASSED_SOCKET", "999")
+        .spawn()
+        .expect("the sender starts");
+    let mut lines = BufReader::new(process.stderr.take().expect("piped")).lines().map_while(Result::ok);
+    let mut log: Vec<String> = Vec::new();
+    let address = lines.by_ref().find_map(|line| {
+        let address = line.split_once("listening on ").and_then(|(_, address)| address.trim().parse().ok());
+        log.push(line);
+        address
+    });
+    let answer = address.map(|address| {
+        wait_until("ready", || {
+            let got = Client::to(address).send(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
+            got.is_some_and(|(status, _)| status == 200)
+        });
+        Client::to(address).send(&message("webhook", "m1", 7, 20_000, b"x")).map(|(status, _)| status)
+    });
+    let _ = process.kill();
+    let _ = process.wait();
+    assert_eq!(answer.flatten(), Some(202), "{log:?}");
+    for off in ["operators off", "passed socket 999: off"] {
+        assert_eq!(log.iter().filter(|line| line.contains(off)).count(), 1, "{off}: {log:?}");
+    }
+}
