Keep a least pace and a longest rest whatever number of senders is told

A number of senders that makes no sense divided the least pace to nothing and multiplied the rest before the next watch to years: nothing was sent and no drain heard for good. At fault: slow_down, Backoff::new.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -38,6 +38,9 @@
 /// Higher retries sooner, lower spares a destination that hundreds of senders share.
 const PACE_FIRST: f64 = 0.35;
 const PACE_LEAST: f64 = 1.5;
+/// Least pace of one sender, whatever number of senders the settings tell: a call a minute starves nobody for
+/// good.
+const PACE_SELDOM: f64 = 1.0 / 60.0;
 /// Burst of the pace, as a span of it. Longer takes clumps faster, shorter draws fewer refusals.
 const PACE_BURST: f64 = 0.4;
 /// Weight of one more outcome in the failure score, and the scores at which a unit turns sick or is trusted.
@@ -1056,7 +1059,7 @@
         let factor = if self.succeeded { PACE_CUT } else { PACE_HALVED };
         let share = self.told_limit.map_or(f64::INFINITY, |_| self.share);
         let cut = (pace * factor).max(served * PACE_CUT).min(share.max(pace * PACE_HALVED));
-        self.pace = cut.max(PACE_LEAST / senders);
+        self.pace = cut.max(PACE_LEAST / senders).max(PACE_SELDOM);
         self.tokens =
             if self.tokens < f64::MAX { self.tokens.min(phase.max(self.tokens - 1.0)) } else { phase };
         // refused calls of those that have not heard yet use the limit up: this one stays away meanwhile
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -35,6 +35,9 @@
 /// have lost their watches at one moment.
 const RETRY_FIRST_EACH: Duration = Duration::from_millis(25);
 const RETRY_MOST_EACH: Duration = Duration::from_millis(300);
+/// No longer than this, however many senders there are said to be: one that never asks learns of no drain.
+const FIRST_LONGEST: Duration = Duration::from_secs(10);
+const MOST_LONGEST: Duration = Duration::from_secs(30);
 /// A longer line is not kept.
 const LONGEST_LINE: usize = 4 << 20;
 /// Notices in one request.
@@ -188,8 +191,8 @@
 impl Backoff {
     /// For one of so many senders.
     pub fn new(senders: u32, seed: u64) -> Self {
-        let first = RETRY_FIRST.max(RETRY_FIRST_EACH * senders);
-        let most = RETRY_MOST.max(RETRY_MOST_EACH * senders);
+        let first = RETRY_FIRST.max(RETRY_FIRST_EACH.saturating_mul(senders)).min(FIRST_LONGEST);
+        let most = RETRY_MOST.max(RETRY_MOST_EACH.saturating_mul(senders)).min(MOST_LONGEST);
         Backoff { random: Pcg32::seed_from_u64(seed), first, most, rest: first }
     }
 
@@ -390,5 +393,8 @@
         starts.sort_unstable();
         assert!(starts[36] - starts[12] > second / 2, "{starts:?}");
         assert_eq!(Backoff::new(3, 1).start(), Duration::ZERO);
+        // a number that makes no sense keeps none from the list
+        let mut absurd = Backoff::new(u32::MAX, 1);
+        assert!(absurd.start() <= 2 * FIRST_LONGEST && absurd.most == MOST_LONGEST);
     }
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -279,6 +279,29 @@
     assert_eq!(first(100), 2, "the worthier goes first");
 }
 
+#[test]
+fn a_number_of_senders_that_makes_no_sense_starves_no_destination() {
+    for (senders, weight) in [(u32::MAX, 60.0), (u32::MAX, 1e-300), (100, 1e300), (100, f64::NAN), (1, 0.0)] {
+        let mut odd = settings(3);
+        (odd.senders, odd.weight_trust) = (senders, 0.5);
+        let mut rig = Rig::new(odd, vec![Entry { weight, ..entry(1, 7) }]);
+        let (mut answered, mut late) = (0, 0);
+        for round in 0..60 {
+            rig.tell(vec![message(round, FREE, 7)]);
+            let next = rig.now + 5 * SECOND;
+            rig.run(next);
+            let out = rig.sends[answered..].to_vec();
+            answered = rig.sends.len();
+            late += if round >= 30 { out.len() } else { 0 };
+            for send in out {
+                let refused = Outcome::Refused { wait: None };
+                rig.tell(vec![ended(send.1, send.3, send.2, refused, 20 * MILLISECOND)]);
+            }
+        }
+        assert!(late > 0, "{senders} senders, weight {weight}: nothing goes any more");
+    }
+}
+
 #[test]
 fn with_three_slots_a_hung_destination_leaves_one_and_copies_still_start() {
     let mut rig = Rig::new(settings(3), vec![entry(1, 7), entry(2, 7), entry(3, 8)]);
