--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -175,6 +175,8 @@
     call: u64,
     item: usize,
     out: bool,
+    /// Its position in the journal; none where it was not written down, so that it never left.
+    record: Option<usize>,
 }
 
 struct Message {
@@ -367,7 +369,7 @@
             Verdict::Done
         } else {
             let written = self.journal.set_out(&uid, out);
-            if self.check(written) {
+            if self.check(written).is_some() {
                 let endpoint = self.endpoint_of(&uid);
                 self.events.push(if out { Event::Disabled(endpoint) } else { Event::Enabled(endpoint) });
                 Verdict::Done
@@ -432,7 +434,7 @@
                 Ok(true) => {
                     super::log(format_args!("upgrade: not taken over, this process goes on: {error}"));
                     let opened = self.journal.reopen();
-                    if self.check(opened) { Next::GoOn } else { Next::End }
+                    if self.check(opened).is_some() { Next::GoOn } else { Next::End }
                 }
                 Ok(false) | Err(_) => {
                     super::log(format_args!("upgrade: another process owns the journal, this one ends"));
@@ -456,7 +458,11 @@
             body: held.item.body.to_vec(),
             open: held.open,
             clients: held.clients,
-            attempts: held.attempts.iter().map(|a| (a.endpoint.0, a.sent, a.call, a.item, a.out)).collect(),
+            attempts: held
+                .attempts
+                .iter()
+                .map(|a| (a.endpoint.0, a.sent, a.call, a.item, a.out, a.record))
+                .collect(),
         };
         let call = |(&number, call): (&u64, &CallOut)| HandedCall {
             number,
@@ -493,9 +499,9 @@
             if handed.open {
                 self.by_id.insert(item.id.clone(), message);
             }
-            let attempt = |(endpoint, sent, call, item, out)| {
+            let attempt = |(endpoint, sent, call, item, out, record)| {
                 let endpoint = EndpointId(endpoint);
-                Attempt { endpoint, sent, call, item, out }
+                Attempt { endpoint, sent, call, item, out, record }
             };
             let attempts = handed.attempts.into_iter().map(attempt).collect();
             let (open, clients) = (handed.open, handed.clients);
@@ -695,12 +701,14 @@
                 .collect();
             let attempts = past
                 .iter()
-                .map(|past| Attempt {
+                .enumerate()
+                .map(|(record, past)| Attempt {
                     endpoint: past.endpoint,
                     sent: past.sent,
                     call: u64::MAX,
                     item: 0,
                     out: false,
+                    record: Some(record),
                 })
                 .collect();
             self.events.push(Event::Resumed { message: new, attempts: past });
@@ -782,8 +790,8 @@
         let Some(tried) = held.attempts.get_mut(attempt).filter(|tried| tried.out) else { return };
         tried.out = false;
         let (endpoint, latency) = (tried.endpoint, now - tried.sent);
-        if ended.outcome.never_ran() && held.open {
-            let written = self.journal.never_ran(message.0, attempt);
+        if let Some(record) = tried.record.filter(|_| ended.outcome.never_ran() && held.open) {
+            let written = self.journal.never_ran(message.0, record);
             self.check(written);
         }
         if let Some(wait) = ended.wait {
@@ -969,7 +977,7 @@
         };
         let origin = Origin { subject: arrival.subject.clone(), tenant: arrival.tenant.clone() };
         let written = self.journal.take(message.0, taken, origin, terms);
-        if self.check(written) { Answer::Taken } else { Answer::NoRoom }
+        if self.check(written).is_some() { Answer::Taken } else { Answer::NoRoom }
     }
 
     fn send(
@@ -978,7 +986,7 @@
     ) {
         let Some(held) = self.messages.get_mut(&message) else { return };
         let attempt = held.attempts.len();
-        held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true });
+        held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true, record: None });
         let size = calls::bulk_size(&held.item);
         let open = held.open;
         let Some((uid, kind)) =
@@ -989,8 +997,11 @@
         let most = self.settings.kinds.get(kind).map_or(1, |kind| kind.bundle_max);
         // one that is not open was dropped in this very turn
         let written = open.then(|| self.journal.sent(message.0, &uid, now));
-        if !written.is_some_and(|written| self.check(written)) {
+        let Some(record) = written.and_then(|written| self.check(written)) else {
             return self.unsent(message, attempt, endpoint);
+        };
+        if let Some(tried) = self.messages.get_mut(&message).and_then(|held| held.attempts.get_mut(attempt)) {
+            tried.record = Some(record);
         }
         let room = |bundle: &&mut Bundle| {
             bundle.endpoint == endpoint && bundle.sends.len() < most && bundle.size + size <= BODY_MOST
@@ -1077,8 +1088,8 @@
         let _ = self.notices.send(Notice { number, id, ending });
     }
 
-    /// True if the entry was written.
-    fn check(&self, written: Result<(), JournalError>) -> bool {
-        written.inspect_err(|error| self.journal_fault.log(format_args!("journal: {error}"))).is_ok()
+    /// What the journal tells of an entry; none if it was not written.
+    fn check<T>(&self, written: Result<T, JournalError>) -> Option<T> {
+        written.inspect_err(|error| self.journal_fault.log(format_args!("journal: {error}"))).ok()
     }
 }
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -319,14 +319,17 @@
         self.append(Entry::TakenOn(number, taken, origin, terms), self.reserve)
     }
 
-    /// Writes a send down; its call may begin once this has succeeded.
-    pub fn sent(&mut self, number: u64, uid: &str, sent_at: i64) -> Result<(), JournalError> {
-        self.append(Entry::Sent(number, Sent { uid: uid.to_string(), sent_at, never_ran: false }), 0)
+    /// Writes a send down; its call may begin once this has succeeded. Returns its position among the message's
+    /// sends here, which one that was not written down does not take.
+    pub fn sent(&mut self, number: u64, uid: &str, sent_at: i64) -> Result<usize, JournalError> {
+        let position = self.owed.get(&number).map_or(0, |owed| owed.attempts.len());
+        self.append(Entry::Sent(number, Sent { uid: uid.to_string(), sent_at, never_ran: false }), 0)?;
+        Ok(position)
     }
 
     /// Writes down that an attempt never ran. That it may have run is what a send without outcome says.
-    pub fn never_ran(&mut self, message: u64, attempt: usize) -> Result<(), JournalError> {
-        self.append(Entry::Outcome { message, attempt: attempt as u32, never_ran: true }, 0)
+    pub fn never_ran(&mut self, message: u64, position: usize) -> Result<(), JournalError> {
+        self.append(Entry::Outcome { message, attempt: position as u32, never_ran: true }, 0)
     }
 
     /// Writes down that a notice is owed.
@@ -446,3 +449,44 @@
     }
     postcard::from_bytes(payload).ok().map(|entry| (entry, HEAD + length))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_send_that_found_no_room_takes_no_position_and_an_outcome_finds_its_own() {
+        let folder = std::env::temp_dir().join(format!("journal-positions-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        let (mut journal, _) = Journal::open(&folder, 16 * 1024, 0).expect("opened");
+        let taken = Taken {
+            id: "m".into(),
+            key: None,
+            class: "order".into(),
+            destination: 7,
+            taken_at: 0,
+            deadline: 1,
+            body: Vec::new(),
+        };
+        let class = Class {
+            name: "order".into(),
+            effect: Effect::Unsafe,
+            aim: 1,
+            deadline: 1,
+            worth: 1.0,
+            late_share: 0.0,
+            ordered: false,
+        };
+        journal.take(5, taken, Origin::default(), Terms::of(&class, 12)).expect("room");
+        // the first is larger than the room there is, the second may have run, the third never did
+        assert!(matches!(journal.sent(5, &"x".repeat(20_000), 1), Err(JournalError::Full)));
+        assert_eq!(journal.sent(5, "a", 2).expect("room"), 0);
+        assert_eq!(journal.sent(5, "b", 3).expect("room"), 1);
+        journal.never_ran(5, 1).expect("room");
+        journal.reopen().expect("opened");
+        let sends: Vec<_> =
+            journal.owed()[&5].attempts.iter().map(|sent| (sent.uid.as_str(), sent.never_ran)).collect();
+        assert_eq!(sends, [("a", false), ("b", true)]);
+        fs::remove_dir_all(&folder).expect("removed");
+    }
+}
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -24,7 +24,7 @@
 
 /// What the two processes say to each other, the state of the module included. To be raised with every change
 /// of [`Frame`], of what it holds, or of anything that the module keeps.
-const VERSION: u32 = 2;
+const VERSION: u32 = 3;
 /// Asks the old process to leave the journal and go, handing over nothing else.
 const JOURNAL_ALONE: u32 = 0;
 const LOCK: &str = "lock";
@@ -138,8 +138,8 @@
     pub body: Vec<u8>,
     pub open: bool,
     pub clients: usize,
-    /// Endpoint, time, call, position in it, and whether it is out.
-    pub attempts: Vec<(u32, Micros, u64, usize, bool)>,
+    /// Endpoint, time, call, position in it, whether it is out, and position in the journal.
+    pub attempts: Vec<(u32, Micros, u64, usize, bool, Option<usize>)>,
 }
 
 /// A message that is handed in, passed on.
