Keep no more idle connections than a third of the descriptors

Seen in the code, from the open list: up to 200 idle connections to endpoints were kept whatever the limit of descriptors, so a process told 60 with 30 busy destinations and its third of clients came to its limit, and two at an upgrade over it. At fault: give_back in calls.rs, which knew a constant alone. The test counts the process's descriptors after a message to each of 30 destinations with a limit of 60: at most 20 more; 30 more before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -86,7 +86,7 @@
     let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
     let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
     log_recovery(&config.name, &journal, &recovery);
-    let calls = Calls::new(inputs.clone());
+    let calls = Calls::new(inputs.clone(), config.sockets);
     let classes = Classes::default();
     let (sender, handover, link) = match taken {
         Some(Taken { sender, handover, link }) => (*sender, Some(handover), Some(link)),
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -31,9 +31,11 @@
 
 /// Bodies hold at most this.
 pub const BODY_MOST: usize = 64 * 1024;
-/// Idle connections kept for one endpoint, and for all together.
+/// Idle connections kept for one endpoint, and for all together where the descriptors allow it.
 const IDLE_EACH: usize = 16;
 const IDLE_ALL: usize = 200;
+/// One in so many descriptors may be an idle connection: clients hold as many, calls and files share the rest.
+const IDLE_PART: usize = 3;
 /// As much of an answer as tells its status.
 const FIRST_LINE: usize = 16;
 /// After a reset on a connection that stood idle, those to that endpoint are kept half as long, for this time, and
@@ -123,6 +125,8 @@
 
 struct Shared {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    /// Idle connections kept at most.
+    idle_all: usize,
     /// Connections are given up somewhat before the endpoint would close them.
     idle_most: Cell<Duration>,
     /// Endpoints that reset idle connections sooner: how long theirs are kept, and until when that holds.
@@ -154,10 +158,11 @@
 }
 
 impl Calls {
-    /// No connections yet.
-    pub fn new(inputs: mpsc::UnboundedSender<Input>) -> Self {
+    /// No connections yet. The process may hold so many descriptors.
+    pub fn new(inputs: mpsc::UnboundedSender<Input>, descriptors: usize) -> Self {
         Calls(Rc::new(Shared {
             idle: RefCell::default(),
+            idle_all: (descriptors / IDLE_PART).min(IDLE_ALL),
             idle_most: Cell::default(),
             wary: RefCell::default(),
             leaving: Cell::new(false),
@@ -380,7 +385,7 @@
     let mut idle = shared.idle.borrow_mut();
     let all: usize = idle.values().map(Vec::len).sum();
     let list = idle.entry(address).or_default();
-    if list.len() < IDLE_EACH && all < IDLE_ALL {
+    if list.len() < IDLE_EACH && all < shared.idle_all {
         list.push(Idle { connection, since: Instant::now() });
     }
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -55,6 +55,26 @@
     assert_eq!((endpoint.count(), endpoint.connections.load(Ordering::SeqCst)), (3, 1));
 }
 
+#[test]
+fn idle_connections_are_a_third_of_the_descriptors_at_most() {
+    let endpoints: Vec<Endpoint> = (0..30).map(|_| Endpoint::new(|_, _| OK)).collect();
+    let uids: Vec<String> = (0..30).map(|n| format!("s-{n}")).collect();
+    let entries: Vec<_> =
+        (0..30).map(|n| (uids[n].as_str(), endpoints[n].address, "one", n as u64, "up")).collect();
+    let agent = Agent::new(vec![list(&entries)]);
+    let node = Node::with_sockets(agent.address, 3.0, 60.0, 60).ready();
+    let open = || std::fs::read_dir(format!("/proc/{}/fd", node.process.id())).expect("it runs").count();
+    let before = open();
+    for dest in 0..30 {
+        let id = format!("m{dest}");
+        assert_eq!(node.hand_in("webhook", &id, dest, 20_000, b"x"), 202);
+        wait_until("its end is known", || node.hand_in("webhook", &id, dest, 20_000, b"x") == 200);
+    }
+    // a client's connection may still be closing
+    wait_until("20 are kept", || open() <= before + 20);
+    assert!(endpoints.iter().all(|endpoint| endpoint.count() == 1));
+}
+
 #[test]
 fn connections_are_left_before_the_endpoint_closes_them() {
     // guards against writing to a connection about to close
