Put every connection to an endpoint into a pool with rules of its own

Idle connections were kept in a map beside the calls, each call that found none dialled for itself, and a dial was thrown away with its call. Nothing knew what an endpoint can bear, and operators saw nothing.

GET /pools shows it to operators, the optional pool object sets its caps. Routes tell which endpoints serve, so the format of the hand-over has a new version.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod decide;
 pub mod interface;
+pub mod pool;
 mod state;
 pub mod wire;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 use net::discovery::Backoff;
 use net::driver::{Clock, Driver, Input, Shared};
 use net::journal::Journal;
+use net::pool::{Connections, Means, limits};
 use net::server::{Classes, Server, serve};
 use net::upgrade::{self, Frame, Lock, Taken};
 use net::{control, discovery, journal};
@@ -86,7 +87,12 @@
     let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
     let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
     log_recovery(&config.name, &journal, &recovery);
-    let calls = Calls::new(inputs.clone(), config.sockets);
+    let settings = &config.settings;
+    let (idle, cold) = (settings.connection_idle, settings.safety.cold_time);
+    let limits = limits(&config.pool, config.sockets, idle, cold, senders);
+    let means = Means { descriptors: config.sockets, seed: config.seed };
+    let connections = Connections::new(limits, config.names.dial_timeout, means);
+    let calls = Calls::new(inputs.clone(), connections);
     let classes = Classes::default();
     let (sender, handover, link) = match taken {
         Some(Taken { sender, handover, link }) => (*sender, Some(handover), Some(link)),
@@ -120,6 +126,7 @@
         sender,
         config.settings,
         config.names,
+        config.pool,
         known,
         journal,
         calls,
@@ -186,7 +193,7 @@
                 let names = names.join(", ");
                 net::log(format_args!("SIGHUP: classes {names}; discovery at {}", new.discovery));
                 text = new.text;
-                let _ = inputs.send(Input::Retuned(Box::new((new.settings, new.names))));
+                let _ = inputs.send(Input::Retuned(Box::new((new.settings, new.names, new.pool))));
                 moved.send_if_modified(|old| std::mem::replace(old, new.discovery) != new.discovery);
             }
             Err(error) => net::log(format_args!("SIGHUP: configuration left as it was: {error}")),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -30,6 +30,8 @@
     Value { name: &'static str, found: String, wanted: &'static str },
     #[error("{0} is missing")]
     Incomplete(String),
+    #[error("{0} is no setting")]
+    Unknown(String),
     #[error(transparent)]
     Settings(#[from] SettingsError),
 }
@@ -55,6 +57,118 @@
     pub known: Option<ListUpdate>,
     pub settings: Settings,
     pub names: Names,
+    pub pool: PoolSettings,
+}
+
+/// The `pool` object: how connections to endpoints are kept. Caps that are not set follow from the descriptors.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolSettings {
+    per_endpoint: Option<usize>,
+    dials: Option<usize>,
+    all: Option<usize>,
+    idle: Option<usize>,
+    idle_per_endpoint: Option<usize>,
+    /// Seconds in which the wanted number of connections falls by half.
+    pub decay_s: f64,
+    /// Caps of endpoints are learned from what they refuse.
+    pub learn_caps: bool,
+    /// The part of all connections that may be dialled ahead of need.
+    pub warm_share: f64,
+}
+
+/// The caps of the pool, all of them set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Caps {
+    pub per_endpoint: usize,
+    pub dials: usize,
+    pub all: usize,
+    pub idle: usize,
+    pub idle_per_endpoint: usize,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        PoolSettings {
+            per_endpoint: None,
+            dials: None,
+            all: None,
+            idle: None,
+            idle_per_endpoint: None,
+            decay_s: 10.0,
+            learn_caps: true,
+            warm_share: 0.0,
+        }
+    }
+}
+
+impl PoolSettings {
+    /// Idle connections to one endpoint, and in all where the descriptors allow it.
+    const IDLE_EACH: usize = 16;
+    const IDLE_ALL: usize = 200;
+
+    /// Reads the object; the process may hold so many descriptors.
+    fn read(value: &Value, descriptors: usize) -> Result<Self, ConfigError> {
+        let mut read = PoolSettings::default();
+        let fields = match value {
+            Value::Null => return Ok(read),
+            Value::Object(fields) => fields,
+            other => {
+                let (found, wanted) = (other.to_string(), "an object");
+                return Err(ConfigError::Value { name: "pool", found, wanted });
+            }
+        };
+        // all is the bound of the others, whatever order they stand in
+        let most = (descriptors / 2).max(1);
+        let whole = |name: &'static str, most: usize, wanted: &'static str| {
+            let key = name.trim_start_matches("pool.");
+            let Some(value) = fields.get(key) else { return Ok(None) };
+            let number = value.as_u64().and_then(|number| usize::try_from(number).ok());
+            match number.filter(|number| (1..=most).contains(number)) {
+                Some(number) => Ok(Some(number)),
+                None => Err(ConfigError::Value { name, found: value.to_string(), wanted }),
+            }
+        };
+        const IN_ALL: &str = "a whole number from 1 to pool.all";
+        read.all = whole("pool.all", most, "a whole number from 1 to half of limits.sockets")?;
+        let all = read.all.unwrap_or(most);
+        read.per_endpoint = whole("pool.per_endpoint", all, IN_ALL)?;
+        read.dials = whole("pool.dials", all, IN_ALL)?;
+        read.idle = whole("pool.idle", all, IN_ALL)?;
+        read.idle_per_endpoint = whole("pool.idle_per_endpoint", all, IN_ALL)?;
+        for (key, value) in fields {
+            let bad = |name, wanted| ConfigError::Value { name, found: value.to_string(), wanted };
+            match key.as_str() {
+                "all" | "per_endpoint" | "dials" | "idle" | "idle_per_endpoint" => {}
+                "decay_s" => {
+                    let number = value.as_f64().filter(|number| (0.1..=3600.0).contains(number));
+                    read.decay_s = number.ok_or(bad("pool.decay_s", "seconds from 0.1 to 3600"))?;
+                }
+                "learn_caps" => {
+                    read.learn_caps = value.as_bool().ok_or(bad("pool.learn_caps", "true or false"))?;
+                }
+                "warm_share" => {
+                    let number = value.as_f64().filter(|number| (0.0..=1.0).contains(number));
+                    read.warm_share = number.ok_or(bad("pool.warm_share", "a share from 0 to 1"))?;
+                }
+                other => return Err(ConfigError::Unknown(format!("pool.{other}"))),
+            }
+        }
+        Ok(read)
+    }
+
+    /// The caps, under what so many descriptors allow: clients hold a third of them, files the rest.
+    pub fn caps(&self, descriptors: usize) -> Caps {
+        let most = (descriptors / 2).max(1);
+        let all = self.all.unwrap_or(most).min(most);
+        let idle = (descriptors / 3).clamp(1, Self::IDLE_ALL);
+        Caps {
+            all,
+            per_endpoint: self.per_endpoint.unwrap_or(all).min(all),
+            dials: self.dials.unwrap_or(all).min(all),
+            idle: self.idle.unwrap_or(idle).min(all),
+            idle_per_endpoint: self.idle_per_endpoint.unwrap_or(Self::IDLE_EACH).min(all),
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -69,6 +183,8 @@
     limits: Limits,
     #[serde(default)]
     known: Value,
+    #[serde(default)]
+    pool: Value,
     settings: Value,
 }
 
@@ -161,6 +277,7 @@
                 wanted: "a size of zero or more",
             });
         }
+        let pool = PoolSettings::read(&file.pool, file.limits.sockets)?;
         let mut flat = BTreeMap::new();
         flatten("", &file.settings, &mut flat);
         let pairs = flat.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
@@ -182,6 +299,7 @@
             known: parse_list(&file.known),
             settings,
             names,
+            pool,
         })
     }
 }
@@ -204,12 +322,12 @@
 fn complete(path: &str, before: &Value, new: &Value) -> Result<(), ConfigError> {
     let lacks = |what: &str| Err(ConfigError::Incomplete(format!("{path}{what}")));
     match (before, new) {
-        // for the start alone
-        _ if ["/known", "/control", "/seed"].contains(&path) => Ok(()),
+        // for the start alone, or with defaults for all that is not set
+        _ if ["/known", "/control", "/seed", "/pool"].contains(&path) => Ok(()),
         (Value::Object(before), Value::Object(new)) => {
             before.iter().try_for_each(|(name, value)| match new.get(name) {
                 Some(new) => complete(&format!("{path}/{name}"), value, new),
-                None if MAY_LACK.contains(&name.as_str()) => Ok(()),
+                None if MAY_LACK.contains(&name.as_str()) || path.is_empty() && name == "pool" => Ok(()),
                 None => lacks(&format!("/{name}")),
             })
         }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Deserialize;
+use std::borrow::Cow;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -78,7 +79,7 @@
 async fn answer(request: Request<Incoming>, control: &Control, seat: &Rc<Seat>) -> Response<Full<Bytes>> {
     let (status, what) = match handle(request, control, seat).await {
         Ok(what) => (StatusCode::OK, what),
-        Err(no) => no,
+        Err((status, why)) => (status, why.into()),
     };
     let mut response = Response::new(Full::from(format!("{what}\n")));
     *response.status_mut() = status;
@@ -91,16 +92,23 @@
 
 const ONLY_GET: &str = "only GET";
 
-async fn handle(request: Request<Incoming>, control: &Control, seat: &Seat) -> Result<&'static str, No> {
+async fn handle(request: Request<Incoming>, control: &Control, seat: &Seat) -> Result<Cow<'static, str>, No> {
     let out = match (request.uri().path(), request.method()) {
         ("/ready", &Method::GET) => {
             return if *control.ready.borrow() && !control.draining.get() {
-                Ok("ready")
+                Ok("ready".into())
             } else {
                 Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"))
             };
         }
-        ("/ready", _) => return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET)),
+        ("/pools", &Method::GET) => {
+            seat.set_idle(false);
+            let (reply, report) = oneshot::channel();
+            ask(control, Order::Pools { reply })?;
+            let ending = (StatusCode::SERVICE_UNAVAILABLE, "ending");
+            return report.await.map(Cow::from).map_err(|_| ending);
+        }
+        ("/ready" | "/pools", _) => return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET)),
         ("/endpoints/disable", &Method::POST) => true,
         ("/endpoints/enable", &Method::POST) => false,
         ("/endpoints/disable" | "/endpoints/enable", _) => {
@@ -116,14 +124,17 @@
         .map_err(|_| (StatusCode::BAD_REQUEST, "the body is not {\"target\":\"ID\"}"))?;
     seat.set_idle(false);
     let (reply, verdict) = oneshot::channel();
-    control
-        .orders
-        .try_send(Order::SetOut { uid, out, reply })
-        .map_err(|_| (StatusCode::SERVICE_UNAVAILABLE, "no order is taken now"))?;
+    ask(control, Order::SetOut { uid, out, reply })?;
     match verdict.await {
-        Ok(Verdict::Done) => Ok("done"),
+        Ok(Verdict::Done) => Ok("done".into()),
         Ok(Verdict::Unknown) => Err((StatusCode::NOT_FOUND, "no such endpoint")),
         Ok(Verdict::Unwritten) => Err((StatusCode::INSUFFICIENT_STORAGE, "it could not be written down")),
         Err(_) => Err((StatusCode::SERVICE_UNAVAILABLE, "ending")),
     }
 }
+
+/// Hands an order to the driver, if it has room for one.
+fn ask(control: &Control, order: Order) -> Result<(), No> {
+    let busy = (StatusCode::SERVICE_UNAVAILABLE, "no order is taken now");
+    control.orders.try_send(order).map_err(|_| busy)
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,6 +3,7 @@
 
 use super::Seldom;
 use super::calls::{self, BODY_MOST, Call, Calls, Item};
+use super::config::PoolSettings;
 use super::discovery::{ListUpdate, Notice};
 use super::journal::{Ending, Journal, JournalError, Origin, Taken, Terms};
 use super::leaving::Leaving;
@@ -12,6 +13,7 @@
 };
 use bytes::Bytes;
 use hyper::header::HeaderValue;
+use milletturn::pool::Place;
 use milletturn::wire::{Names, position};
 use milletturn::{
     Action, Class, Effect, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage,
@@ -47,7 +49,7 @@
     /// Notices that the platform has taken, by number of message.
     Noticed(Vec<u64>),
     /// New settings, checked.
-    Retuned(Box<(Settings, Names)>),
+    Retuned(Box<(Settings, Names, PoolSettings)>),
     /// What the other process of an upgrade says, and that it says no more.
     Linked(Frame),
     LinkLost,
@@ -58,6 +60,8 @@
 pub enum Order {
     /// Take an endpoint out, or put it back.
     SetOut { uid: String, out: bool, reply: oneshot::Sender<Verdict> },
+    /// Tell how the connections to endpoints stand, as JSON.
+    Pools { reply: oneshot::Sender<String> },
     /// A next process asks for all that this one holds.
     HandOver(Successor),
 }
@@ -212,8 +216,11 @@
     address: Option<SocketAddr>,
     /// Its kind, by position in the settings.
     kind: usize,
+    destination: u64,
     /// The last list that named it did not say that it is gone.
     listed: bool,
+    /// Nor that it drains.
+    up: bool,
 }
 
 /// What the driver has in common with the rest of the process.
@@ -245,6 +252,7 @@
     names: Names,
     /// As the module has them: all that was ever in force, each in its place.
     settings: Settings,
+    pool: PoolSettings,
     journal: Journal,
     calls: Calls,
     notices: mpsc::UnboundedSender<Notice>,
@@ -274,15 +282,16 @@
     /// Sets the module up and hands it the list as last known and what the journal holds.
     #[allow(clippy::too_many_arguments)]
     pub fn new(
-        sender: Sender, settings: Settings, names: Names, known: Option<ListUpdate>, journal: Journal,
-        calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>, shared: Shared,
-        handover: Option<Handover>,
+        sender: Sender, settings: Settings, names: Names, pool: PoolSettings, known: Option<ListUpdate>,
+        journal: Journal, calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>,
+        shared: Shared, handover: Option<Handover>,
     ) -> Self {
         let mut driver = Driver {
             settings: sender.settings().clone(),
             sender,
             clock: shared.clock,
             names: names.clone(),
+            pool,
             journal,
             calls,
             notices,
@@ -334,6 +343,12 @@
                 biased;
                 Some(order) = orders.recv() => match order {
                     Order::SetOut { uid, out, reply } => self.obey(uid, out, reply),
+                    Order::Pools { reply } => {
+                        let uid_of = |id: EndpointId| Some(self.routes.get(id.0 as usize)?.uid.clone());
+                        // an operator that has gone asks again
+                        let _ = reply.send(self.calls.connections().report(uid_of));
+                        continue;
+                    }
                     Order::HandOver(successor) => match self.hand_over(successor).await {
                         Next::GoOn => {}
                         Next::Leave(link) => return self.leave(link).run(inputs, orders).await,
@@ -341,7 +356,7 @@
                     },
                 },
                 _ = sweep.tick() => {
-                    self.calls.sweep();
+                    self.calls.connections().sweep();
                     let written = self.journal.retry();
                     self.check(written);
                     continue;
@@ -371,6 +386,7 @@
             let written = self.journal.set_out(&uid, out);
             if self.check(written).is_some() {
                 let endpoint = self.endpoint_of(&uid);
+                self.admit(endpoint);
                 self.events.push(if out { Event::Disabled(endpoint) } else { Event::Enabled(endpoint) });
                 Verdict::Done
             } else {
@@ -385,7 +401,9 @@
 
     /// Puts new settings in force for all that comes from now on.
     fn retune(&mut self, mut settings: Settings, names: Names) {
-        let calls = (settings.connection_idle, names.dial_timeout, names.report_fields.clone());
+        let (idle, cold, senders) = (settings.connection_idle, settings.safety.cold_time, settings.senders);
+        self.calls.connections().retune(&self.pool, idle, cold, senders, names.dial_timeout);
+        self.calls.retune(names.report_fields.clone());
         let before = (self.settings.clone(), self.names.clone());
         let places = keep_places(&mut settings, before.0, &mut self.names, names);
         let named = |index: usize| {
@@ -393,7 +411,6 @@
             Named { name: class.name.clone(), index, keyed: matches!(class.effect, Effect::Keyed { .. }) }
         };
         self.shared.classes.replace(places.into_iter().map(named).collect());
-        self.calls.retune(calls.0, calls.1, calls.2);
         if settings != *self.sender.settings() {
             self.events.push(Event::Retuned(Box::new(settings.clone())));
         }
@@ -449,7 +466,9 @@
             uid: route.uid.clone(),
             address: route.address,
             kind: route.kind,
+            destination: route.destination,
             listed: route.listed,
+            up: route.up,
         };
         let message = |(number, held): (&MessageId, &Message)| HandedMessage {
             number: number.0,
@@ -489,9 +508,11 @@
         self.names = handover.names;
         (self.next_message, self.next_call) = (handover.next_message, handover.next_call);
         (self.list_version, self.alarm) = (handover.list_version, handover.alarm);
-        for HandedRoute { uid, address, kind, listed } in handover.routes {
-            self.by_uid.insert(uid.clone(), EndpointId(self.routes.len() as u32));
-            self.routes.push(Route { uid, address, kind, listed });
+        for HandedRoute { uid, address, kind, destination, listed, up } in handover.routes {
+            let endpoint = EndpointId(self.routes.len() as u32);
+            self.by_uid.insert(uid.clone(), endpoint);
+            self.routes.push(Route { uid, address, kind, destination, listed, up });
+            self.admit(endpoint);
         }
         for handed in handover.messages {
             let Some(item) = handed.item() else { continue };
@@ -511,6 +532,7 @@
             let items = items.into_iter().map(|(message, attempt)| (MessageId(message), attempt)).collect();
             self.out.insert(number, CallOut { cancels: None, items, left });
         }
+        self.count_elsewhere();
         self.delivered = handover.delivered.iter().filter_map(|id| HeaderValue::from_str(id).ok()).collect();
         if self.routes.iter().any(|route| route.listed) {
             self.ready.send_replace(true);
@@ -538,7 +560,7 @@
     fn leave(self, link: Link) -> Leaving {
         self.shared.draining.set(true);
         self.shared.handed.send_replace(true);
-        self.calls.leave(true);
+        self.calls.connections().leave(true);
         Leaving {
             writer: link.listen(self.shared.inputs),
             clock: self.clock,
@@ -632,12 +654,49 @@
         let next = EndpointId(self.routes.len() as u32);
         let endpoint = *self.by_uid.entry(uid.to_string()).or_insert(next);
         if endpoint == next {
-            let route = Route { uid: uid.to_string(), address: None, kind: usize::MAX, listed: false };
-            self.routes.push(route);
+            let (uid, kind) = (uid.to_string(), usize::MAX);
+            let (address, destination, listed, up) = (None, 0, false, false);
+            self.routes.push(Route { uid, address, kind, destination, listed, up });
         }
         endpoint
     }
 
+    /// Tells the pool whether the endpoint takes calls.
+    fn admit(&self, endpoint: EndpointId) {
+        let Some(route) = self.routes.get(endpoint.0 as usize) else { return };
+        if let Some(address) = route.address {
+            let serving = route.listed && route.up && !self.journal.is_out(&route.uid);
+            self.calls.connections().serve(Place { address, endpoint }, serving);
+        }
+    }
+
+    /// Connections of an old process's calls count among this one's.
+    fn count_elsewhere(&self) {
+        let count = self.out.values().filter(|call| call.cancels.is_none()).count();
+        self.calls.connections().elsewhere(count);
+    }
+
+    /// Where an endpoint is.
+    fn place_of(&self, endpoint: EndpointId) -> Option<Place> {
+        let address = self.routes.get(endpoint.0 as usize)?.address?;
+        Some(Place { address, endpoint })
+    }
+
+    /// An endpoint has told to wait, which holds for its whole destination: none of that is dialled ahead of need.
+    fn told_wait(&self, endpoint: EndpointId, wait: Micros) {
+        let Some(destination) = self.routes.get(endpoint.0 as usize).map(|route| route.destination) else {
+            return;
+        };
+        for (at, route) in
+            self.routes.iter().enumerate().filter(|(_, route)| route.destination == destination)
+        {
+            if let Some(address) = route.address {
+                let place = Place { address, endpoint: EndpointId(at as u32) };
+                self.calls.connections().told_wait(place, wait);
+            }
+        }
+    }
+
     /// A turn, and further ones while its own actions led to news for the module.
     fn turns(&mut self) {
         self.turn();
@@ -734,7 +793,8 @@
             Input::Ended(ended) => self.ended(ended),
             Input::Listed(update) => self.list(update, false),
             Input::Retuned(new) => {
-                let (settings, names) = *new;
+                let (settings, names, pool) = *new;
+                self.pool = pool;
                 self.retune(settings, names);
             }
             Input::Linked(frame) => self.linked(frame),
@@ -783,7 +843,11 @@
         let Some(&(message, attempt)) = call.items.get(ended.item) else { return };
         call.left -= 1;
         if call.left == 0 {
+            let elsewhere = call.cancels.is_none();
             self.out.remove(&ended.call);
+            if elsewhere {
+                self.count_elsewhere();
+            }
         }
         let now = self.clock.at(Instant::now());
         let Some(held) = self.messages.get_mut(&message) else { return };
@@ -794,7 +858,11 @@
             let written = self.journal.never_ran(message.0, record);
             self.check(written);
         }
+        if let Outcome::Refused { wait: Some(wait) } = ended.outcome {
+            self.told_wait(endpoint, wait);
+        }
         if let Some(wait) = ended.wait {
+            self.told_wait(endpoint, wait);
             self.events.push(Event::ToldWait { endpoint, wait });
         }
         if ended.closed {
@@ -856,19 +924,23 @@
             self.list_version = update.version;
         }
         if update.full {
-            self.routes.iter_mut().for_each(|route| route.listed = false);
+            self.routes.iter_mut().for_each(|route| (route.listed, route.up) = (false, false));
         }
         let mut entries = Vec::with_capacity(update.targets.len());
         for listed in update.targets {
             let kind = position(&self.names.kinds, &listed.kind);
             let endpoint = self.endpoint_of(&listed.uid);
             if let Some(route) = self.routes.get_mut(endpoint.0 as usize) {
-                if let Some(before) = route.address.filter(|&before| before != listed.address) {
-                    self.calls.disconnect(before);
+                if let Some(address) = route.address.filter(|&before| before != listed.address) {
+                    self.calls.connections().serve(Place { address, endpoint }, false);
                 }
                 route.address = Some(listed.address);
                 route.listed = listed.status != Status::Gone;
-                route.kind = kind;
+                route.up = listed.status == Status::Serving;
+                (route.kind, route.destination) = (kind, listed.destination);
+            }
+            if !update.full {
+                self.admit(endpoint);
             }
             entries.push(Entry {
                 endpoint,
@@ -879,6 +951,9 @@
                 weight: listed.weight,
             });
         }
+        if update.full {
+            (0..self.routes.len()).for_each(|at| self.admit(EndpointId(at as u32)));
+        }
         if !entries.is_empty() {
             self.ready.send_replace(true);
         }
@@ -913,10 +988,8 @@
                 Action::Fail(message) => self.give_up(message, Ending::Failed),
                 Action::SetAlarm(at) => self.alarm = Some(at),
                 Action::Disconnect(endpoint) => {
-                    if let Some(address) =
-                        self.routes.get(endpoint.0 as usize).and_then(|route| route.address)
-                    {
-                        self.calls.disconnect(address);
+                    if let Some(place) = self.place_of(endpoint) {
+                        self.calls.connections().disconnect(place);
                     }
                 }
                 Action::Log(text) => super::log(format_args!("{text}")),
@@ -1032,8 +1105,7 @@
     fn start(&mut self, bundle: Bundle) {
         let number = self.next_call;
         self.next_call += 1;
-        let address = self.routes.get(bundle.endpoint.0 as usize).and_then(|route| route.address);
-        let Some(address) = address else {
+        let Some(place) = self.place_of(bundle.endpoint) else {
             bundle
                 .sends
                 .iter()
@@ -1052,7 +1124,7 @@
         let left = bundle.sends.len();
         self.out.insert(number, CallOut { cancels: Some(cancels), items: bundle.sends, left });
         let expires = self.clock.instant(bundle.expires);
-        self.calls.start(Call { number, address, items, expires, cancels: receiver });
+        self.calls.start(Call { number, place, items, expires }, receiver);
     }
 
     fn cancel(&mut self, message: MessageId, attempt: usize) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod driver;
 pub mod journal;
 pub mod leaving;
+pub mod pool;
 pub mod server;
 pub mod upgrade;
 
