Hold the pool's rules to property tests, and mend what they and the cases showed

Random orders of dials, leases, failures, cancels, retirement, settings and time on 300 seeds: no cap passed, no connection leased twice, none leaked, every waiter ended.

What the cases showed and this mends: the connection just given back was closed as surplus instead of the oldest; two connections fell to one within four seconds of load (30 s half-life now, a quarter of slack); a connect that came up above a learned cap counted as borne before its first call was answered; evidence from 503 asked for more calls out than the connections that work can carry.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -94,7 +94,7 @@
             all: None,
             idle: None,
             idle_per_endpoint: None,
-            decay_s: 10.0,
+            decay_s: 30.0,
             learn_caps: true,
             warm_share: 0.0,
         }
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -26,6 +26,8 @@
 const TURNED_ENOUGH: u32 = 4;
 /// One part in so many of the dials out at once may be towards one endpoint: a silent one must not hold them all.
 const DIALS_PART: usize = 4;
+/// The wanted number falls by one once the peak that decays has come so near to the next lower one.
+const PEAK_SLACK: f64 = 0.25;
 /// Rest between two dials ahead of need to one endpoint, times the number of senders, so that the fleet makes
 /// about four a second; never shorter than the least.
 const WARM_EACH: Micros = SECOND / 4;
@@ -109,7 +111,7 @@
     Other,
 }
 
-/// Why a waiting call gets no connection.
+/// Why a call that waits gets no connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Denied {
     /// A dial failed.
@@ -200,9 +202,18 @@
 
 #[derive(Debug)]
 enum State {
-    Dialling { since: Micros, trial: bool },
-    Idle { since: Micros },
-    Leased { at: Micros, level: usize, rested: Option<Micros> },
+    Dialling {
+        since: Micros,
+    },
+    Idle {
+        since: Micros,
+    },
+    /// Since then, with so many proven ones leased, after so long a rest.
+    Leased {
+        at: Micros,
+        proven: usize,
+        rested: Option<Micros>,
+    },
 }
 
 #[derive(Debug)]
@@ -215,6 +226,8 @@
     /// Calls that it has carried, and whether one of them was served.
     calls: u64,
     served: bool,
+    /// It tries the endpoint's cap, until its first call tells.
+    trial: bool,
 }
 
 /// The number of connections that an endpoint seems to bear from this sender.
@@ -231,7 +244,7 @@
 /// First calls that were turned away, until older connections tell whether that was their being new.
 #[derive(Debug, Default)]
 struct Turned {
-    /// When the last one began, and how many calls were out then.
+    /// When the last one began, and how many proven connections were leased then.
     pending: Option<(Micros, usize)>,
     confirmed: u32,
 }
@@ -246,6 +259,8 @@
     /// Newest last.
     idle: Vec<u64>,
     leased: usize,
+    /// Leased ones that have been served a call.
+    proven: usize,
     dialling: usize,
     /// The recent peak of calls at once, as it was at a time.
     peak: (f64, Micros),
@@ -269,6 +284,7 @@
             hungry: false,
             idle: Vec::new(),
             leased: 0,
+            proven: 0,
             dialling: 0,
             peak: (0.0, now),
             cap: None,
@@ -302,7 +318,7 @@
     /// How many connections the load asks for; the last one is left to its age.
     fn wanted(&self, now: Micros, limits: &Limits) -> usize {
         let most = self.cap.as_ref().map_or(limits.per_endpoint, |cap| cap.most.min(limits.per_endpoint));
-        (self.peak_at(now, limits.decay).round() as usize).clamp(1, most.max(1))
+        ((self.peak_at(now, limits.decay) - PEAK_SLACK).ceil() as usize).clamp(1, most.max(1))
     }
 
     fn done(&self) -> bool {
@@ -461,54 +477,38 @@
     /// A dial brought its connection.
     pub fn up(&mut self, now: Micros, connection: u64, out: &mut Vec<Command>) {
         let Some(known) = self.connections.get_mut(&connection) else { return };
-        let State::Dialling { trial, .. } = known.state else { return };
+        let State::Dialling { .. } = known.state else { return };
         (known.heard, known.up_at, known.state) = (now, now, State::Idle { since: now });
         let place = known.place;
         self.dialling -= 1;
         self.idle.insert((now, connection));
-        let (first, pause) = (self.raise_first(), self.spread(self.raise_first() / 2));
-        let most = if self.limits.senders <= FEW_SENDERS { RAISE_STEP } else { 1 };
-        let per_endpoint = self.limits.per_endpoint;
-        let Some(site) = self.sites.get_mut(&place) else { return };
-        site.dialling -= 1;
-        site.idle.push(connection);
-        let established = site.established();
-        if let Some(cap) = &mut site.cap {
-            cap.most = cap.most.max(established);
-            if trial {
-                cap.trials -= 1;
-                (cap.rest, cap.next) = (first, now + pause);
-                if cap.trials == 0 {
-                    cap.step = (cap.step * 2).min(most);
-                }
-            }
+        if let Some(site) = self.sites.get_mut(&place) {
+            site.dialling -= 1;
+            site.idle.push(connection);
         }
-        site.cap.take_if(|cap| cap.most >= per_endpoint);
         self.settle(now, place, connection, out);
     }
 
     /// A dial brought none.
     pub fn dial_failed(&mut self, now: Micros, connection: u64, why: DialFailure, out: &mut Vec<Command>) {
         let Some(known) = self.connections.remove(&connection) else { return };
-        let State::Dialling { since, trial } = known.state else {
+        let State::Dialling { since } = known.state else {
             self.connections.insert(connection, known);
             return;
         };
         self.dialling -= 1;
         let place = known.place;
         let cold = now + self.limits.cold;
-        let (most, spread) = (self.raise_first().max(RAISE_MOST), self.spread(SECOND));
-        let learn = self.limits.learn_caps;
+        let (trial, learn) = (known.trial, self.limits.learn_caps);
+        if trial {
+            self.tried(now, place, false);
+        }
         let Some(site) = self.sites.get_mut(&place) else { return };
         site.dialling -= 1;
         *site.counts.dial_failures.entry(why).or_default() += 1;
         site.warm_from = site.warm_from.max(cold);
         let established = site.established();
-        if let Some(cap) = site.cap.as_mut().filter(|_| trial) {
-            cap.trials -= 1;
-            (cap.step, cap.rest) = (1, (cap.rest * 2).min(most));
-            cap.next = now + (cap.rest as f64 * spread as f64 / SECOND as f64) as Micros;
-        } else if learn && why == DialFailure::Refused && established > 0 {
+        if !trial && learn && why == DialFailure::Refused && established > 0 {
             // one that is down resets those connections too, but their resets may come later than this
             site.refused = Some((established, now));
         }
@@ -539,23 +539,28 @@
     /// An answer came on a leased connection.
     pub fn answered(&mut self, now: Micros, connection: u64, answered: Answered) {
         let Some(known) = self.connections.get_mut(&connection) else { return };
-        let State::Leased { at, level, .. } = known.state else { return };
+        let State::Leased { at, proven, .. } = known.state else { return };
         let (first, up_at) = (known.calls == 1, known.up_at);
         known.heard = now;
-        known.served |= answered == Answered::Served;
+        let proves = answered == Answered::Served && !known.served;
+        known.served |= proves;
         let place = known.place;
         let Some(site) = self.sites.get_mut(&place) else { return };
+        site.proven += usize::from(proves);
+        if std::mem::take(&mut known.trial) {
+            return self.tried(now, place, answered != Answered::TurnedAway);
+        }
         // the connections beside which a connect was refused do work
         if let Some((most, _)) = site.refused.take_if(|(_, refused)| up_at <= *refused) {
             self.learn_cap(now, place, most);
             return;
         }
-        // an endpoint that turns away whatever comes does so on older connections too
+        // one that turns away whatever comes does so on older connections too, as soon as as many are busy
         match (answered, first) {
-            (Answered::TurnedAway, true) => site.turned.pending = Some((at, level)),
+            (Answered::TurnedAway, true) => site.turned.pending = Some((at, proven)),
             (Answered::TurnedAway, false) | (Answered::Served, true) => site.turned = Turned::default(),
             (Answered::Served, false) => {
-                if site.turned.pending.take_if(|(began, then)| at >= *began && level >= *then).is_some() {
+                if site.turned.pending.take_if(|(began, then)| at >= *began && proven >= *then).is_some() {
                     site.turned.confirmed += 1;
                 }
             }
@@ -574,12 +579,13 @@
         let Some(known) = self.connections.get_mut(&connection) else { return };
         let State::Leased { .. } = known.state else { return };
         (known.heard, known.state) = (now, State::Idle { since: now });
-        let place = known.place;
+        let (place, proven) = (known.place, usize::from(known.served));
         self.idle.insert((now, connection));
         let decay = self.limits.decay;
         let Some(site) = self.sites.get_mut(&place) else { return };
         site.note_peak(now, decay);
         site.leased -= 1;
+        site.proven -= proven;
         site.idle.push(connection);
         self.settle(now, place, connection, out);
     }
@@ -701,10 +707,11 @@
         let Some((waiter, _)) = site.waiting.pop_front() else { return };
         site.idle.retain(|idle| *idle != connection);
         site.leased += 1;
+        site.proven += usize::from(known.served);
         let rested = (known.calls > 0).then_some(now - since);
         site.counts.reuses += u64::from(rested.is_some());
         known.calls += 1;
-        known.state = State::Leased { at: now, level: site.leased, rested };
+        known.state = State::Leased { at: now, proven: site.proven, rested };
         self.idle.remove(&(since, connection));
         self.waiters.remove(&waiter);
         out.push(Command::Lease { waiter, connection, rested });
@@ -720,13 +727,18 @@
             self.forget_if_done(place);
         } else if self.leaving {
             self.close(connection, Cause::Leaving, out);
-        } else if self.idle.len() > self.limits.idle
-            || site.idle.len() > self.limits.idle_per_endpoint
+        } else if site.idle.len() > self.limits.idle_per_endpoint
             || site.open() > self.limits.per_endpoint
-            || self.total() > self.limits.all
             || site.established() > site.wanted(now, &self.limits)
         {
-            self.close(connection, Cause::Surplus, out);
+            // the one that would be taken last
+            let oldest = site.idle.first().copied().unwrap_or(connection);
+            self.close(oldest, Cause::Surplus, out);
+        }
+        while (self.idle.len() > self.limits.idle || self.total() > self.limits.all)
+            && let Some(&(_, oldest)) = self.idle.first()
+        {
+            self.close(oldest, Cause::Surplus, out);
         }
         self.feed(now, out);
     }
@@ -780,8 +792,8 @@
         if let Some(cap) = site.cap.as_mut().filter(|_| trial) {
             cap.trials += 1;
         }
-        let state = State::Dialling { since: now, trial };
-        let new = Connection { place, state, heard: now, up_at: now, calls: 0, served: false };
+        let state = State::Dialling { since: now };
+        let new = Connection { place, state, heard: now, up_at: now, calls: 0, served: false, trial };
         self.connections.insert(connection, new);
         out.push(Command::Dial { connection, place });
     }
@@ -823,6 +835,28 @@
         }
     }
 
+    /// A dial above the learned cap brought a connection that works, or none.
+    fn tried(&mut self, now: Micros, place: Place, works: bool) {
+        let (first, part) = (self.raise_first(), self.spread(SECOND) as f64 / SECOND as f64);
+        let step_most = if self.limits.senders <= FEW_SENDERS { RAISE_STEP } else { 1 };
+        let per_endpoint = self.limits.per_endpoint;
+        let Some(site) = self.sites.get_mut(&place) else { return };
+        let Some(cap) = &mut site.cap else { return };
+        cap.trials = cap.trials.saturating_sub(1);
+        let pause = if works {
+            (cap.most, cap.rest) = (cap.most + 1, first);
+            if cap.trials == 0 {
+                cap.step = (cap.step * 2).min(step_most);
+            }
+            first / 2
+        } else {
+            (cap.step, cap.rest) = (1, (cap.rest * 2).min(first.max(RAISE_MOST)));
+            cap.rest
+        };
+        cap.next = now + (pause as f64 * part) as Micros;
+        site.cap.take_if(|cap| cap.most >= per_endpoint);
+    }
+
     fn learn_cap(&mut self, now: Micros, place: Place, most: usize) {
         let rest = self.raise_first();
         let next = now + self.spread(rest);
@@ -857,9 +891,15 @@
                 site.idle.retain(|idle| *idle != connection);
                 self.idle.remove(&(since, connection));
             }
-            State::Leased { .. } => site.leased -= 1,
+            State::Leased { .. } => {
+                site.leased -= 1;
+                site.proven -= usize::from(known.served);
+            }
             State::Dialling { .. } => site.dialling -= 1,
         }
+        if let Some(cap) = site.cap.as_mut().filter(|_| known.trial) {
+            cap.trials = cap.trials.saturating_sub(1);
+        }
         *site.counts.closes.entry(cause).or_default() += 1;
     }
 
--- /dev/null
+++ b/tests/pool.rs
@@ -0,0 +1,863 @@
+//! The pool's rules without sockets: random orders of what happens to it, held against what must never be, and the
+//! cases that operators would ask about, each by itself.
+
+use milletturn::pool::*;
+use milletturn::{EndpointId, MILLISECOND, Micros, SECOND};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+const T0: Micros = 50 * SECOND;
+
+fn limits() -> Limits {
+    Limits {
+        per_endpoint: 20,
+        dials: 40,
+        all: 60,
+        idle: 40,
+        idle_per_endpoint: 16,
+        keep: 10 * SECOND,
+        decay: 10 * SECOND,
+        learn_caps: true,
+        warm_share: 0.0,
+        cold: 5 * SECOND,
+        senders: 1,
+    }
+}
+
+fn place(endpoint: u32) -> Place {
+    at(endpoint, endpoint as u16)
+}
+
+fn at(endpoint: u32, port: u16) -> Place {
+    Place { address: SocketAddr::from(([127, 0, 0, 1], 1000 + port)), endpoint: EndpointId(endpoint) }
+}
+
+/// A fault put between the rules and whoever checks them, to show that the checks see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// The rules have larger caps than is said.
+    LooseCaps,
+    /// A call that is called off is not told to the rules.
+    ForgottenWaiter,
+    /// A connection is given to two calls.
+    LeasedTwice,
+    /// Closing is left out now and then.
+    Leak,
+    /// A dial's failure is not told, and so nobody is denied.
+    SilentFailure,
+    /// Retirement is not told.
+    Unretired,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Has {
+    Dial,
+    Lease,
+    Idle,
+}
+
+/// The world round the rules: which connections there are, and which calls wait since when.
+struct World {
+    pool: Pool,
+    limits: Limits,
+    now: Micros,
+    connections: BTreeMap<u64, (Place, Has)>,
+    waiting: BTreeMap<u64, Place>,
+    serving: BTreeSet<Place>,
+    fault: Fault,
+    turns: u32,
+    wrong: Vec<String>,
+}
+
+impl World {
+    fn new(limits: Limits, seed: u64, fault: Fault) -> Self {
+        let mut given = limits.clone();
+        if fault == Fault::LooseCaps {
+            given.per_endpoint += 2;
+            given.dials += 2;
+            given.all += 2;
+        }
+        World {
+            pool: Pool::new(given, seed),
+            limits,
+            now: T0,
+            connections: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            serving: BTreeSet::new(),
+            fault,
+            turns: 0,
+            wrong: Vec::new(),
+        }
+    }
+
+    fn with(&mut self, say: impl FnOnce(&mut Pool, Micros, &mut Vec<Command>)) {
+        let mut commands = Vec::new();
+        say(&mut self.pool, self.now, &mut commands);
+        for command in commands {
+            self.carry_out(command);
+        }
+        self.check();
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        self.turns += 1;
+        let every_ninth = self.turns.is_multiple_of(9);
+        match command {
+            Command::Dial { connection, place } => {
+                if !self.serving.contains(&place) {
+                    self.wrong.push(format!("{connection} dialled to one that does not serve"));
+                }
+                if self.connections.insert(connection, (place, Has::Dial)).is_some() {
+                    self.wrong.push(format!("{connection} dialled twice"));
+                }
+                let here = self.connections.values().filter(|(there, _)| *there == place).count();
+                let (all, dials) = (self.connections.len(), self.count(Has::Dial));
+                let Limits { per_endpoint, all: all_most, dials: dials_most, .. } = self.limits;
+                if here > per_endpoint || all > all_most || dials > dials_most {
+                    let most = (per_endpoint, all_most, dials_most);
+                    self.wrong.push(format!("a dial too many: {:?} of {most:?}", (here, all, dials)));
+                }
+            }
+            Command::Lease { waiter, connection, .. } => {
+                let wanted = self.waiting.remove(&waiter);
+                let connection = match self.fault {
+                    Fault::LeasedTwice if every_ninth => connection.saturating_sub(1),
+                    _ => connection,
+                };
+                match self.connections.get_mut(&connection) {
+                    Some((place, has)) if *has == Has::Idle && Some(*place) == wanted => *has = Has::Lease,
+                    other => self.wrong.push(format!("{waiter} got {connection}, which is {other:?}")),
+                }
+            }
+            Command::Deny { waiter, .. } => {
+                if self.waiting.remove(&waiter).is_none() {
+                    self.wrong.push(format!("{waiter} denied, who did not wait"));
+                }
+            }
+            Command::Close { connection } => {
+                if self.fault == Fault::Leak && every_ninth {
+                    return;
+                }
+                match self.connections.remove(&connection) {
+                    Some((_, Has::Idle)) => {}
+                    other => self.wrong.push(format!("{connection} closed, which is {other:?}")),
+                }
+            }
+        }
+    }
+
+    fn count(&self, has: Has) -> usize {
+        self.connections.values().filter(|(_, now)| *now == has).count()
+    }
+
+    fn check(&mut self) {
+        let mut wrong = Vec::new();
+        let idle = self.count(Has::Idle);
+        let over = |wrong: &mut Vec<String>, what: &str, is: usize, most: usize| {
+            if is > most {
+                wrong.push(format!("{what}: {is} of {most}"));
+            }
+        };
+        over(&mut wrong, "idle", idle, self.limits.idle);
+        // a cap that was lowered waits for what carries a call, and for nothing else
+        if idle > 0 {
+            over(&mut wrong, "all", self.connections.len(), self.limits.all);
+        }
+        let (sites, connections, waiters) = self.pool.sizes();
+        let (views, _) = self.pool.view(self.now);
+        for view in &views {
+            if view.idle > 0 {
+                over(
+                    &mut wrong,
+                    "to one endpoint",
+                    view.idle + view.leased + view.dialling,
+                    self.limits.per_endpoint,
+                );
+            }
+            over(&mut wrong, "idle at one endpoint", view.idle, self.limits.idle_per_endpoint);
+            let there = self.connections.values().filter(|(place, _)| *place == view.place);
+            let here = |has| there.clone().filter(|(_, now)| *now == has).count();
+            let seen = (here(Has::Idle), here(Has::Lease), here(Has::Dial));
+            if seen != (view.idle, view.leased, view.dialling) {
+                wrong.push(format!("{:?} is {seen:?}, told {view:?}", view.place));
+            }
+            // what waits while something lies idle waits in vain
+            if view.waiting > 0 && view.idle > 0 {
+                wrong.push(format!("{:?}: {} wait beside {} idle", view.place, view.waiting, view.idle));
+            }
+        }
+        if connections != self.connections.len() || waiters != self.waiting.len() {
+            let there = (self.connections.len(), self.waiting.len());
+            wrong.push(format!(
+                "{connections} connections and {waiters} waiters are known, there are {there:?}"
+            ));
+        }
+        if sites < views.len() {
+            wrong.push(format!("{sites} sites"));
+        }
+        let idle_retired =
+            self.connections.values().any(|(place, has)| *has == Has::Idle && !self.serving.contains(place));
+        if idle_retired {
+            wrong.push("idle at one that does not serve".to_string());
+        }
+        self.wrong.extend(wrong);
+    }
+}
+
+/// Plays random events for a while, then lets all of them end; what was found wrong.
+fn play(seed: u64, fault: Fault) -> Vec<String> {
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut below = |most: usize| random.next_u32() as usize % most.max(1);
+    let mut limits = limits();
+    (limits.per_endpoint, limits.dials, limits.all) = (1 + below(6), 1 + below(8), 6 + below(12));
+    (limits.idle, limits.idle_per_endpoint) = (1 + below(limits.all), 1 + below(5));
+    limits.per_endpoint = limits.per_endpoint.min(limits.all);
+    limits.warm_share = [0.0, 0.3, 1.0][below(3)];
+    limits.senders = [1, 30][below(2)];
+    let mut world = World::new(limits.clone(), seed, fault);
+    let places: Vec<Place> = (0..5).map(|n| at(n, n.min(3) as u16)).collect();
+    for &place in &places {
+        world.serving.insert(place);
+        world.with(|pool, now, _| pool.open(now, place));
+    }
+    let mut next = 0;
+    for _ in 0..1500 {
+        if !world.wrong.is_empty() {
+            return world.wrong;
+        }
+        world.now += [0, MILLISECOND, 40 * MILLISECOND, 3 * SECOND][below(4)];
+        let pick = |world: &World, has: Has, at: usize| {
+            let all: Vec<u64> = world
+                .connections
+                .iter()
+                .filter(|(_, (_, now))| *now == has)
+                .map(|(&number, _)| number)
+                .collect();
+            (!all.is_empty()).then(|| all[at % all.len()])
+        };
+        let (what, at) = (below(24), below(1000));
+        match what {
+            0..=6 => {
+                let place = places[at % places.len()];
+                next += 1;
+                world.waiting.insert(next, place);
+                world.with(|pool, now, out| pool.ask(now, place, next, out));
+            }
+            7..=9 => {
+                if let Some(dial) = pick(&world, Has::Dial, at) {
+                    world.connections.entry(dial).and_modify(|known| known.1 = Has::Idle);
+                    world.with(|pool, now, out| pool.up(now, dial, out));
+                }
+            }
+            10 | 11 => {
+                let whys = [DialFailure::Refused, DialFailure::TimedOut, DialFailure::Other];
+                if let Some(dial) = pick(&world, Has::Dial, at) {
+                    world.connections.remove(&dial);
+                    if fault != Fault::SilentFailure {
+                        world.with(|pool, now, out| pool.dial_failed(now, dial, whys[at % 3], out));
+                    }
+                }
+            }
+            12..=15 => {
+                let answers = [Answered::Served, Answered::TurnedAway, Answered::Other];
+                if let Some(lease) = pick(&world, Has::Lease, at) {
+                    world.with(|pool, now, _| pool.answered(now, lease, answers[at % 3]));
+                    world.connections.entry(lease).and_modify(|known| known.1 = Has::Idle);
+                    world.with(|pool, now, out| pool.give_back(now, lease, out));
+                }
+            }
+            16 | 17 => {
+                let causes =
+                    [Cause::CalledOff, Cause::TimedOut, Cause::Reset, Cause::Unreadable, Cause::Peer];
+                if let Some(lease) = pick(&world, Has::Lease, at) {
+                    world.connections.remove(&lease);
+                    world.with(|pool, now, out| pool.spoiled(now, lease, causes[at % 5], out));
+                }
+            }
+            18 => {
+                let waiter = world.waiting.keys().nth(at % world.waiting.len().max(1)).copied();
+                if let Some(waiter) = waiter {
+                    world.waiting.remove(&waiter);
+                    if fault != Fault::ForgottenWaiter {
+                        world.with(|pool, _, _| pool.called_off(waiter));
+                    }
+                }
+            }
+            19 => {
+                if let Some(idle) = pick(&world, Has::Idle, at) {
+                    world.with(|pool, _, out| pool.closed(idle, out));
+                }
+            }
+            20 => {
+                let place = places[at % places.len()];
+                if world.serving.remove(&place) {
+                    if fault != Fault::Unretired {
+                        world.with(|pool, _, out| pool.retire(place, out));
+                    }
+                } else {
+                    world.serving.insert(place);
+                    world.with(|pool, now, _| pool.open(now, place));
+                }
+            }
+            21 => {
+                let place = places[at % places.len()];
+                world.with(|pool, _, out| pool.disconnect(place, out));
+            }
+            22 => {
+                let mut less = limits.clone();
+                (less.all, less.idle) = (limits.all - at % 3, limits.idle.min(1 + at % 4));
+                less.per_endpoint = limits.per_endpoint.min(less.all);
+                world.limits = less.clone();
+                if fault == Fault::LooseCaps {
+                    less.per_endpoint += 2;
+                    less.dials += 2;
+                    less.all += 2;
+                }
+                world.with(|pool, now, out| pool.retune(now, less, out));
+            }
+            _ => world.with(|pool, now, out| pool.tick(now, out)),
+        }
+    }
+    // every dial ends, every call too, and time passes: each one that waits gets its end
+    for round in 0..2000 {
+        world.now += 20 * MILLISECOND;
+        let all: Vec<(u64, Has)> =
+            world.connections.iter().map(|(&number, known)| (number, known.1)).collect();
+        for (number, has) in all {
+            match has {
+                Has::Dial if round % 2 == 0 => {
+                    world.connections.entry(number).and_modify(|known| known.1 = Has::Idle);
+                    world.with(|pool, now, out| pool.up(now, number, out));
+                }
+                Has::Dial => {
+                    world.connections.remove(&number);
+                    world.with(|pool, now, out| pool.dial_failed(now, number, DialFailure::Refused, out));
+                }
+                Has::Lease => {
+                    world.connections.entry(number).and_modify(|known| known.1 = Has::Idle);
+                    world.with(|pool, now, out| pool.give_back(now, number, out));
+                }
+                Has::Idle => {}
+            }
+        }
+        world.with(|pool, now, out| pool.tick(now, out));
+        if world.waiting.is_empty() || !world.wrong.is_empty() {
+            break;
+        }
+    }
+    if !world.waiting.is_empty() {
+        world.wrong.push(format!("{} wait for ever", world.waiting.len()));
+    }
+    // and all that is idle grows old, the endpoints go, and nothing is left of them
+    for &place in &places {
+        world.serving.remove(&place);
+        if fault != Fault::Unretired {
+            world.with(|pool, _, out| pool.retire(place, out));
+        }
+    }
+    for (number, has) in world.connections.clone().into_iter().map(|(number, known)| (number, known.1)) {
+        if has == Has::Dial {
+            world.connections.remove(&number);
+            world.with(|pool, now, out| pool.dial_failed(now, number, DialFailure::Other, out));
+        }
+    }
+    let left: Vec<u64> = world.connections.keys().copied().collect();
+    for number in left {
+        world.connections.remove(&number);
+        world.with(|pool, now, out| pool.spoiled(now, number, Cause::CalledOff, out));
+    }
+    if world.pool.sizes() != (0, 0, 0) {
+        world.wrong.push(format!("{:?} are left", world.pool.sizes()));
+    }
+    world.wrong
+}
+
+#[test]
+fn no_order_of_events_passes_a_cap_leaks_or_lets_a_call_wait_for_ever() {
+    for seed in 0..300 {
+        let wrong = play(seed, Fault::None);
+        assert!(wrong.is_empty(), "seed {seed}: {:?}", &wrong[..wrong.len().min(3)]);
+    }
+}
+
+#[test]
+fn the_checks_see_each_broken_rule() {
+    use Fault::*;
+    for fault in [LooseCaps, ForgottenWaiter, LeasedTwice, Leak, SilentFailure, Unretired] {
+        let seen = (0..20).filter(|&seed| !play(seed, fault).is_empty()).count();
+        assert!(seen >= 15, "{fault:?} is seen on {seen} of 20 seeds");
+    }
+}
+
+/// A pool with one endpoint that serves, and what it says.
+struct Rig {
+    pool: Pool,
+    now: Micros,
+    place: Place,
+    next: u64,
+}
+
+impl Rig {
+    fn new(limits: Limits) -> Self {
+        let mut pool = Pool::new(limits, 7);
+        pool.open(T0, place(1));
+        Rig { pool, now: T0, place: place(1), next: 0 }
+    }
+
+    fn with(&mut self, say: impl FnOnce(&mut Pool, Micros, &mut Vec<Command>)) -> Vec<Command> {
+        let mut out = Vec::new();
+        say(&mut self.pool, self.now, &mut out);
+        out
+    }
+
+    /// A call asks; its number and what came of it.
+    fn ask(&mut self) -> (u64, Vec<Command>) {
+        self.next += 1;
+        let (waiter, place) = (self.next, self.place);
+        (waiter, self.with(|pool, now, out| pool.ask(now, place, waiter, out)))
+    }
+
+    /// A call asks, is dialled for and gets a new connection.
+    fn dialled(&mut self) -> u64 {
+        let (waiter, out) = self.ask();
+        let connection = dials(&out)[0];
+        let out = self.with(|pool, now, out| pool.up(now, connection, out));
+        assert_eq!(out, [Command::Lease { waiter, connection, rested: None }]);
+        connection
+    }
+
+    /// The call on it ends well.
+    fn ends(&mut self, connection: u64, answered: Answered) -> Vec<Command> {
+        self.with(|pool, now, out| {
+            pool.answered(now, connection, answered);
+            pool.give_back(now, connection, out);
+        })
+    }
+
+    fn view(&self) -> SiteView {
+        self.pool.view(self.now).0.into_iter().find(|view| view.place == self.place).expect("known")
+    }
+}
+
+fn dials(out: &[Command]) -> Vec<u64> {
+    let dial = |command: &Command| match command {
+        Command::Dial { connection, .. } => Some(*connection),
+        _ => None,
+    };
+    out.iter().filter_map(dial).collect()
+}
+
+fn leased(out: &[Command]) -> Vec<(u64, u64)> {
+    let lease = |command: &Command| match command {
+        Command::Lease { waiter, connection, .. } => Some((*waiter, *connection)),
+        _ => None,
+    };
+    out.iter().filter_map(lease).collect()
+}
+
+#[test]
+fn the_newest_idle_one_is_taken_and_the_others_grow_old() {
+    let mut rig = Rig::new(Limits { decay: 100 * SECOND, ..limits() });
+    let (old, new) = (rig.dialled(), rig.dialled());
+    rig.ends(old, Answered::Served);
+    rig.now += SECOND;
+    rig.ends(new, Answered::Served);
+    for _ in 0..9 {
+        rig.now += SECOND;
+        let (waiter, out) = rig.ask();
+        assert_eq!(leased(&out), [(waiter, new)]);
+        rig.ends(new, Answered::Served);
+    }
+    assert_eq!(rig.with(|pool, now, out| pool.tick(now, out)), [Command::Close { connection: old }]);
+    let view = rig.view();
+    assert_eq!(
+        (view.idle, view.counts.reuses, view.counts.dials, view.counts.closes[&Cause::Age]),
+        (1, 9, 2, 1)
+    );
+}
+
+#[test]
+fn a_call_takes_the_first_of_its_dial_and_a_connection_given_back() {
+    let mut rig = Rig::new(limits());
+    let first = rig.dialled();
+    let (waiter, out) = rig.ask();
+    let dial = dials(&out)[0];
+    assert_eq!(leased(&rig.ends(first, Answered::Served)), [(waiter, first)]);
+    // the dial serves the next call, with no further one
+    let (next, out) = rig.ask();
+    assert_eq!(out, []);
+    assert_eq!(leased(&rig.with(|pool, now, out| pool.up(now, dial, out))), [(next, dial)]);
+}
+
+#[test]
+fn a_dial_whose_call_was_called_off_is_kept() {
+    let mut rig = Rig::new(limits());
+    let (waiter, out) = rig.ask();
+    rig.with(|pool, _, _| pool.called_off(waiter));
+    let dial = dials(&out)[0];
+    assert_eq!(rig.with(|pool, now, out| pool.up(now, dial, out)), []);
+    assert_eq!(rig.view().idle, 1);
+    let (waiter, out) = rig.ask();
+    assert_eq!(out, [Command::Lease { waiter, connection: dial, rested: None }]);
+}
+
+#[test]
+fn a_dial_that_times_out_fails_only_the_call_that_it_was_made_for() {
+    let mut rig = Rig::new(limits());
+    let (first, out) = rig.ask();
+    let dial = dials(&out)[0];
+    rig.with(|pool, _, _| pool.called_off(first));
+    rig.now += SECOND / 2;
+    let (_, out) = rig.ask();
+    assert_eq!(out, [], "the dial that is out serves it");
+    rig.now += SECOND / 2;
+    let out = rig.with(|pool, now, out| pool.dial_failed(now, dial, DialFailure::TimedOut, out));
+    assert_eq!(dials(&out).len(), 1, "its own dial follows: {out:?}");
+    rig.now += SECOND;
+    let again = dials(&out)[0];
+    let out = rig.with(|pool, now, out| pool.dial_failed(now, again, DialFailure::TimedOut, out));
+    assert_eq!(out, [Command::Deny { waiter: 2, why: Denied::Dial(DialFailure::TimedOut) }]);
+}
+
+/// Connects are refused beside `open` connections of which one then answers; the cap learned.
+fn learned(rig: &mut Rig, open: usize) -> Vec<u64> {
+    let held: Vec<u64> = (0..open).map(|_| rig.dialled()).collect();
+    let (waiter, out) = rig.ask();
+    let dial = dials(&out)[0];
+    let out = rig.with(|pool, now, out| pool.dial_failed(now, dial, DialFailure::Refused, out));
+    assert_eq!(out, [Command::Deny { waiter, why: Denied::Dial(DialFailure::Refused) }]);
+    assert_eq!(rig.view().learned_cap, None, "nothing is learned before one of them answers");
+    rig.now += 10 * MILLISECOND;
+    let first = held[0];
+    rig.with(|pool, now, _| pool.answered(now, first, Answered::Served));
+    assert_eq!(rig.view().learned_cap, Some(open));
+    held
+}
+
+#[test]
+fn a_refused_connect_beside_working_ones_teaches_a_cap() {
+    let mut rig = Rig::new(limits());
+    let held = learned(&mut rig, 3);
+    let (waiter, out) = rig.ask();
+    assert_eq!(out, [], "it waits for one of the three");
+    assert_eq!(leased(&rig.ends(held[1], Answered::Served)), [(waiter, held[1])]);
+}
+
+#[test]
+fn an_outage_teaches_no_cap() {
+    // the endpoint is down: a connect is refused first, the open connections break after
+    let mut rig = Rig::new(limits());
+    let held: Vec<u64> = (0..3).map(|_| rig.dialled()).collect();
+    for _ in 0..2 {
+        let (_, out) = rig.ask();
+        let dial = dials(&out)[0];
+        rig.with(|pool, now, out| pool.dial_failed(now, dial, DialFailure::Refused, out));
+    }
+    for connection in held {
+        rig.with(|pool, now, out| pool.spoiled(now, connection, Cause::Reset, out));
+    }
+    // it is back
+    rig.now += SECOND;
+    let back = rig.dialled();
+    rig.ends(back, Answered::Served);
+    assert_eq!(rig.view().learned_cap, None);
+    // and with none open at all nothing can be told
+    rig.with(|pool, _, out| pool.closed(back, out));
+    let (_, out) = rig.ask();
+    let dial = dials(&out)[0];
+    rig.with(|pool, now, out| pool.dial_failed(now, dial, DialFailure::Refused, out));
+    let back = rig.dialled();
+    rig.ends(back, Answered::Served);
+    assert_eq!(rig.view().learned_cap, None);
+}
+
+#[test]
+fn a_cap_is_tried_above_slowly_and_only_when_a_call_waits() {
+    let mut rig = Rig::new(limits());
+    learned(&mut rig, 3);
+    rig.now += 4 * SECOND;
+    assert_eq!(rig.with(|pool, now, out| pool.tick(now, out)), [], "nobody waits");
+    let (_, out) = rig.ask();
+    let dial = dials(&out)[0];
+    rig.ask();
+    assert_eq!(rig.view().dialling, 1, "one at a time");
+    // refused again: the calls wait on, and the next try is later
+    let out = rig.with(|pool, now, out| pool.dial_failed(now, dial, DialFailure::Refused, out));
+    assert_eq!((out, rig.view().waiting), (vec![], 2));
+    rig.now += 2 * SECOND - 1;
+    assert_eq!(rig.with(|pool, now, out| pool.tick(now, out)), []);
+    rig.now += 4 * SECOND;
+    let dial = dials(&rig.with(|pool, now, out| pool.tick(now, out)))[0];
+    rig.with(|pool, now, out| pool.up(now, dial, out));
+    assert_eq!(rig.view().learned_cap, Some(3), "its first call has not told yet");
+    rig.ends(dial, Answered::Served);
+    assert_eq!(rig.view().learned_cap, Some(4));
+    // it bears more: soon tried again, with two at once
+    rig.ask();
+    rig.ask();
+    rig.now += 2 * SECOND;
+    assert_eq!(dials(&rig.with(|pool, now, out| pool.tick(now, out))).len(), 2);
+}
+
+#[test]
+fn tries_above_a_cap_by_a_whole_fleet_are_few_and_spread() {
+    let mut tries = Vec::new();
+    for sender in 0..300 {
+        let mut rig = Rig::new(Limits { senders: 300, ..limits() });
+        rig.pool = Pool::new(Limits { senders: 300, ..limits() }, sender);
+        rig.pool.open(T0, place(1));
+        learned(&mut rig, 2);
+        rig.ask();
+        for _ in 0..1200 {
+            rig.now += 250 * MILLISECOND;
+            for dial in dials(&rig.with(|pool, now, out| pool.tick(now, out))) {
+                tries.push(rig.now - T0);
+                rig.with(|pool, now, out| pool.dial_failed(now, dial, DialFailure::Refused, out));
+            }
+        }
+    }
+    let worst = (0..300).map(|s| tries.iter().filter(|&&at| at / SECOND == s).count()).max().unwrap_or(0);
+    assert!((300..=600).contains(&tries.len()), "{} tries of 300 senders in five minutes", tries.len());
+    assert!(worst <= 10, "{worst} in one second");
+}
+
+/// Calls on new and old connections in turns, each answered as told by how many came before in its second.
+fn turned_away(closes: bool, answer: impl Fn(usize, bool) -> Answered) -> Option<usize> {
+    let mut rig = Rig::new(Limits { keep: 1000 * SECOND, decay: 1000 * SECOND, ..limits() });
+    let mut seen = 0;
+    for _ in 0..60 {
+        rig.now += SECOND;
+        let mut held: Vec<(u64, bool)> = Vec::new();
+        // what is idle goes first, then new ones
+        for _ in 0..6 {
+            let (waiter, out) = rig.ask();
+            match (leased(&out).first(), dials(&out).first()) {
+                (Some(&(_, connection)), _) => held.push((connection, false)),
+                (_, Some(&dial)) => {
+                    rig.with(|pool, now, out| pool.up(now, dial, out));
+                    held.push((dial, true));
+                }
+                // it has learned a cap and waits
+                _ => rig.with(|pool, _, _| pool.called_off(waiter)).clear(),
+            }
+        }
+        for (nth, (connection, new)) in held.into_iter().enumerate() {
+            rig.now += MILLISECOND;
+            match answer(nth, new) {
+                Answered::TurnedAway if closes => {
+                    rig.with(|pool, now, out| {
+                        pool.answered(now, connection, Answered::TurnedAway);
+                        pool.spoiled(now, connection, Cause::Peer, out);
+                    });
+                }
+                other => drop(rig.ends(connection, other)),
+            }
+            seen += 1;
+        }
+    }
+    assert!(seen > 100);
+    rig.view().learned_cap
+}
+
+#[test]
+fn only_first_calls_turned_away_beside_served_ones_teach_a_cap() {
+    // the endpoint serves three connections and turns away the first call on any further one
+    assert_eq!(
+        turned_away(true, |nth, new| if new && nth >= 3 { Answered::TurnedAway } else { Answered::Served }),
+        Some(3)
+    );
+    // a limit of three calls in a time, and a queue that is full now and then, meet old and new alike
+    assert_eq!(
+        turned_away(false, |nth, _| if nth >= 3 { Answered::TurnedAway } else { Answered::Served }),
+        None
+    );
+    assert_eq!(
+        turned_away(false, |nth, _| if nth % 2 == 1 { Answered::TurnedAway } else { Answered::Served }),
+        None
+    );
+    assert_eq!(turned_away(false, |_, _| Answered::TurnedAway), None);
+}
+
+#[test]
+fn what_is_idle_since_before_a_call_that_timed_out_leaves_with_it() {
+    let mut rig = Rig::new(limits());
+    // the same address under another id, and another address
+    let (same, other) = (at(2, 1), place(3));
+    rig.pool.open(rig.now, same);
+    rig.pool.open(rig.now, other);
+    let mut idle = Vec::new();
+    for there in [rig.place, same, other] {
+        rig.place = there;
+        let connection = rig.dialled();
+        rig.ends(connection, Answered::Served);
+        idle.push(connection);
+    }
+    rig.place = place(1);
+    rig.now += SECOND;
+    // one that is heard after the call began stays
+    let (_, out) = rig.ask();
+    let silent = leased(&out)[0].1;
+    let heard = rig.dialled();
+    rig.now += SECOND;
+    rig.ends(heard, Answered::Served);
+    rig.now += SECOND;
+    let out = rig.with(|pool, now, out| pool.spoiled(now, silent, Cause::TimedOut, out));
+    assert_eq!(out, [Command::Close { connection: idle[1] }]);
+    assert_eq!(rig.view().idle, 1);
+}
+
+#[test]
+fn an_endpoint_that_drains_has_its_idle_ones_closed_and_is_dialled_no_more() {
+    let mut rig = Rig::new(Limits { dials: 4, ..limits() });
+    let (idle, busy) = (rig.dialled(), rig.dialled());
+    rig.ends(idle, Answered::Served);
+    let (first, _) = rig.ask();
+    assert_eq!(first, 3);
+    let (_, out) = rig.ask();
+    let dial = dials(&out)[0];
+    let (late, out) = rig.ask();
+    assert_eq!(out, [], "one dial in four may go to one endpoint");
+    let here = rig.place;
+    let out = rig.with(|pool, _, out| pool.retire(here, out));
+    assert_eq!(out, [Command::Deny { waiter: late, why: Denied::Retired }]);
+    // the call with a dial gets the first that comes; the other ends
+    assert_eq!(leased(&rig.ends(busy, Answered::Served)), [(4, busy)]);
+    assert_eq!(rig.with(|pool, now, out| pool.up(now, dial, out)), [Command::Close { connection: dial }]);
+    let (waiter, out) = rig.ask();
+    assert_eq!(out, [Command::Deny { waiter, why: Denied::Retired }]);
+    assert_eq!(rig.ends(busy, Answered::Served), [Command::Close { connection: busy }]);
+    assert_eq!(rig.ends(idle, Answered::Served), [Command::Close { connection: idle }]);
+    assert_eq!(rig.pool.sizes(), (0, 0, 0));
+}
+
+#[test]
+fn smaller_caps_take_effect_at_once_on_what_is_idle() {
+    let mut rig = Rig::new(limits());
+    let held: Vec<u64> = (0..6).map(|_| rig.dialled()).collect();
+    held[..4].iter().for_each(|&connection| drop(rig.ends(connection, Answered::Served)));
+    let less = Limits { per_endpoint: 3, ..limits() };
+    let out = rig.with(|pool, now, out| pool.retune(now, less, out));
+    assert_eq!(out, held[..3].iter().map(|&connection| Command::Close { connection }).collect::<Vec<_>>());
+    assert_eq!((rig.view().idle, rig.view().leased), (1, 2));
+}
+
+#[test]
+fn connections_follow_the_load_and_fall_away_after_it() {
+    let mut rig = Rig::new(Limits { keep: 1000 * SECOND, ..limits() });
+    let held: Vec<u64> = (0..8).map(|_| rig.dialled()).collect();
+    held.iter().for_each(|&connection| drop(rig.ends(connection, Answered::Served)));
+    assert_eq!((rig.view().idle, rig.view().wanted), (8, 8));
+    let mut seen = Vec::new();
+    for _ in 0..4 {
+        rig.now += 10 * SECOND;
+        rig.with(|pool, now, out| pool.tick(now, out));
+        seen.push(rig.view().idle);
+    }
+    assert_eq!(seen, [4, 2, 1, 1], "by half in each ten seconds, and the last is left to its age");
+}
+
+#[test]
+fn warming_keeps_to_endpoints_that_are_in_use_and_sound() {
+    let warm = Limits { warm_share: 0.5, ..limits() };
+    let ticked = |rig: &mut Rig| dials(&rig.with(|pool, now, out| pool.tick(now, out)));
+    let busy = |limits: Limits| {
+        let mut rig = Rig::new(limits);
+        let held: Vec<u64> = (0..4).map(|_| rig.dialled()).collect();
+        rig.now += 6 * SECOND; // no longer new
+        for connection in held {
+            rig.with(|pool, now, out| pool.spoiled(now, connection, Cause::Unreadable, out));
+        }
+        let only = rig.dialled();
+        rig.ends(only, Answered::Served);
+        rig
+    };
+    let mut rig = busy(warm.clone());
+    assert_eq!(ticked(&mut rig).len(), 1, "one at a time");
+    assert_eq!(ticked(&mut rig).len(), 0, "and not at once again");
+    for _ in 0..40 {
+        rig.now += 250 * MILLISECOND;
+        for dial in ticked(&mut rig) {
+            rig.with(|pool, now, out| pool.up(now, dial, out));
+        }
+    }
+    let view = rig.view();
+    assert!(view.idle > 1 && view.idle <= view.wanted.max(2), "{view:?}");
+    // off, told to wait, failed, drained, or not in use: none
+    assert_eq!(ticked(&mut busy(limits())), []);
+    let mut rig = busy(warm.clone());
+    rig.pool.hold_warming(rig.place, rig.now + 2 * SECOND);
+    assert_eq!(ticked(&mut rig), []);
+    rig.now += 2 * SECOND;
+    assert_eq!(ticked(&mut rig).len(), 1);
+    let mut rig = busy(warm.clone());
+    let (_, out) = rig.ask();
+    let leased = leased(&out)[0].1;
+    rig.with(|pool, now, out| pool.spoiled(now, leased, Cause::TimedOut, out));
+    assert_eq!(ticked(&mut rig), [], "it may be down, and comes back cold");
+    let mut rig = busy(warm.clone());
+    let here = rig.place;
+    rig.with(|pool, _, out| pool.retire(here, out));
+    assert_eq!(ticked(&mut rig), []);
+    let now = rig.now;
+    rig.pool.open(now, here);
+    assert_eq!(ticked(&mut rig), [], "put back, it is cold");
+    let mut rig = busy(warm);
+    rig.now += 11 * SECOND;
+    assert_eq!(ticked(&mut rig), [], "not in use");
+}
+
+#[test]
+fn a_silent_endpoint_does_not_hold_all_the_dials() {
+    let mut rig = Rig::new(Limits { dials: 8, ..limits() });
+    for _ in 0..6 {
+        rig.ask();
+    }
+    assert_eq!(rig.view().dialling, 2);
+    rig.place = place(2);
+    rig.pool.open(rig.now, rig.place);
+    assert_eq!(dials(&rig.ask().1).len(), 1);
+}
+
+#[test]
+fn a_place_is_found_for_a_busy_endpoint_among_what_lies_idle_elsewhere() {
+    let mut rig = Rig::new(Limits { all: 3, per_endpoint: 3, ..limits() });
+    let idle = rig.dialled();
+    rig.ends(idle, Answered::Served);
+    rig.place = place(2);
+    rig.pool.open(rig.now, rig.place);
+    let first = rig.dialled();
+    rig.dialled();
+    let (_, out) = rig.ask();
+    assert_eq!(out[0], Command::Close { connection: idle });
+    let dial = dials(&out)[0];
+    rig.with(|pool, now, out| pool.up(now, dial, out));
+    // nothing is idle any more: the next one waits for what falls free, wherever
+    let (waiter, out) = rig.ask();
+    assert_eq!(out, []);
+    let out = rig.with(|pool, now, out| pool.spoiled(now, first, Cause::Reset, out));
+    let dial = dials(&out)[0];
+    assert_eq!(leased(&rig.with(|pool, now, out| pool.up(now, dial, out))), [(waiter, dial)]);
+    // what an old process still holds counts too
+    rig.with(|pool, now, out| pool.elsewhere(now, 2, out));
+    assert_eq!(rig.ask().1, []);
+    assert_eq!(dials(&rig.with(|pool, now, out| pool.elsewhere(now, 0, out))).len(), 0, "three are open");
+}
+
+#[test]
+fn ten_thousand_endpoints_that_come_and_go_leave_nothing_behind() {
+    let mut rig = Rig::new(limits());
+    for n in 0..10_000 {
+        rig.place = at(n + 10, (n % 50) as u16);
+        rig.pool.open(rig.now, rig.place);
+        let connection = rig.dialled();
+        rig.ends(connection, Answered::Served);
+        let here = rig.place;
+        rig.with(|pool, _, out| pool.retire(here, out));
+        rig.now += MILLISECOND;
+    }
+    assert_eq!(rig.pool.sizes(), (1, 0, 0));
+    assert_eq!(rig.pool.view(rig.now).1.dials, 10_000, "the sums keep what the endpoints had");
+}
