Prove the pool on sockets: cuts at each byte, drains, moves, settings, the operators' report

Over in-memory pipes that take one byte at a time the outcome is held to the byte: what was cut before the last one never ran.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -95,8 +95,19 @@
 #[derive(Clone)]
 pub struct Connections(Rc<Layer>);
 
+type Driven = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Where new connections come from.
+enum Dialler {
+    Tcp,
+    /// One after another from here; dials beyond them are refused.
+    #[cfg(test)]
+    Ready(RefCell<std::collections::VecDeque<tokio::io::DuplexStream>>),
+}
+
 struct Layer {
     start: Instant,
+    dialler: Dialler,
     means: Means,
     pool: RefCell<Pool>,
     /// Connections that are up and not leased.
@@ -138,8 +149,20 @@
 impl Connections {
     /// None yet.
     pub fn new(limits: Limits, dial_timeout: Micros, means: Means) -> Self {
+        Connections::from(Dialler::Tcp, limits, dial_timeout, means)
+    }
+
+    /// None yet; new ones are these, in turn.
+    #[cfg(test)]
+    pub fn ready(streams: Vec<tokio::io::DuplexStream>, limits: Limits) -> Self {
+        let dialler = Dialler::Ready(RefCell::new(streams.into()));
+        Connections::from(dialler, limits, milletturn::SECOND, Means { descriptors: 100, seed: 1 })
+    }
+
+    fn from(dialler: Dialler, limits: Limits, dial_timeout: Micros, means: Means) -> Self {
         Connections(Rc::new(Layer {
             start: Instant::now(),
+            dialler,
             means,
             pool: RefCell::new(Pool::new(limits, means.seed)),
             free: RefCell::default(),
@@ -332,8 +355,23 @@
         }
     }
 
+    async fn connect(&self, place: Place) -> io::Result<(Connection, Driven)> {
+        match &self.dialler {
+            Dialler::Tcp => {
+                let stream = TcpStream::connect(place.address).await?;
+                stream.set_nodelay(true)?;
+                handshake(stream).await
+            }
+            #[cfg(test)]
+            Dialler::Ready(streams) => {
+                let stream = streams.borrow_mut().pop_front();
+                handshake(stream.ok_or(io::Error::from(io::ErrorKind::ConnectionRefused))?).await
+            }
+        }
+    }
+
     async fn dial(self: &Rc<Self>, connection: u64, place: Place) {
-        let up = timeout(self.dial_timeout.get(), connect(place)).await;
+        let up = timeout(self.dial_timeout.get(), self.connect(place)).await;
         let why = match up {
             Ok(Ok((up, driven))) => {
                 let layer = self.clone();
@@ -355,17 +393,16 @@
 }
 
 /// The connection, and what drives it until it ends.
-async fn connect(place: Place) -> io::Result<(Connection, impl Future<Output = ()>)> {
-    let stream = TcpStream::connect(place.address).await?;
-    stream.set_nodelay(true)?;
+async fn handshake<S>(stream: S) -> io::Result<(Connection, Driven)>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
     let traffic = Arc::new(Traffic::default());
     let counted = Counted { stream, traffic: traffic.clone() };
     let shake = http1::Builder::new().max_buf_size(BODY_MOST).handshake(TokioIo::new(counted));
     let (sender, connection) = shake.await.map_err(io::Error::other)?;
-    let driven = async move {
-        // how it ends is told to the call on it
-        let _ = connection.await;
-    };
+    // how it ends is told to the call on it
+    let driven = Box::pin(async move { drop(connection.await) });
     Ok((Connection { sender, traffic }, driven))
 }
 
@@ -422,12 +459,12 @@
 }
 
 /// Counts what has been written: a call whose last byte was not can't have run. Keeps the start of what is read.
-struct Counted {
-    stream: TcpStream,
+struct Counted<S> {
+    stream: S,
     traffic: Arc<Traffic>,
 }
 
-impl Counted {
+impl<S> Counted<S> {
     fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &result {
             self.traffic.written.fetch_add(*bytes as u64, Ordering::Relaxed);
@@ -436,7 +473,7 @@
     }
 }
 
-impl AsyncRead for Counted {
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -447,7 +484,7 @@
     }
 }
 
-impl AsyncWrite for Counted {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
     fn poll_write(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -159,12 +159,15 @@
     }
 }
 
-/// Discovery: tells one list to each watch, and takes notices.
+/// Discovery: tells one list to each watch and what changes after it, and takes notices.
+#[derive(Clone)]
 pub struct Agent {
     pub address: SocketAddr,
     pub notices: Arc<Mutex<Vec<String>>>,
     /// Lines for the next watch; empty: a silent one, as while discovery is down.
     pub lines: Arc<Mutex<Vec<String>>>,
+    /// Lines for the watches that are open.
+    changes: Arc<Mutex<Vec<String>>>,
     pub watches: Arc<AtomicUsize>,
     /// So many requests with notices are answered 500 first.
     pub faults: Arc<AtomicUsize>,
@@ -177,30 +180,32 @@
             address: listener.local_addr().expect("bound"),
             notices: Arc::default(),
             lines: Arc::new(Mutex::new(lines)),
+            changes: Arc::default(),
             watches: Arc::default(),
             faults: Arc::default(),
         };
-        let (notices, lines) = (agent.notices.clone(), agent.lines.clone());
-        let (watches, faults) = (agent.watches.clone(), agent.faults.clone());
+        let here = agent.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (notices, lines) = (notices.clone(), lines.clone());
-                let (watches, faults) = (watches.clone(), faults.clone());
-                thread::spawn(move || serve_agent(stream, &notices, &lines, &watches, &faults));
+                let here = here.clone();
+                thread::spawn(move || serve_agent(stream, &here));
             }
         });
         agent
     }
 
+    /// Tells a change to the watches that are open.
+    pub fn tell(&self, line: String) {
+        self.changes.lock().expect("not poisoned").push(line);
+    }
+
     pub fn notices(&self) -> Vec<String> {
         self.notices.lock().expect("not poisoned").clone()
     }
 }
 
-fn serve_agent(
-    mut stream: TcpStream, notices: &Mutex<Vec<String>>, lines: &Mutex<Vec<String>>, watches: &AtomicUsize,
-    faults: &AtomicUsize,
-) {
+fn serve_agent(mut stream: TcpStream, agent: &Agent) {
+    let Agent { notices, lines, watches, faults, changes, .. } = agent;
     let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
     let Some(request) = read_http(&mut reader) else { return };
     if request.line.starts_with("POST /v1/outcomes ") {
@@ -217,6 +222,7 @@
     assert!(request.line.starts_with("GET /v1/endpoints?watch=1&from="), "{}", request.line);
     watches.fetch_add(1, Ordering::SeqCst);
     let mut told = lines.lock().expect("not poisoned").clone();
+    let mut seen = changes.lock().expect("not poisoned").len();
     if stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_err() {
         return;
     }
@@ -228,8 +234,13 @@
                 return;
             }
         }
-        thread::sleep(Duration::from_millis(500));
-        if !silent {
+        let until = Instant::now() + Duration::from_millis(500);
+        while told.is_empty() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(10));
+            told.extend(changes.lock().expect("not poisoned")[seen..].iter().cloned());
+        }
+        seen += told.len();
+        if !silent && told.is_empty() {
             told.push(String::new());
         }
     }
@@ -237,6 +248,15 @@
 
 /// A list for discovery's form: each endpoint's uid, address, kind, destination and state.
 pub fn list(entries: &[(&str, SocketAddr, &str, u64, &str)]) -> String {
+    lines_of(7, true, entries)
+}
+
+/// Changes that make a further version.
+pub fn changes(version: u64, entries: &[(&str, SocketAddr, &str, u64, &str)]) -> String {
+    lines_of(version, false, entries)
+}
+
+fn lines_of(version: u64, all: bool, entries: &[(&str, SocketAddr, &str, u64, &str)]) -> String {
     let targets: Vec<String> = entries
         .iter()
         .map(|(uid, address, kind, destination, state)| {
@@ -245,7 +265,7 @@
             )
         })
         .collect();
-    format!(r#"{{"rev":7,"all":true,"targets":[{}]}}"#, targets.join(","))
+    format!(r#"{{"rev":{version},"all":{all},"targets":[{}]}}"#, targets.join(","))
 }
 
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
@@ -260,6 +280,32 @@
     folder
 }
 
+/// A configuration for one sender, with a port of its own for clients and one for operators.
+pub fn config(discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize) -> String {
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","control":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
+        "known":{{"rev":0,"all":true,"targets":[]}},
+        "settings":{{"az":"a","balancers":1,"zones":["a"],"machineTypes":["one","bulk"],
+          "caps":{{"maxOpen":50,"mostTries":12,"mayCancel":true,"secondCopies":true,"connIdle":{idle_s},
+            "dialTimeout":0.5,"retryAfter":true,"maxRetryAfter":3.0}},
+          "report":{{"how":"piggyback","fields":["x0","x1"]}},
+          "classes":[
+            {{"name":"webhook","aim":4.0,"deadline":20.0,"effect":"deduplicated","group":"all","window":12.0}},
+            {{"name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once"}},
+            {{"name":"charge","aim":4.0,"deadline":20.0,"effect":"at_most_once","oneAtATime":true}}],
+          "realms":[{{"name":"acme","allowancePerS":0.01}},{{"name":"beta","allowancePerS":1000.0}}],
+          "overShareWorth":0.1,
+          "specifics":{{"callSlots":8,"bundleMax":[1,5],"routesApart":[false,false]}},
+          "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
+    )
+}
+
+/// The configuration with a further part.
+pub fn with_part(config: &str, more: &str) -> String {
+    config.replacen(r#""known":"#, &format!(r#"{more}"known":"#), 1)
+}
+
 /// The sender and what outlasts its processes.
 pub struct Node {
     pub folder: PathBuf,
@@ -303,28 +349,28 @@
         Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s, self.sockets, passed)
     }
 
+    /// One with further parts of the configuration, and other call slots.
+    pub fn configured(agent: &Agent, idle_s: f64, slots: usize, more: &str) -> Self {
+        let folder = fresh_folder();
+        let config = config(agent.address, 3.0, idle_s, 1024)
+            .replace(r#""callSlots":8"#, &format!(r#""callSlots":{slots}"#));
+        std::fs::write(folder.join("config.json"), with_part(&config, more)).expect("written");
+        Node::spawn(folder, agent.address, 3.0, idle_s, 1024, None)
+    }
+
     fn start(
         folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize,
         passed: Option<Arc<TcpListener>>,
     ) -> Self {
-        let config = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","control":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
-            "known":{{"rev":0,"all":true,"targets":[]}},
-            "settings":{{"az":"a","balancers":1,"zones":["a"],"machineTypes":["one","bulk"],
-              "caps":{{"maxOpen":50,"mostTries":12,"mayCancel":true,"secondCopies":true,"connIdle":{idle_s},
-                "dialTimeout":0.5,"retryAfter":true,"maxRetryAfter":3.0}},
-              "report":{{"how":"piggyback","fields":["x0","x1"]}},
-              "classes":[
-                {{"name":"webhook","aim":4.0,"deadline":20.0,"effect":"deduplicated","group":"all","window":12.0}},
-                {{"name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once"}},
-                {{"name":"charge","aim":4.0,"deadline":20.0,"effect":"at_most_once","oneAtATime":true}}],
-              "realms":[{{"name":"acme","allowancePerS":0.01}},{{"name":"beta","allowancePerS":1000.0}}],
-              "overShareWorth":0.1,
-              "specifics":{{"callSlots":8,"bundleMax":[1,5],"routesApart":[false,false]}},
-              "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
-        );
-        std::fs::write(folder.join("config.json"), config).expect("written");
+        let text = config(discovery, disk_mb, idle_s, sockets);
+        std::fs::write(folder.join("config.json"), text).expect("written");
+        Node::spawn(folder, discovery, disk_mb, idle_s, sockets, passed)
+    }
+
+    fn spawn(
+        folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize,
+        passed: Option<Arc<TcpListener>>,
+    ) -> Self {
         let mut command = command(&folder);
         if let Some(listener) = &passed {
             // the shell gives the socket, which comes as its input, the number that is told
@@ -516,3 +562,13 @@
         Some((status, answer))
     }
 }
+
+/// A text answer of an operator's call.
+pub fn told(node: &Node, call: &str) -> String {
+    let mut stream = TcpStream::connect(node.control).expect("the sender accepts");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    stream.write_all(format!("{call} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes()).expect("written");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("answered");
+    text.split_once("\r\n\r\n").map(|(_, body)| body.to_string()).unwrap_or_default()
+}
