Let a call whose connect was refused wait for the connections that work beside it

A capped endpoint (four connections, 100 ms a call, load for sixteen) was served 7 calls in 10 s: three refused connects, told to the module as calls without a connection, made it take the destination for failing. Now a connect refused beside open connections fails nobody at once: no further one is dialled until one of them answers, which teaches the cap, or the last of them has broken, which makes it an outage.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -21,7 +21,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,6 +34,8 @@
 const REMEMBERED: usize = 4096;
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(250);
+/// What goes and comes back within this time is the same endpoint still, with its waits: longer than these are.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
 /// Inputs taken into one turn, so that a turn stays short.
 const MOST_AT_ONCE: usize = 1000;
 
@@ -221,6 +223,8 @@
     listed: bool,
     /// Nor that it drains.
     up: bool,
+    /// Since when nothing needs it any more, as far as that has been looked at.
+    gone: Option<Instant>,
 }
 
 /// What the driver has in common with the rest of the process.
@@ -257,7 +261,8 @@
     calls: Calls,
     notices: mpsc::UnboundedSender<Notice>,
     ready: watch::Sender<bool>,
-    routes: Vec<Route>,
+    routes: BTreeMap<EndpointId, Route>,
+    next_endpoint: u32,
     by_uid: HashMap<String, EndpointId>,
     messages: BTreeMap<MessageId, Message>,
     by_id: HashMap<HeaderValue, MessageId>,
@@ -296,7 +301,8 @@
             calls,
             notices,
             ready,
-            routes: Vec::new(),
+            routes: BTreeMap::new(),
+            next_endpoint: 0,
             by_uid: HashMap::new(),
             messages: BTreeMap::new(),
             by_id: HashMap::new(),
@@ -344,7 +350,7 @@
                 Some(order) = orders.recv() => match order {
                     Order::SetOut { uid, out, reply } => self.obey(uid, out, reply),
                     Order::Pools { reply } => {
-                        let uid_of = |id: EndpointId| Some(self.routes.get(id.0 as usize)?.uid.clone());
+                        let uid_of = |id: EndpointId| Some(self.routes.get(&id)?.uid.clone());
                         // an operator that has gone asks again
                         let _ = reply.send(self.calls.connections().report(uid_of));
                         continue;
@@ -377,7 +383,7 @@
 
     fn obey(&mut self, uid: String, out: bool, reply: oneshot::Sender<Verdict>) {
         let was_out = self.journal.is_out(&uid);
-        let listed = self.by_uid.get(&uid).and_then(|endpoint| self.routes.get(endpoint.0 as usize));
+        let listed = self.by_uid.get(&uid).and_then(|endpoint| self.routes.get(endpoint));
         let verdict = if !was_out && !listed.is_some_and(|route| route.listed) {
             Verdict::Unknown
         } else if was_out == out {
@@ -462,7 +468,8 @@
     }
 
     fn handover(&self) -> Result<Handover, postcard::Error> {
-        let route = |route: &Route| HandedRoute {
+        let route = |(endpoint, route): (&EndpointId, &Route)| HandedRoute {
+            endpoint: endpoint.0,
             uid: route.uid.clone(),
             address: route.address,
             kind: route.kind,
@@ -493,6 +500,7 @@
             names: self.names.clone(),
             routes: self.routes.iter().map(route).collect(),
             messages: self.messages.iter().map(message).collect(),
+            next_endpoint: self.next_endpoint,
             next_message: self.next_message,
             out: self.out.iter().map(call).collect(),
             next_call: self.next_call,
@@ -508,10 +516,12 @@
         self.names = handover.names;
         (self.next_message, self.next_call) = (handover.next_message, handover.next_call);
         (self.list_version, self.alarm) = (handover.list_version, handover.alarm);
-        for HandedRoute { uid, address, kind, destination, listed, up } in handover.routes {
-            let endpoint = EndpointId(self.routes.len() as u32);
+        self.next_endpoint = handover.next_endpoint;
+        for handed in handover.routes {
+            let HandedRoute { endpoint, uid, address, kind, destination, listed, up } = handed;
+            let (endpoint, gone) = (EndpointId(endpoint), None);
             self.by_uid.insert(uid.clone(), endpoint);
-            self.routes.push(Route { uid, address, kind, destination, listed, up });
+            self.routes.insert(endpoint, Route { uid, address, kind, destination, listed, up, gone });
             self.admit(endpoint);
         }
         for handed in handover.messages {
@@ -534,7 +544,7 @@
         }
         self.count_elsewhere();
         self.delivered = handover.delivered.iter().filter_map(|id| HeaderValue::from_str(id).ok()).collect();
-        if self.routes.iter().any(|route| route.listed) {
+        if self.routes.values().any(|route| route.listed) {
             self.ready.send_replace(true);
         }
     }
@@ -651,19 +661,43 @@
 
     /// The module's number for an endpoint.
     fn endpoint_of(&mut self, uid: &str) -> EndpointId {
-        let next = EndpointId(self.routes.len() as u32);
-        let endpoint = *self.by_uid.entry(uid.to_string()).or_insert(next);
-        if endpoint == next {
-            let (uid, kind) = (uid.to_string(), usize::MAX);
-            let (address, destination, listed, up) = (None, 0, false, false);
-            self.routes.push(Route { uid, address, kind, destination, listed, up });
+        if let Some(&endpoint) = self.by_uid.get(uid) {
+            return endpoint;
         }
+        let endpoint = EndpointId(self.next_endpoint);
+        self.next_endpoint += 1;
+        let (uid, kind) = (uid.to_string(), usize::MAX);
+        let (address, destination, listed, up, gone) = (None, 0, false, false, None);
+        self.by_uid.insert(uid.clone(), endpoint);
+        self.routes.insert(endpoint, Route { uid, address, kind, destination, listed, up, gone });
         endpoint
     }
 
+    /// Forgets endpoints that no list has had for a while, that are not out and that no message was sent to.
+    fn forget_routes(&mut self) {
+        let now = Instant::now();
+        let (messages, journal, by_uid) = (&self.messages, &self.journal, &mut self.by_uid);
+        if self.routes.values().all(|route| route.listed) {
+            return;
+        }
+        let tried: BTreeSet<EndpointId> =
+            messages.values().flat_map(|held| &held.attempts).map(|tried| tried.endpoint).collect();
+        self.routes.retain(|endpoint, route| {
+            let gone = *route.gone.get_or_insert(now);
+            let kept = route.listed || journal.is_out(&route.uid) || tried.contains(endpoint);
+            if kept {
+                route.gone = None;
+            } else if now - gone >= FORGET_AFTER {
+                by_uid.remove(&route.uid);
+                return false;
+            }
+            true
+        });
+    }
+
     /// Tells the pool whether the endpoint takes calls.
     fn admit(&self, endpoint: EndpointId) {
-        let Some(route) = self.routes.get(endpoint.0 as usize) else { return };
+        let Some(route) = self.routes.get(&endpoint) else { return };
         if let Some(address) = route.address {
             let serving = route.listed && route.up && !self.journal.is_out(&route.uid);
             self.calls.connections().serve(Place { address, endpoint }, serving);
@@ -678,21 +712,18 @@
 
     /// Where an endpoint is.
     fn place_of(&self, endpoint: EndpointId) -> Option<Place> {
-        let address = self.routes.get(endpoint.0 as usize)?.address?;
+        let address = self.routes.get(&endpoint)?.address?;
         Some(Place { address, endpoint })
     }
 
     /// An endpoint has told to wait, which holds for its whole destination: none of that is dialled ahead of need.
     fn told_wait(&self, endpoint: EndpointId, wait: Micros) {
-        let Some(destination) = self.routes.get(endpoint.0 as usize).map(|route| route.destination) else {
+        let Some(destination) = self.routes.get(&endpoint).map(|route| route.destination) else {
             return;
         };
-        for (at, route) in
-            self.routes.iter().enumerate().filter(|(_, route)| route.destination == destination)
-        {
+        for (&endpoint, route) in self.routes.iter().filter(|(_, route)| route.destination == destination) {
             if let Some(address) = route.address {
-                let place = Place { address, endpoint: EndpointId(at as u32) };
-                self.calls.connections().told_wait(place, wait);
+                self.calls.connections().told_wait(Place { address, endpoint }, wait);
             }
         }
     }
@@ -924,13 +955,13 @@
             self.list_version = update.version;
         }
         if update.full {
-            self.routes.iter_mut().for_each(|route| (route.listed, route.up) = (false, false));
+            self.routes.values_mut().for_each(|route| (route.listed, route.up) = (false, false));
         }
         let mut entries = Vec::with_capacity(update.targets.len());
         for listed in update.targets {
             let kind = position(&self.names.kinds, &listed.kind);
             let endpoint = self.endpoint_of(&listed.uid);
-            if let Some(route) = self.routes.get_mut(endpoint.0 as usize) {
+            if let Some(route) = self.routes.get_mut(&endpoint) {
                 if let Some(address) = route.address.filter(|&before| before != listed.address) {
                     self.calls.connections().serve(Place { address, endpoint }, false);
                 }
@@ -952,8 +983,9 @@
             });
         }
         if update.full {
-            (0..self.routes.len()).for_each(|at| self.admit(EndpointId(at as u32)));
+            self.routes.keys().for_each(|&endpoint| self.admit(endpoint));
         }
+        self.forget_routes();
         if !entries.is_empty() {
             self.ready.send_replace(true);
         }
@@ -1062,8 +1094,7 @@
         held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true, record: None });
         let size = calls::bulk_size(&held.item);
         let open = held.open;
-        let Some((uid, kind)) =
-            self.routes.get(endpoint.0 as usize).map(|route| (route.uid.clone(), route.kind))
+        let Some((uid, kind)) = self.routes.get(&endpoint).map(|route| (route.uid.clone(), route.kind))
         else {
             return self.unsent(message, attempt, endpoint);
         };
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -99,6 +99,7 @@
     pub sender: Vec<u8>,
     pub names: Names,
     pub routes: Vec<HandedRoute>,
+    pub next_endpoint: u32,
     pub messages: Vec<HandedMessage>,
     pub next_message: u64,
     pub out: Vec<HandedCall>,
@@ -113,6 +114,7 @@
 /// Where an endpoint is.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct HandedRoute {
+    pub endpoint: u32,
     pub uid: String,
     pub address: Option<std::net::SocketAddr>,
     pub kind: usize,
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -508,13 +508,14 @@
         *site.counts.dial_failures.entry(why).or_default() += 1;
         site.warm_from = site.warm_from.max(cold);
         let established = site.established();
-        if !trial && learn && why == DialFailure::Refused && established > 0 {
+        let beside = why == DialFailure::Refused && established > 0 && learn;
+        if beside && !trial {
             // one that is down resets those connections too, but their resets may come later than this
             site.refused = Some((established, now));
         }
         // a call with a dial of its own still out goes on waiting, and so does one that came later than this dial
-        // where that says nothing of the next; a try above the cap was made beside connections that work
-        let denied = site.waiting.len() > site.dialling && !(trial && established > 0);
+        // where that says nothing of the next, or that may get one of the connections beside which it was refused
+        let denied = site.waiting.len() > site.dialling && !beside && !(trial && established > 0);
         let asked = site.waiting.front().map(|(_, asked)| *asked);
         if denied
             && (why != DialFailure::TimedOut || asked.is_some_and(|asked| asked <= since))
@@ -599,9 +600,6 @@
         let keep = self.keep(now, place);
         if let Some(site) = self.sites.get_mut(&place) {
             site.note_peak(now, decay);
-            if matches!(cause, Cause::Reset | Cause::Peer) {
-                site.refused = None;
-            }
             if matches!(cause, Cause::Reset | Cause::TimedOut) {
                 site.warm_from = site.warm_from.max(cold);
             }
@@ -611,6 +609,9 @@
             }
         }
         self.drop_connection(connection, cause);
+        if matches!(cause, Cause::Reset | Cause::Peer) {
+            self.one_less_works(place);
+        }
         if cause == Cause::TimedOut {
             self.suspect(place.address, at, out);
         }
@@ -621,11 +622,10 @@
 
     /// The other side closed a connection. One that carries a call tells by the call's end.
     pub fn closed(&mut self, connection: u64, out: &mut Vec<Command>) {
-        if let Some(Connection { state: State::Idle { .. }, place, .. }) = self.connections.get(&connection) {
-            if let Some(site) = self.sites.get_mut(place) {
-                site.refused = None;
-            }
+        if let Some(&Connection { state: State::Idle { .. }, place, .. }) = self.connections.get(&connection)
+        {
             self.close(connection, Cause::Peer, out);
+            self.one_less_works(place);
         }
     }
 
@@ -774,6 +774,10 @@
         if !site.serving || !room {
             return None;
         }
+        // until it is known whether those work that are open, none is dialled beside them
+        if site.refused.is_some_and(|(most, _)| site.open() >= most) {
+            return None;
+        }
         match &site.cap {
             Some(cap) if site.open() >= cap.most => {
                 (now >= cap.next && cap.trials < cap.step).then_some(true)
@@ -857,6 +861,13 @@
         site.cap.take_if(|cap| cap.most >= per_endpoint);
     }
 
+    /// A connection beside which a connect was refused has broken too: with the last one it is an outage.
+    fn one_less_works(&mut self, place: Place) {
+        let Some(site) = self.sites.get_mut(&place) else { return };
+        let established = site.established();
+        site.refused = site.refused.filter(|_| established > 0).map(|(_, at)| (established, at));
+    }
+
     fn learn_cap(&mut self, now: Micros, place: Place, most: usize) {
         let rest = self.raise_first();
         let next = now + self.spread(rest);
