End a call unwritten when its destination tells to wait while it has no connection yet

Ruled out: sends decided after the wait.

The driver now tells the pool of each wait, for the whole destination, or the one endpoint where routes are apart; calls that still wait for a connection end as not sent, and the module decides anew. The same where an endpoint drains, and where a process has handed over, since the other one alone hears what is told.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -5,13 +5,13 @@
 
 use super::Seldom;
 use super::driver::Input;
-use super::pool::{Connections, Lease};
+use super::pool::{Connections, Lease, NoLease};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
-use milletturn::pool::{Answered, Cause, Place};
+use milletturn::pool::{Answered, Cause, Denied, Place};
 use milletturn::{MILLISECOND, Micros, Outcome};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -161,8 +161,12 @@
 async fn exchange(shared: &Rc<Shared>, call: &Call, end: &Rc<Cell<Cause>>) -> Answer {
     let (address, items) = (call.place.address, &call.items[..]);
     loop {
-        let Ok(mut lease) = shared.connections.lease(call.place, end).await else {
-            return Outcome::NoConnection.into();
+        let mut lease = match shared.connections.lease(call.place, end).await {
+            Ok(lease) => lease,
+            Err(NoLease::Denied(Denied::Wait | Denied::Retired | Denied::Leaving)) => {
+                return Outcome::Unsent { no_slot: false }.into();
+            }
+            Err(_) => return Outcome::NoConnection.into(),
         };
         let Some((request, least)) = request_of(address, items, call.expires) else {
             lease.give_back();
@@ -435,6 +439,27 @@
         }
     }
 
+    #[test]
+    fn a_call_without_a_connection_ends_unsent_once_its_destination_tells_to_wait() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        let local = tokio::task::LocalSet::new();
+        local.block_on(&runtime.expect("a runtime"), async move {
+            let (here, mut there) = duplex(1);
+            let (shared, call) = shared(vec![here]);
+            let end = Rc::new(Cell::new(Cause::CalledOff));
+            let told = async {
+                // the call has asked, its dial is under way
+                shared.connections.told_wait(call.place, SECOND);
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            };
+            let (answer, ()) = tokio::join!(timeout(DRAIN, exchange(&shared, &call, &end)), told);
+            let answer = answer.expect("it has its end at once");
+            assert!(matches!(answer.ends, Ends::All(Outcome::Unsent { no_slot: false }, false)));
+            // the connection came up and stays idle, with nothing written
+            assert!(timeout(DRAIN, there.read_u8()).await.is_err());
+        });
+    }
+
     #[test]
     fn a_call_on_a_connection_that_closed_before_its_first_byte_takes_another() {
         // nothing of it was written, so this is no second time; a new one that closes so is none to be had
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -570,7 +570,7 @@
     fn leave(self, link: Link) -> Leaving {
         self.shared.draining.set(true);
         self.shared.handed.send_replace(true);
-        self.calls.connections().leave(true);
+        self.calls.connections().leave();
         Leaving {
             writer: link.listen(self.shared.inputs),
             clock: self.clock,
@@ -716,14 +716,15 @@
         Some(Place { address, endpoint })
     }
 
-    /// An endpoint has told to wait, which holds for its whole destination: none of that is dialled ahead of need.
+    /// An endpoint has told to wait, which holds for its whole destination where that is one route: a call to any
+    /// of it that has no connection yet must not be written when one comes up.
     fn told_wait(&self, endpoint: EndpointId, wait: Micros) {
-        let Some(destination) = self.routes.get(&endpoint).map(|route| route.destination) else {
-            return;
-        };
-        for (&endpoint, route) in self.routes.iter().filter(|(_, route)| route.destination == destination) {
-            if let Some(address) = route.address {
-                self.calls.connections().told_wait(Place { address, endpoint }, wait);
+        let Some(told) = self.routes.get(&endpoint) else { return };
+        let apart = self.settings.kinds.get(told.kind).is_some_and(|kind| kind.separate_routes);
+        for (&other, route) in &self.routes {
+            let concerned = other == endpoint || !apart && route.destination == told.destination;
+            if let Some(address) = route.address.filter(|_| concerned) {
+                self.calls.connections().told_wait(Place { address, endpoint: other }, wait);
             }
         }
     }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -195,9 +195,10 @@
         self.0.with(|pool, out| pool.disconnect(place, out));
     }
 
-    /// The endpoint has told to wait so long.
+    /// The endpoint's destination has told to wait so long: a call that waits for a connection ends unwritten.
     pub fn told_wait(&self, place: Place, wait: Micros) {
-        self.0.pool.borrow_mut().hold_warming(place, self.0.now().saturating_add(wait));
+        let until = self.0.now().saturating_add(wait);
+        self.0.with(|pool, out| pool.told_wait(place, until, out));
     }
 
     /// So many connections are held by the old process of an upgrade.
@@ -206,9 +207,9 @@
         self.0.with(|pool, out| pool.elsewhere(now, count, out));
     }
 
-    /// Closes all idle connections and keeps none from now on, or keeps them again.
-    pub fn leave(&self, leaving: bool) {
-        self.0.with(|pool, out| pool.leave(leaving, out));
+    /// Closes all idle connections, keeps none from now on, and ends the calls that wait for one unwritten.
+    pub fn leave(&self) {
+        self.0.with(|pool, out| pool.leave(out));
     }
 
     /// What time alone brings.
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -118,6 +118,10 @@
     Dial(DialFailure),
     /// Its endpoint drains, is gone, out or elsewhere.
     Retired,
+    /// Its destination has told to wait.
+    Wait,
+    /// The process ends, or has handed over.
+    Leaving,
 }
 
 /// What an answer tells of its endpoint.
@@ -411,13 +415,9 @@
     pub fn retire(&mut self, place: Place, out: &mut Vec<Command>) {
         let Some(site) = self.sites.get_mut(&place).filter(|site| site.serving) else { return };
         site.serving = false;
-        while site.waiting.len() > site.dialling
-            && let Some((waiter, _)) = site.waiting.pop_back()
-        {
-            self.waiters.remove(&waiter);
-            out.push(Command::Deny { waiter, why: Denied::Retired });
-        }
-        for connection in site.idle.clone() {
+        let (dialling, idle) = (site.dialling, site.idle.clone());
+        self.deny(place, dialling, Denied::Retired, out);
+        for connection in idle {
             self.close(connection, Cause::Retired, out);
         }
         self.forget_if_done(place);
@@ -429,19 +429,23 @@
         idle.into_iter().for_each(|connection| self.close(connection, Cause::GivenBack, out));
     }
 
-    /// Nothing is dialled ahead of need to the endpoint before then: it told to wait.
-    pub fn hold_warming(&mut self, place: Place, until: Micros) {
-        if let Some(site) = self.sites.get_mut(&place) {
-            site.warm_from = site.warm_from.max(until);
-        }
+    /// The endpoint's destination has told to wait until then: what still waits for a connection must not be written
+    /// once that comes up, and nothing is dialled ahead of need.
+    pub fn told_wait(&mut self, place: Place, until: Micros, out: &mut Vec<Command>) {
+        let Some(site) = self.sites.get_mut(&place) else { return };
+        site.warm_from = site.warm_from.max(until);
+        self.deny(place, 0, Denied::Wait, out);
     }
 
-    /// Closes all idle connections and keeps none from now on, or keeps them again.
-    pub fn leave(&mut self, leaving: bool, out: &mut Vec<Command>) {
-        self.leaving = leaving;
-        while leaving && let Some(&(_, connection)) = self.idle.first() {
+    /// Closes all idle connections and keeps none from now on. What waits for a connection never gets one: others
+    /// decide now whether it may still go.
+    pub fn leave(&mut self, out: &mut Vec<Command>) {
+        self.leaving = true;
+        while let Some(&(_, connection)) = self.idle.first() {
             self.close(connection, Cause::Leaving, out);
         }
+        let places: Vec<Place> = self.sites.keys().copied().collect();
+        places.into_iter().for_each(|place| self.deny(place, 0, Denied::Leaving, out));
     }
 
     /// A call asks for a connection; each ask has a number of its own.
@@ -525,12 +529,8 @@
             out.push(Command::Deny { waiter, why: Denied::Dial(why) });
         }
         if !site.serving {
-            while site.waiting.len() > site.dialling
-                && let Some((waiter, _)) = site.waiting.pop_back()
-            {
-                self.waiters.remove(&waiter);
-                out.push(Command::Deny { waiter, why: Denied::Retired });
-            }
+            let dialling = site.dialling;
+            self.deny(place, dialling, Denied::Retired, out);
         }
         self.pump(now, place, out);
         self.feed(now, out);
@@ -686,6 +686,17 @@
         (span as f64 * (0.5 + part)) as Micros
     }
 
+    /// Lets no more than so many calls wait at an endpoint, those that have for longest.
+    fn deny(&mut self, place: Place, most: usize, why: Denied, out: &mut Vec<Command>) {
+        while let Some(site) = self.sites.get_mut(&place)
+            && site.waiting.len() > most
+            && let Some((waiter, _)) = site.waiting.pop_back()
+        {
+            self.waiters.remove(&waiter);
+            out.push(Command::Deny { waiter, why });
+        }
+    }
+
     /// How long idle connections to the endpoint are kept.
     fn keep(&self, now: Micros, place: Place) -> Micros {
         let wary = self.sites.get(&place).and_then(|site| site.wary).filter(|(_, until)| now < *until);
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -742,6 +742,36 @@
     assert_eq!(rig.pool.sizes(), (0, 0, 0));
 }
 
+#[test]
+fn what_waits_when_its_destination_tells_to_wait_gets_no_connection() {
+    let mut rig = Rig::new(limits());
+    let busy = rig.dialled();
+    let ((first, out), (second, _)) = (rig.ask(), rig.ask());
+    let dial = dials(&out)[0];
+    let (here, until) = (rig.place, rig.now + SECOND);
+    let out = rig.with(|pool, _, out| pool.told_wait(here, until, out));
+    let denied = |waiter| Command::Deny { waiter, why: Denied::Wait };
+    assert_eq!(out, [denied(second), denied(first)]);
+    // what comes up or falls free is kept for those who ask after it
+    assert_eq!(rig.with(|pool, now, out| pool.up(now, dial, out)), []);
+    assert_eq!(rig.ends(busy, Answered::Served), []);
+    let (waiter, out) = rig.ask();
+    assert_eq!(leased(&out), [(waiter, busy)]);
+}
+
+#[test]
+fn a_process_that_has_handed_over_gives_no_connection_to_what_waits() {
+    let mut rig = Rig::new(limits());
+    let (idle, busy) = (rig.dialled(), rig.dialled());
+    rig.ends(idle, Answered::Served);
+    rig.ask();
+    let (waiter, out) = rig.ask();
+    let dial = dials(&out)[0];
+    assert_eq!(rig.with(|pool, _, out| pool.leave(out)), [Command::Deny { waiter, why: Denied::Leaving }]);
+    assert_eq!(rig.with(|pool, now, out| pool.up(now, dial, out)), [Command::Close { connection: dial }]);
+    assert_eq!(rig.ends(busy, Answered::Served), [Command::Close { connection: busy }]);
+}
+
 #[test]
 fn smaller_caps_take_effect_at_once_on_what_is_idle() {
     let mut rig = Rig::new(limits());
@@ -797,7 +827,8 @@
     // off, told to wait, failed, drained, or not in use: none
     assert_eq!(ticked(&mut busy(limits())), []);
     let mut rig = busy(warm.clone());
-    rig.pool.hold_warming(rig.place, rig.now + 2 * SECOND);
+    let (here, until) = (rig.place, rig.now + 2 * SECOND);
+    assert_eq!(rig.with(|pool, _, out| pool.told_wait(here, until, out)), []);
     assert_eq!(ticked(&mut rig), []);
     rig.now += 2 * SECOND;
     assert_eq!(ticked(&mut rig).len(), 1);
