--- a/src/main.rs
+++ b/src/main.rs
@@ -87,9 +87,7 @@
     let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
     let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
     log_recovery(&config.name, &journal, &recovery);
-    let settings = &config.settings;
-    let (idle, cold) = (settings.connection_idle, settings.safety.cold_time);
-    let limits = limits(&config.pool, config.sockets, idle, cold, senders);
+    let limits = limits(&config.pool, config.sockets, &config.settings);
     let means = Means { descriptors: config.sockets, seed: config.seed };
     let connections = Connections::new(limits, config.names.dial_timeout, means);
     let calls = Calls::new(inputs.clone(), connections);
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -343,13 +343,14 @@
     use super::super::config::PoolSettings;
     use super::super::pool::limits;
     use super::*;
-    use milletturn::{EndpointId, SECOND};
+    use milletturn::{EndpointId, SECOND, Settings};
     use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 
     const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     fn shared(streams: Vec<DuplexStream>) -> (Rc<Shared>, Call) {
-        let limits = limits(&PoolSettings::default(), 100, 60 * SECOND, SECOND, 1);
+        let settings = Settings { connection_idle: 60 * SECOND, ..Settings::new(8, 100) };
+        let limits = limits(&PoolSettings::default(), 100, &settings);
         let connections = Connections::ready(streams, limits);
         let place = Place { address: ([127, 0, 0, 1], 9).into(), endpoint: EndpointId(0) };
         connections.serve(place, true);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -63,11 +63,11 @@
 /// The `pool` object: how connections to endpoints are kept. Caps that are not set follow from the descriptors.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolSettings {
-    per_endpoint: Option<usize>,
-    dials: Option<usize>,
-    all: Option<usize>,
-    idle: Option<usize>,
-    idle_per_endpoint: Option<usize>,
+    pub per_endpoint: Option<usize>,
+    pub dials: Option<usize>,
+    pub all: Option<usize>,
+    pub idle: Option<usize>,
+    pub idle_per_endpoint: Option<usize>,
     /// Seconds in which the wanted number of connections falls by half.
     pub decay_s: f64,
     /// Caps of endpoints are learned from what they refuse.
@@ -76,16 +76,6 @@
     pub warm_share: f64,
 }
 
-/// The caps of the pool, all of them set.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Caps {
-    pub per_endpoint: usize,
-    pub dials: usize,
-    pub all: usize,
-    pub idle: usize,
-    pub idle_per_endpoint: usize,
-}
-
 impl Default for PoolSettings {
     fn default() -> Self {
         PoolSettings {
@@ -102,10 +92,6 @@
 }
 
 impl PoolSettings {
-    /// Idle connections to one endpoint, and in all where the descriptors allow it.
-    const IDLE_EACH: usize = 16;
-    const IDLE_ALL: usize = 200;
-
     /// Reads the object; the process may hold so many descriptors.
     fn read(value: &Value, descriptors: usize) -> Result<Self, ConfigError> {
         let mut read = PoolSettings::default();
@@ -118,7 +104,7 @@
             }
         };
         // all is the bound of the others, whatever order they stand in
-        let most = (descriptors / 2).max(1);
+        let most = pool_most(descriptors);
         let whole = |name: &'static str, most: usize, wanted: &'static str| {
             let key = name.trim_start_matches("pool.");
             let Some(value) = fields.get(key) else { return Ok(None) };
@@ -155,20 +141,11 @@
         }
         Ok(read)
     }
+}
 
-    /// The caps, under what so many descriptors allow: clients hold a third of them, files the rest.
-    pub fn caps(&self, descriptors: usize) -> Caps {
-        let most = (descriptors / 2).max(1);
-        let all = self.all.unwrap_or(most).min(most);
-        let idle = (descriptors / 3).clamp(1, Self::IDLE_ALL);
-        Caps {
-            all,
-            per_endpoint: self.per_endpoint.unwrap_or(all).min(all),
-            dials: self.dials.unwrap_or(all).min(all),
-            idle: self.idle.unwrap_or(idle).min(all),
-            idle_per_endpoint: self.idle_per_endpoint.unwrap_or(Self::IDLE_EACH).min(all),
-        }
-    }
+/// Connections to endpoints that so many descriptors allow: clients hold a third of them, files the rest.
+pub fn pool_most(descriptors: usize) -> usize {
+    (descriptors / 2).max(1)
 }
 
 #[derive(Deserialize)]
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -407,8 +407,7 @@
 
     /// Puts new settings in force for all that comes from now on.
     fn retune(&mut self, mut settings: Settings, names: Names) {
-        let (idle, cold, senders) = (settings.connection_idle, settings.safety.cold_time, settings.senders);
-        self.calls.connections().retune(&self.pool, idle, cold, senders, names.dial_timeout);
+        self.calls.connections().retune(&self.pool, &settings, names.dial_timeout);
         self.calls.retune(names.report_fields.clone());
         let before = (self.settings.clone(), self.names.clone());
         let places = keep_places(&mut settings, before.0, &mut self.names, names);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,13 +2,13 @@
 //! sockets. Calls ask for a connection, use it, and give it back or say that it is spoilt.
 
 use super::calls::BODY_MOST;
-use super::config::PoolSettings;
+use super::config::{PoolSettings, pool_most};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use milletturn::pool::{Answered, Cause, Command, Denied, DialFailure, Limits, Place, Pool, SiteView};
-use milletturn::{EndpointId, MILLISECOND, Micros, SECOND};
+use milletturn::{EndpointId, MILLISECOND, Micros, SECOND, Settings};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -30,6 +30,9 @@
 const LISTED: usize = 200;
 /// As much of an answer as tells its status.
 const FIRST_LINE: usize = 16;
+/// Idle connections to one endpoint, and in all where the descriptors allow it.
+const IDLE_EACH: usize = 16;
+const IDLE_ALL: usize = 200;
 /// Idle time that endpoints are taken to allow where the settings tell none.
 const IDLE_USUAL: Duration = Duration::from_secs(5);
 
@@ -117,24 +120,27 @@
     dial_timeout: Cell<Duration>,
 }
 
-/// The limits that settings come to.
-pub fn limits(pool: &PoolSettings, descriptors: usize, idle: Micros, cold: Micros, senders: u32) -> Limits {
-    let idle = if idle > 0 { span(idle) } else { IDLE_USUAL };
+/// The limits that settings come to. Caps that are not set follow from the descriptors.
+pub fn limits(pool: &PoolSettings, descriptors: usize, settings: &Settings) -> Limits {
+    let idle = if settings.connection_idle > 0 { span(settings.connection_idle) } else { IDLE_USUAL };
     // connections are given up somewhat before the endpoint would close them
     let keep = (idle * 9 / 10).min(idle.saturating_sub(Duration::from_millis(300)));
-    let caps = pool.caps(descriptors);
+    // a file that was read for more descriptors than the process started with allows no more
+    let most = pool_most(descriptors);
+    let all = pool.all.unwrap_or(most).min(most);
+    let cap = |set: Option<usize>, usual: usize| set.unwrap_or(usual).min(all);
     Limits {
-        per_endpoint: caps.per_endpoint,
-        dials: caps.dials,
-        all: caps.all,
-        idle: caps.idle,
-        idle_per_endpoint: caps.idle_per_endpoint,
+        per_endpoint: cap(pool.per_endpoint, all),
+        dials: cap(pool.dials, all),
+        all,
+        idle: cap(pool.idle, (descriptors / 3).clamp(1, IDLE_ALL)),
+        idle_per_endpoint: cap(pool.idle_per_endpoint, IDLE_EACH),
         keep: micros(keep),
         decay: (pool.decay_s * 1e6) as Micros,
         learn_caps: pool.learn_caps,
         warm_share: pool.warm_share,
-        cold,
-        senders,
+        cold: settings.safety.cold_time,
+        senders: settings.senders,
     }
 }
 
@@ -173,11 +179,9 @@
     }
 
     /// From now on.
-    pub fn retune(
-        &self, pool: &PoolSettings, idle: Micros, cold: Micros, senders: u32, dial_timeout: Micros,
-    ) {
+    pub fn retune(&self, pool: &PoolSettings, settings: &Settings, dial_timeout: Micros) {
         self.0.dial_timeout.set(span(dial_timeout));
-        let limits = limits(pool, self.0.means.descriptors, idle, cold, senders);
+        let limits = limits(pool, self.0.means.descriptors, settings);
         let now = self.0.now();
         if limits != *self.0.pool.borrow().limits() {
             self.0.with(|pool, out| pool.retune(now, limits, out));
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -387,11 +387,7 @@
                 self.close(oldest, Cause::Surplus, out);
             }
         }
-        while (self.idle.len() > self.limits.idle || self.total() > self.limits.all)
-            && let Some(&(_, oldest)) = self.idle.first()
-        {
-            self.close(oldest, Cause::Surplus, out);
-        }
+        self.close_surplus(out);
         self.tick(now, out);
     }
 
@@ -746,12 +742,17 @@
             let oldest = site.idle.first().copied().unwrap_or(connection);
             self.close(oldest, Cause::Surplus, out);
         }
+        self.close_surplus(out);
+        self.feed(now, out);
+    }
+
+    /// Closes the oldest idle connections as long as there are more than may be, whichever endpoint they go to.
+    fn close_surplus(&mut self, out: &mut Vec<Command>) {
         while (self.idle.len() > self.limits.idle || self.total() > self.limits.all)
             && let Some(&(_, oldest)) = self.idle.first()
         {
             self.close(oldest, Cause::Surplus, out);
         }
-        self.feed(now, out);
     }
 
     /// Dials for the calls that wait at an endpoint, one each, as far as there is room.
--- a/tests/measure.rs
+++ b/tests/measure.rs
@@ -4,7 +4,6 @@
 mod node;
 
 use node::*;
-use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -13,10 +12,6 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-fn pools(node: &Node) -> Value {
-    serde_json::from_str(&told(node, "GET /pools")).expect("JSON")
-}
-
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -225,9 +220,7 @@
         agent.tell(changes(version, &entries("up")));
         wait_until("they are known", || pools(&node)["totals"]["endpoints"] == BATCH as u64 + 1);
         for n in 0..10 {
-            let id = format!("m{round}-{n}");
-            assert_eq!(node.hand_in("webhook", &id, 2, 20_000, b"x"), 202);
-            wait_until("delivered", || node.hand_in("webhook", &id, 2, 20_000, b"x") == 200);
+            sent(&node, &format!("m{round}-{n}"), 2);
         }
         agent.tell(changes(version + 1, &entries("removed")));
         wait_until("they are gone", || pools(&node)["totals"]["endpoints"] == 1);
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -588,3 +588,19 @@
     stream.read_to_string(&mut text).expect("answered");
     text.split_once("\r\n\r\n").map(|(_, body)| body.to_string()).unwrap_or_default()
 }
+
+/// What the sender tells of its connections.
+pub fn pools(node: &Node) -> serde_json::Value {
+    serde_json::from_str(&told(node, "GET /pools")).expect("JSON")
+}
+
+/// Discovery with one endpoint, of destination 7.
+pub fn one(endpoint: &Endpoint) -> Agent {
+    Agent::new(vec![list(&[("s-1", endpoint.address, "one", 7, "up")])])
+}
+
+/// Hands a message in and waits until the sender knows its end: its connection is free again by then.
+pub fn sent(node: &Node, id: &str, dest: u64) {
+    assert_eq!(node.hand_in("webhook", id, dest, 20_000, b"x"), 202);
+    wait_until("its end is known", || node.hand_in("webhook", id, dest, 20_000, b"x") == 200);
+}
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -9,15 +9,6 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 
-fn one(endpoint: &Endpoint) -> Agent {
-    Agent::new(vec![list(&[("s-1", endpoint.address, "one", 7, "up")])])
-}
-
-/// What the sender tells of its connections.
-fn pools(node: &Node) -> Value {
-    serde_json::from_str(&told(node, "GET /pools")).expect("JSON")
-}
-
 /// Waits for a figure of all endpoints together.
 fn wait_for_total(node: &Node, path: &str, wanted: u64) {
     wait_until(&format!("{path} {wanted}"), || {
@@ -25,12 +16,6 @@
     });
 }
 
-/// Hands a message in and waits until the sender knows its end: its connection is free again by then.
-fn sent(node: &Node, id: &str, dest: u64) {
-    assert_eq!(node.hand_in("webhook", id, dest, 20_000, b"x"), 202);
-    wait_until("its end is known", || node.hand_in("webhook", id, dest, 20_000, b"x") == 200);
-}
-
 /// An endpoint that answers nothing until the gate is open.
 fn gated() -> (Endpoint, Arc<Mutex<bool>>) {
     let gate: Arc<Mutex<bool>> = Arc::default();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -137,18 +137,21 @@
     }
 }
 
-#[test]
-fn a_crowd_that_is_refused_in_waves_keeps_the_pace_it_had_between_them() {
-    // One debt refuses all that call while it runs off. Each of a hundred cut its pace as if it alone had been
-    // refused, and made too few calls up to the next wave to make up for it.
+/// A hundred senders that know a destination of two endpoints with its weight, and what hands them messages in turn.
+fn crowd_of_a_hundred() -> (Fleet, fn(&mut Fleet, std::ops::Range<u64>)) {
     let mut fleet = Fleet::new(100, 3, |settings| settings.weight_trust = 0.5);
     let entries: Vec<Entry> = (1..=2).map(|n| Entry { weight: 60.0, ..entry(n, 7) }).collect();
     for index in 0..100 {
         fleet.tell(index, vec![Event::Listed { listing: Listing::Full, entries: entries.clone() }]);
     }
-    let waiting = |fleet: &mut Fleet, ids: std::ops::Range<u64>| {
-        ids.for_each(|id| fleet.tell((id % 100) as usize, vec![message(id, FREE, 7)]));
-    };
+    (fleet, |fleet, ids| ids.for_each(|id| fleet.tell((id % 100) as usize, vec![message(id, FREE, 7)])))
+}
+
+#[test]
+fn a_crowd_that_is_refused_in_waves_keeps_the_pace_it_had_between_them() {
+    // One debt refuses all that call while it runs off. Each of a hundred cut its pace as if it alone had been
+    // refused, and made too few calls up to the next wave to make up for it.
+    let (mut fleet, waiting) = crowd_of_a_hundred();
     waiting(&mut fleet, 0..300);
     fleet.play(T0 + 20 * SECOND, |_| Outcome::Success);
     waiting(&mut fleet, 300..2000);
@@ -196,14 +199,7 @@
 fn a_crowd_takes_two_calls_by_chance_for_no_rate() {
     // The best second and a half of one with half a call a second is three times its rate: a hundred that each
     // slowed down from there were still over the limit, and grew towards it.
-    let mut fleet = Fleet::new(100, 3, |settings| settings.weight_trust = 0.5);
-    let entries: Vec<Entry> = (1..=2).map(|n| Entry { weight: 60.0, ..entry(n, 7) }).collect();
-    for index in 0..100 {
-        fleet.tell(index, vec![Event::Listed { listing: Listing::Full, entries: entries.clone() }]);
-    }
-    let waiting = |fleet: &mut Fleet, ids: std::ops::Range<u64>| {
-        ids.for_each(|id| fleet.tell((id % 100) as usize, vec![message(id, FREE, 7)]));
-    };
+    let (mut fleet, waiting) = crowd_of_a_hundred();
     // each makes three calls within a second, and then none for a while
     waiting(&mut fleet, 0..300);
     fleet.play(T0 + 20 * SECOND, |_| Outcome::Success);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -9,10 +9,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-fn one(endpoint: &Endpoint) -> Agent {
-    Agent::new(vec![list(&[("s-1", endpoint.address, "one", 7, "up")])])
-}
-
 /// An address that refuses connections for as long as its socket is kept: bound, so that nobody else gets the
 /// port, and not listening.
 fn refusing() -> (SocketAddr, tokio::net::TcpSocket) {
@@ -40,18 +36,12 @@
     assert_eq!(endpoint.times("m1"), 1);
 }
 
-/// Hands a message in and waits until the sender knows its end: its connection is free again by then.
-fn sent(node: &Node, id: &str) {
-    assert_eq!(node.hand_in("webhook", id, 7, 20_000, b"x"), 202);
-    wait_until("its end is known", || node.hand_in("webhook", id, 7, 20_000, b"x") == 200);
-}
-
 #[test]
 fn connections_are_kept() {
     // guards against a handshake for each call; none grows old here, however slow the machine is
     let endpoint = Endpoint::new(|_, _| OK);
     let node = Node::with(one(&endpoint).address, 3.0, 60.0).ready();
-    ["m0", "m1", "m2"].iter().for_each(|id| sent(&node, id));
+    ["m0", "m1", "m2"].iter().for_each(|id| sent(&node, id, 7));
     assert_eq!((endpoint.count(), endpoint.connections.load(Ordering::SeqCst)), (3, 1));
 }
 
@@ -63,15 +53,10 @@
         (0..30).map(|n| (uids[n].as_str(), endpoints[n].address, "one", n as u64, "up")).collect();
     let agent = Agent::new(vec![list(&entries)]);
     let node = Node::with_sockets(agent.address, 3.0, 60.0, 60).ready();
-    let open = || std::fs::read_dir(format!("/proc/{}/fd", node.process.id())).expect("it runs").count();
-    let before = open();
-    for dest in 0..30 {
-        let id = format!("m{dest}");
-        assert_eq!(node.hand_in("webhook", &id, dest, 20_000, b"x"), 202);
-        wait_until("its end is known", || node.hand_in("webhook", &id, dest, 20_000, b"x") == 200);
-    }
+    let before = node.descriptors();
+    (0..30).for_each(|dest| sent(&node, &format!("m{dest}"), dest));
     // a client's connection may still be closing
-    wait_until("20 are kept", || open() <= before + 20);
+    wait_until("20 are kept", || node.descriptors() <= before + 20);
     assert!(endpoints.iter().all(|endpoint| endpoint.count() == 1));
 }
 
@@ -80,9 +65,9 @@
     // guards against writing to a connection about to close
     let endpoint = Endpoint::new(|_, _| OK);
     let node = Node::with(one(&endpoint).address, 3.0, 1.0).ready();
-    sent(&node, "m0");
+    sent(&node, "m0", 7);
     std::thread::sleep(Duration::from_millis(1000)); // the idle time itself
-    sent(&node, "late");
+    sent(&node, "late", 7);
     assert_eq!((endpoint.count(), endpoint.request(1).connection), (2, 1));
 }
 
@@ -94,14 +79,14 @@
     });
     let node = Node::with(one(&endpoint).address, 3.0, 60.0).ready();
     let began = Instant::now();
-    sent(&node, "m1");
+    sent(&node, "m1", 7);
     std::thread::sleep(Duration::from_millis(400));
-    sent(&node, "m2");
+    sent(&node, "m2", 7);
     assert_eq!(endpoint.times("m2"), 2, "sent again");
     assert_eq!(endpoint.request(1).connection, 0, "the first is reused");
     // no shorter a rest than the first one was
     std::thread::sleep(began.elapsed());
-    sent(&node, "m3");
+    sent(&node, "m3", 7);
     assert_eq!(endpoint.request(3).connection, 2, "after a rest like that, none is reused");
 }
 
