Give no connection to a call that asks again after its process has handed over

A call whose used connection had closed before its first byte asks the pool for another. After a hand-over the old process then still dialled and wrote it, though it no longer hears what drains or tells to wait; those that were waiting at the hand-over end as not sent already. Found by reading; the test fails without the change (checked).

--- a/src/pool.rs
+++ b/src/pool.rs
@@ -450,6 +450,9 @@
         let Some(site) = self.sites.get_mut(&place).filter(|site| site.serving) else {
             return out.push(Command::Deny { waiter, why: Denied::Retired });
         };
+        if self.leaving {
+            return out.push(Command::Deny { waiter, why: Denied::Leaving });
+        }
         site.waiting.push_back((waiter, now));
         site.note_peak(now, decay);
         site.asked = now;
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -770,6 +770,9 @@
     assert_eq!(rig.with(|pool, _, out| pool.leave(out)), [Command::Deny { waiter, why: Denied::Leaving }]);
     assert_eq!(rig.with(|pool, now, out| pool.up(now, dial, out)), [Command::Close { connection: dial }]);
     assert_eq!(rig.ends(busy, Answered::Served), [Command::Close { connection: busy }]);
+    // nor to a call whose connection closed before its first byte, and which asks again
+    let (waiter, out) = rig.ask();
+    assert_eq!(out, [Command::Deny { waiter, why: Denied::Leaving }]);
 }
 
 #[test]
