Add the fleet lab: real senders behind relayed links, faults by a timeline, rules checked

Membership can only be proven on several processes with faults between them, and nothing played them. The lab starts real senders on addresses of their own, carries every connection and datagram between two parties through links that can be cut one way, delayed, lossy or reset, kills, stops, upgrades and restarts processes, and checks the record: ends, effects, uninvited calls, processes.

--- /dev/null
+++ b/lab/src/check.rs
@@ -0,0 +1,257 @@
+//! Rules, checked over a history. Each says what it saw break, with the time and the id.
+
+use crate::history::{Event, Record};
+use crate::plan::CLASSES;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// Slack of a message's end after its time is up, and after its sender is ready again.
+const END_SLACK_US: u64 = 300_000;
+const READY_SLACK_US: u64 = 1_500_000;
+/// Slack of all time limits on sockets.
+const SLACK_US: u64 = 50_000;
+
+/// A rule that was broken.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Breach {
+    pub rule: &'static str,
+    pub at_us: u64,
+    pub what: String,
+}
+
+/// All breaches of all rules, in order of time.
+pub fn check(records: &[Record]) -> Vec<Breach> {
+    // what the lab does to the processes after the run breaks nothing
+    let over = records.iter().position(|record| record.event == Event::Over {});
+    let records = over.map_or(records, |over| &records[..=over]);
+    let mut breaches = [ends(records), effects(records), uninvited(records), processes(records)].concat();
+    breaches.sort_by_key(|breach| breach.at_us);
+    breaches
+}
+
+/// A message that was taken on is delivered or ended by a notice in time, and not given two different ends.
+/// What a client that had no answer in time handed in counts for nothing.
+fn ends(records: &[Record]) -> Vec<Breach> {
+    struct Owed {
+        sender: usize,
+        deadline: u64,
+        end: Option<u64>,
+        notice: Option<String>,
+    }
+    let mut handed: HashMap<&str, (usize, u64)> = HashMap::new();
+    let mut owed: BTreeMap<&str, Owed> = BTreeMap::new();
+    let mut lost: HashSet<usize> = HashSet::new();
+    // when each sender is due again: none while it is down
+    let mut back: HashMap<usize, Option<u64>> = HashMap::new();
+    let mut breaches = Vec::new();
+    for Record { at_us, event } in records {
+        let at_us = *at_us;
+        match event {
+            Event::Handed { id, sender, deadline_us, .. } => {
+                handed.insert(id, (*sender, *deadline_us));
+            }
+            Event::Answered { id, status: 200 | 202 } => {
+                if let Some(&(sender, deadline)) = handed.get(id.as_str()) {
+                    owed.entry(id).or_insert(Owed { sender, deadline, end: None, notice: None });
+                }
+            }
+            Event::Replied { id, status: 200, .. } => {
+                // it may be delivered before its client has read the answer
+                match owed.get_mut(id.as_str()) {
+                    Some(owed) => owed.end = owed.end.or(Some(at_us)),
+                    None => {
+                        if let Some(&(sender, deadline)) = handed.get(id.as_str()) {
+                            let end = Some(at_us);
+                            owed.insert(id, Owed { sender, deadline, end, notice: None });
+                        }
+                    }
+                }
+            }
+            Event::Notice { id, state } => {
+                let Some(owed) = owed.get_mut(id.as_str()) else { continue };
+                match &owed.notice {
+                    Some(before) if before != state => breaches.push(Breach {
+                        rule: "ends once",
+                        at_us,
+                        what: format!("{id} ended {before} and then {state}"),
+                    }),
+                    _ => owed.notice = Some(state.clone()),
+                }
+                owed.end = owed.end.or(Some(at_us));
+            }
+            Event::FolderLost { sender } => {
+                lost.insert(*sender);
+                owed.retain(|_, owed| owed.sender != *sender || owed.end.is_some());
+            }
+            Event::Ended { sender, .. } => {
+                back.insert(*sender, None);
+            }
+            Event::Ready { sender } => {
+                back.insert(*sender, Some(at_us + READY_SLACK_US));
+            }
+            _ => {}
+        }
+    }
+    let last = records.last().map_or(0, |record| record.at_us);
+    for (id, owed) in owed {
+        let slack = match back.get(&owed.sender) {
+            Some(None) => continue, // it never came back: it still owes the end
+            Some(Some(ready)) => *ready,
+            None => 0,
+        };
+        let due = (owed.deadline + END_SLACK_US + SLACK_US).max(slack);
+        let end = owed.end.unwrap_or(u64::MAX);
+        if end > due && due <= last {
+            let what = match owed.end {
+                Some(end) => format!("{id} ended {} ms too late", (end - due) / 1000),
+                None => format!("{id} never ended"),
+            };
+            breaches.push(Breach { rule: "ends once", at_us: due, what });
+        }
+    }
+    breaches
+}
+
+/// What must not take effect twice runs at most once.
+fn effects(records: &[Record]) -> Vec<Breach> {
+    let mut classes: HashMap<&str, usize> = HashMap::new();
+    let mut run: HashSet<&str> = HashSet::new();
+    let mut breaches = Vec::new();
+    for Record { at_us, event } in records {
+        match event {
+            Event::Handed { id, class, .. } => {
+                classes.insert(id, *class);
+            }
+            Event::Called { id, run: true, .. } => {
+                let class = classes.get(id.as_str()).and_then(|&class| CLASSES.get(class));
+                let once = class.is_some_and(|class| class.effect == "at_most_once");
+                if once && !run.insert(id) {
+                    let what = format!("{id} took effect twice");
+                    breaches.push(Breach { rule: "effects", at_us: *at_us, what });
+                }
+            }
+            _ => {}
+        }
+    }
+    breaches
+}
+
+/// Every call is a message that a client handed in before, to an endpoint of its destination.
+fn uninvited(records: &[Record]) -> Vec<Breach> {
+    let mut handed: HashSet<&str> = HashSet::new();
+    let mut breaches = Vec::new();
+    for Record { at_us, event } in records {
+        match event {
+            Event::Handed { id, .. } => {
+                handed.insert(id);
+            }
+            Event::Called { id, endpoint, .. } if !handed.contains(id.as_str()) => {
+                let what = format!("endpoint e{endpoint} was called with {id}, which no client handed in");
+                breaches.push(Breach { rule: "calls", at_us: *at_us, what });
+            }
+            _ => {}
+        }
+    }
+    breaches
+}
+
+/// No process ends but by the lab.
+fn processes(records: &[Record]) -> Vec<Breach> {
+    let ended = |record: &Record| match &record.event {
+        Event::Ended { sender, meant: false, status, .. } => {
+            let what = format!("n{sender} ended by itself: {status}");
+            Some(Breach { rule: "processes", at_us: record.at_us, what })
+        }
+        _ => None,
+    };
+    records.iter().filter_map(ended).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn handed(id: &str, class: usize) -> Event {
+        let (id, key, deadline_us) = (id.to_string(), None, 6_000_000);
+        Event::Handed { id, arrival: 0, sender: 1, class, key, dest: 0, deadline_us }
+    }
+
+    fn answered(id: &str, status: u16) -> Event {
+        Event::Answered { id: id.to_string(), status }
+    }
+
+    fn called(id: &str) -> Event {
+        Event::Called { id: id.to_string(), endpoint: 0, sender: 1, run: true }
+    }
+
+    fn replied(id: &str, status: u16) -> Event {
+        Event::Replied { id: id.to_string(), endpoint: 0, sender: 1, status }
+    }
+
+    fn notice(id: &str, state: &str) -> Event {
+        Event::Notice { id: id.to_string(), state: state.to_string() }
+    }
+
+    fn end() -> Event {
+        Event::Over {}
+    }
+
+    /// The rules that a history with these events, at these seconds, breaks.
+    fn broken(events: Vec<(f64, Event)>) -> Vec<&'static str> {
+        let record = |(at, event): (f64, Event)| Record { at_us: (at * 1e6) as u64, event };
+        let records: Vec<Record> = events.into_iter().map(record).collect();
+        check(&records).iter().map(|breach| breach.rule).collect()
+    }
+
+    #[test]
+    fn what_keeps_the_rules_breaks_none() {
+        let down = Event::Ended { sender: 1, pid: 9, meant: true, status: String::new() };
+        let up = Event::Ready { sender: 1 };
+        for events in [
+            // delivered, ended by a notice, refused, given up on by its client
+            vec![
+                (0.0, handed("a", 2)),
+                (0.1, answered("a", 202)),
+                (0.2, called("a")),
+                (0.3, replied("a", 200)),
+                (9.0, end()),
+            ],
+            vec![
+                (0.0, handed("a", 1)),
+                (0.1, answered("a", 202)),
+                (6.2, notice("a", "failed")),
+                (9.0, end()),
+            ],
+            vec![(0.0, handed("a", 1)), (0.1, answered("a", 503)), (9.0, end())],
+            vec![(0.0, handed("a", 1)), (0.4, answered("a", 0)), (9.0, end())],
+            // its sender was down over its deadline
+            vec![
+                (0.0, handed("a", 1)),
+                (0.1, answered("a", 202)),
+                (1.0, down.clone()),
+                (8.0, up),
+                (9.0, notice("a", "failed")),
+                (12.0, end()),
+            ],
+            // the run ended before it was due
+            vec![(0.0, handed("a", 1)), (0.1, answered("a", 202)), (2.0, end())],
+        ] {
+            assert_eq!(broken(events.clone()), [""; 0], "{events:?}");
+        }
+    }
+
+    #[test]
+    fn each_way_to_break_a_rule_is_found() {
+        let crash = Event::Ended { sender: 1, pid: 9, meant: false, status: "signal 6".to_string() };
+        let taken = || vec![(0.0, handed("a", 2)), (0.1, answered("a", 202))];
+        for (more, rule) in [
+            (vec![(9.0, end())], "ends once"),
+            (vec![(7.0, notice("a", "failed")), (9.0, end())], "ends once"),
+            (vec![(2.0, notice("a", "failed")), (3.0, notice("a", "returned"))], "ends once"),
+            (vec![(1.0, called("a")), (2.0, called("a")), (2.5, replied("a", 200))], "effects"),
+            (vec![(1.0, called("b")), (1.5, replied("a", 200))], "calls"),
+            (vec![(1.0, replied("a", 200)), (2.0, crash)], "processes"),
+        ] {
+            assert_eq!(broken([taken(), more.clone()].concat()), [rule], "{more:?}");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,121 @@
+//! `milletturn-lab`: plays fleets of real senders on loopback, puts faults between them, and checks the rules.
+
+mod check;
+mod clients;
+mod fleet;
+mod history;
+mod links;
+mod plan;
+mod relay;
+mod run;
+mod scenario;
+mod serve;
+mod world;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// Exit codes besides 0, all held.
+const BROKEN: u8 = 1;
+const BAD_INPUT: u8 = 2;
+const VOID: u8 = 3;
+
+/// Plays fleets of real senders on loopback, with faults between them, and checks the rules.
+///
+/// Exit codes: 0 all rules held, 1 a rule was broken, 2 bad input or something is short, 3 the run is void.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario.
+    Run {
+        /// The scenario's TOML file.
+        scenario: PathBuf,
+        /// The sender's program.
+        #[arg(long, default_value = "target/release/milletturn")]
+        program: PathBuf,
+        /// Seed of all that is drawn, in place of the scenario's.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Number of senders, in place of the scenario's.
+        #[arg(long)]
+        senders: Option<usize>,
+        /// Folder for the history, the plan and the senders' folders and logs.
+        #[arg(long, default_value = "found/lab")]
+        out: PathBuf,
+    },
+    /// Checks a recorded history again.
+    Check {
+        /// The history that a run left.
+        history: PathBuf,
+    },
+    /// Becomes a program that ends with its parent; for the lab's own use.
+    #[command(hide = true)]
+    Exec { parent: u32, program: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn"));
+    tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
+    match carry_out(Arguments::parse().command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("milletturn-lab: {error:#}");
+            ExitCode::from(BAD_INPUT)
+        }
+    }
+}
+
+fn carry_out(command: Command) -> anyhow::Result<ExitCode> {
+    match command {
+        Command::Run { scenario, program, seed, senders, out } => {
+            let mut scenario = run::read_scenario(&scenario)?;
+            scenario.senders = senders.unwrap_or(scenario.senders);
+            let seed = seed.unwrap_or(scenario.seed);
+            let order = run::Order { scenario, seed, program, out };
+            let runtime =
+                tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+            let outcome = runtime.block_on(run::bounded(&order))?;
+            println!("{}", serde_json::to_string(&outcome.figures)?);
+            let code = verdict(&outcome.breaches, outcome.void.as_deref());
+            println!("history: {}", order.out.join("history.jsonl").display());
+            Ok(code)
+        }
+        Command::Check { history } => {
+            let (_, records) = history::read(&history)?;
+            Ok(verdict(&check::check(&records), None))
+        }
+        Command::Exec { parent, program } => fleet::exec(parent, &program).map(|()| ExitCode::SUCCESS),
+    }
+}
+
+fn verdict(breaches: &[check::Breach], void: Option<&str>) -> ExitCode {
+    const SHOWN: usize = 20;
+    for check::Breach { rule, at_us, what } in breaches.iter().take(SHOWN) {
+        println!("broken: {rule} at {:.3} s: {what}", *at_us as f64 / 1e6);
+    }
+    if let Some(more) = breaches.len().checked_sub(SHOWN).filter(|more| *more > 0) {
+        println!("and {more} more");
+    }
+    match (breaches.is_empty(), void) {
+        (false, _) => {
+            println!("BROKEN: {} breaches", breaches.len());
+            ExitCode::from(BROKEN)
+        }
+        (true, Some(why)) => {
+            println!("VOID: {why}");
+            ExitCode::from(VOID)
+        }
+        (true, None) => {
+            println!("HELD");
+            ExitCode::SUCCESS
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/relay.rs
@@ -0,0 +1,225 @@
+//! Carries bytes and datagrams between parties as the links allow. A reader that does not read holds up its own
+//! connection alone, with no more memory than [`AHEAD`] pieces.
+
+use crate::history::{Event, History};
+use crate::links::Links;
+use crate::plan::Party;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream};
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Bytes read at once, and pieces that may wait to be written on.
+const PIECE: usize = 16 * 1024;
+const AHEAD: usize = 16;
+/// Longest datagram that is carried.
+const DATAGRAM: usize = 64 * 1024;
+/// Datagrams on their way over one sender's links; more are lost, as in a router.
+const ON_THE_WAY: usize = 4096;
+
+/// The links, and word of each change of them.
+#[derive(Debug)]
+pub struct Net {
+    links: Mutex<Links>,
+    changed: watch::Sender<u64>,
+    resets: Mutex<Vec<Reset>>,
+    pub history: Arc<History>,
+}
+
+/// Connections between two groups that are reset, by the number of the change.
+#[derive(Debug)]
+struct Reset {
+    number: u64,
+    from: Vec<Party>,
+    to: Vec<Party>,
+}
+
+impl Net {
+    pub fn new(seed: u64, history: Arc<History>) -> Arc<Self> {
+        let links = Mutex::new(Links::new(seed));
+        Arc::new(Net { links, changed: watch::channel(0).0, resets: Mutex::default(), history })
+    }
+
+    /// Changes the links.
+    pub fn change(&self, change: impl FnOnce(&mut Links)) {
+        change(&mut lock(&self.links));
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    /// Resets the connections between the two that are open now.
+    pub fn reset(&self, from: Vec<Party>, to: Vec<Party>) {
+        let number = *self.changed.borrow() + 1;
+        lock(&self.resets).push(Reset { number, from, to });
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    fn is_reset(&self, since: u64, one: Party, other: Party) -> bool {
+        lock(&self.resets).iter().any(|Reset { number, from, to }| {
+            *number > since
+                && (from.contains(&one) && to.contains(&other) || from.contains(&other) && to.contains(&one))
+        })
+    }
+
+    /// The other end of a connection between two parties, which passes what the links let pass. It ends when
+    /// either side does or when it is reset.
+    pub fn connect(self: &Arc<Self>, stream: TcpStream, outside: Party, inside: Party) -> DuplexStream {
+        // without it pieces wait for one another, and only that
+        let _ = stream.set_nodelay(true);
+        let (near, far) = tokio::io::duplex(PIECE);
+        let net = self.clone();
+        tokio::spawn(async move {
+            let since = *net.changed.borrow();
+            let mut changes = net.changed.subscribe();
+            let reset = async {
+                while !net.is_reset(since, outside, inside) {
+                    if changes.changed().await.is_err() {
+                        return std::future::pending().await;
+                    }
+                }
+            };
+            let (mut stream, mut far) = (stream, far);
+            let was_reset = {
+                let (read, write) = stream.split();
+                let (far_read, far_write) = tokio::io::split(&mut far);
+                tokio::select! {
+                    () = reset => true,
+                    _ = async { tokio::join!(
+                        net.carry(read, far_write, outside, inside),
+                        net.carry(far_read, write, inside, outside),
+                    ) } => false,
+                }
+            };
+            if was_reset {
+                // its peer is told by a reset, not by an end
+                let _ = stream.set_zero_linger();
+            }
+        });
+        near
+    }
+
+    /// Carries one direction until its end, which is passed on.
+    async fn carry(
+        &self, mut from: impl AsyncRead + Unpin, mut to: impl AsyncWrite + Unpin, sender: Party,
+        receiver: Party,
+    ) {
+        let (ahead, mut waiting) = mpsc::channel::<(Instant, Vec<u8>)>(AHEAD);
+        let read = async move {
+            loop {
+                let mut piece = vec![0; PIECE];
+                let Ok(length @ 1..) = from.read(&mut piece).await else { return };
+                piece.truncate(length);
+                let delay = lock(&self.links).pass(sender, receiver).copies.first().copied();
+                let due = Instant::now() + Duration::from_micros(delay.unwrap_or(0));
+                if ahead.send((due, piece)).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let write = async move {
+            while let Some((due, piece)) = waiting.recv().await {
+                sleep_until(due).await;
+                self.uncut(sender, receiver).await;
+                if to.write_all(&piece).await.is_err() {
+                    return;
+                }
+            }
+            self.uncut(sender, receiver).await;
+            // one that has gone needs no end
+            let _ = to.shutdown().await;
+        };
+        tokio::join!(read, write);
+    }
+
+    /// Until something may pass: what a cut holds up comes when it heals, as over a real connection.
+    async fn uncut(&self, from: Party, to: Party) {
+        let mut changes = self.changed.subscribe();
+        while lock(&self.links).cut(from, to) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Where the senders' datagrams go: each is known to the others by an address that the lab holds.
+#[derive(Debug)]
+pub struct Datagrams {
+    net: Arc<Net>,
+    /// By sender: the socket that stands for it, and where it listens itself.
+    sockets: Vec<(Arc<UdpSocket>, SocketAddr)>,
+    by_address: HashMap<SocketAddr, usize>,
+    on_the_way: Arc<tokio::sync::Semaphore>,
+}
+
+impl Datagrams {
+    /// Carries for senders that listen at these addresses.
+    ///
+    /// # Errors
+    /// A socket could not be had.
+    pub async fn start(net: Arc<Net>, stands: &[SocketAddr], own: &[SocketAddr]) -> io::Result<()> {
+        let mut sockets = Vec::new();
+        for (stand, own) in stands.iter().zip(own) {
+            sockets.push((Arc::new(UdpSocket::bind(stand).await?), *own));
+        }
+        let by_address = own.iter().enumerate().map(|(index, address)| (*address, index)).collect();
+        let on_the_way = Arc::new(tokio::sync::Semaphore::new(ON_THE_WAY));
+        let all = Arc::new(Datagrams { net, sockets, by_address, on_the_way });
+        for to in 0..all.sockets.len() {
+            tokio::spawn(all.clone().carry(to));
+        }
+        Ok(())
+    }
+
+    async fn carry(self: Arc<Self>, to: usize) {
+        let mut datagram = vec![0; DATAGRAM];
+        loop {
+            // a peer that is gone shows as an error of the next call, which is no reason to stop
+            let Ok((length, source)) = self.sockets[to].0.recv_from(&mut datagram).await else {
+                sleep(Duration::from_millis(1)).await;
+                continue;
+            };
+            let Some(&from) = self.by_address.get(&source) else { continue };
+            let (sender, receiver) = (Party::Sender(from), Party::Sender(to));
+            let passage = lock(&self.net.links).pass(sender, receiver);
+            self.net.history.count_datagram(length, passage.copies.len());
+            for delay in passage.copies {
+                let (socket, address) = (self.sockets[from].0.clone(), self.sockets[to].1);
+                if delay == 0 {
+                    let _ = socket.try_send_to(&datagram[..length], address);
+                    continue;
+                }
+                let Ok(place) = self.on_the_way.clone().try_acquire_owned() else { continue };
+                let piece = datagram[..length].to_vec();
+                tokio::spawn(async move {
+                    sleep(Duration::from_micros(delay)).await;
+                    let _ = socket.send_to(&piece, address).await;
+                    drop(place);
+                });
+            }
+        }
+    }
+}
+
+/// The lock; what a thread that panicked left is taken as it is.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Watches its own lateness: how much later than asked a short sleep ends.
+pub async fn watch_lateness(history: Arc<History>) {
+    const EVERY: Duration = Duration::from_millis(20);
+    loop {
+        let due = Instant::now() + EVERY;
+        sleep_until(due).await;
+        let late = due.elapsed();
+        history.late(late);
+        if late > Duration::from_millis(100) {
+            history.tell(Event::LabLate { ms: late.as_millis() as u64 });
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/serve.rs
@@ -0,0 +1,232 @@
+//! Endpoints and discovery as the senders meet them: HTTP over connections that pass the links.
+
+use crate::history::Event;
+use crate::plan::Party;
+use crate::relay::{Net, lock};
+use crate::scenario::Scenario;
+use crate::world::{Destination, Fate};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{Interval, interval, sleep};
+
+/// Longest body of a message, of a batch of notices.
+const BODY_MOST: usize = 64 * 1024;
+const NOTICES_MOST: usize = 1 << 20;
+/// How often a watch is told that nothing changes.
+const EMPTY_LINE: Duration = Duration::from_secs(2);
+
+type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// The endpoints and discovery of a run.
+#[derive(Debug)]
+pub struct World {
+    net: Arc<Net>,
+    destinations: Vec<Mutex<Destination>>,
+    /// Endpoints of each destination.
+    each: usize,
+    zones: Vec<String>,
+    capacity: f64,
+    discovery_up: watch::Sender<bool>,
+}
+
+impl World {
+    pub fn new(scenario: &Scenario, seed: u64, net: Arc<Net>) -> Arc<Self> {
+        let each = scenario.destinations.endpoints;
+        let destination = |index: usize| {
+            let sizes = &scenario.destinations;
+            let seed = seed ^ (0xde57 << 16 | index as u64);
+            Mutex::new(Destination::new(sizes.capacity, sizes.latency_ms, each, seed))
+        };
+        Arc::new(World {
+            net,
+            destinations: (0..scenario.destinations.count).map(destination).collect(),
+            each,
+            zones: scenario.zones.clone(),
+            capacity: scenario.destinations.capacity,
+            discovery_up: watch::channel(true).0,
+        })
+    }
+
+    /// Shuts an endpoint or opens it.
+    pub fn shut(&self, endpoint: usize, shut: bool) {
+        if let Some(destination) = self.destinations.get(endpoint / self.each) {
+            lock(destination).shut(endpoint % self.each, shut);
+        }
+    }
+
+    pub fn set_discovery(&self, up: bool) {
+        self.discovery_up.send_replace(up);
+    }
+
+    /// Listens for one sender at addresses of its own; where it finds discovery, which tells it the rest.
+    ///
+    /// # Errors
+    /// An address could not be had.
+    pub async fn listen_for(self: &Arc<Self>, sender: usize, ip: IpAddr) -> io::Result<SocketAddr> {
+        let mut endpoints = Vec::new();
+        for endpoint in 0..self.destinations.len() * self.each {
+            let listener = TcpListener::bind((ip, 0)).await?;
+            endpoints.push(listener.local_addr()?);
+            tokio::spawn(self.clone().accept(listener, sender, Party::Endpoint(endpoint), String::new()));
+        }
+        let listener = TcpListener::bind((ip, 0)).await?;
+        let discovery = listener.local_addr()?;
+        let list = self.list(&endpoints);
+        tokio::spawn(self.clone().accept(listener, sender, Party::Discovery, list));
+        Ok(discovery)
+    }
+
+    /// The whole list, with the addresses at which one sender finds the endpoints.
+    fn list(&self, endpoints: &[SocketAddr]) -> String {
+        let entry = |(number, address): (usize, &SocketAddr)| {
+            serde_json::json!({
+                "uid": format!("e{number}"), "endpoint": address, "az": self.zones[number % self.zones.len()],
+                "model": "school-library", "pod_group": number / self.each, "state": "up",
+                "capacity_hint": self.capacity, "boot_ms": 0
+            })
+        };
+        let targets: Vec<_> = endpoints.iter().enumerate().map(entry).collect();
+        serde_json::json!({ "rev": 1, "all": true, "targets": targets }).to_string()
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener, sender: usize, party: Party, list: String) {
+        let list = Arc::new(list);
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(Duration::from_millis(10)).await; // no descriptor is free just now
+                continue;
+            };
+            let (world, list) = (self.clone(), list.clone());
+            let io = self.net.connect(stream, Party::Sender(sender), party);
+            tokio::spawn(async move {
+                let service = service_fn(|request| {
+                    let (world, list) = (world.clone(), list.clone());
+                    async move {
+                        match party {
+                            Party::Endpoint(endpoint) => world.call(request, endpoint, sender).await,
+                            _ => world.discover(request, &list).await,
+                        }
+                    }
+                });
+                let connection = http1::Builder::new().serve_connection(TokioIo::new(io), service);
+                let mut up = world.discovery_up.subscribe();
+                tokio::select! {
+                    // how a connection ends is the faults' affair
+                    _ = connection => {}
+                    // watches end when discovery goes down
+                    _ = up.wait_for(|up| party == Party::Discovery && !up) => {}
+                }
+            });
+        }
+    }
+
+    async fn call(
+        &self, request: Request<Incoming>, endpoint: usize, sender: usize,
+    ) -> Result<Response<Body>, io::Error> {
+        let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let id = id.to_string();
+        let proper = request.method() == Method::POST && request.uri().path() == "/inbox";
+        let body = Limited::new(request.into_body(), BODY_MOST).collect().await;
+        body.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let history = &self.net.history;
+        let fate = match self.destinations.get(endpoint / self.each).filter(|_| proper) {
+            Some(destination) => lock(destination).call(history.now_us(), endpoint % self.each),
+            None => Fate::Full,
+        };
+        let run = fate != Fate::Full;
+        history.tell(Event::Called { id: id.clone(), endpoint, sender, run });
+        let status = match fate {
+            Fate::Runs { after_us } => {
+                sleep(Duration::from_micros(after_us)).await;
+                StatusCode::OK
+            }
+            Fate::Full => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        history.tell(Event::Replied { id, endpoint, sender, status: status.as_u16() });
+        Ok(plain(status, ""))
+    }
+
+    async fn discover(&self, request: Request<Incoming>, list: &str) -> Result<Response<Body>, io::Error> {
+        let query = request.uri().query().unwrap_or_default().to_string();
+        match (request.method(), request.uri().path()) {
+            // notices are answered even while discovery is down
+            (&Method::POST, "/v1/outcomes") => {
+                let body = Limited::new(request.into_body(), NOTICES_MOST).collect().await;
+                let body = body.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?.to_bytes();
+                Ok(self.noticed(&body))
+            }
+            _ if !*self.discovery_up.borrow() => Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "down")),
+            (&Method::GET, "/v1/endpoints") if query.contains("watch=1") => {
+                // nothing changes after the list's only version
+                let first = (!query.ends_with("from=1")).then(|| format!("{list}\n"));
+                let mut ticks = interval(EMPTY_LINE);
+                ticks.reset();
+                Ok(Response::new(Watch { first, ticks }.boxed_unsync()))
+            }
+            (&Method::GET, "/v1/endpoints") => Ok(plain(StatusCode::OK, list)),
+            _ => Ok(plain(StatusCode::NOT_FOUND, "")),
+        }
+    }
+
+    fn noticed(&self, body: &[u8]) -> Response<Body> {
+        let lines = body.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+        let read = |line: &[u8]| serde_json::from_slice::<Notice>(line);
+        let Ok(notices) = lines.map(read).collect::<Result<Vec<Notice>, _>>() else {
+            return plain(StatusCode::BAD_REQUEST, "");
+        };
+        for Notice { id, state } in notices {
+            self.net.history.tell(Event::Notice { id, state });
+        }
+        plain(StatusCode::NO_CONTENT, "")
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct Notice {
+    id: String,
+    state: String,
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<Body> {
+    let mut response = Response::new(Full::from(text.to_string()).boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+/// A watch: the list, if it is news, then empty lines.
+struct Watch {
+    first: Option<String>,
+    ticks: Interval,
+}
+
+impl hyper::body::Body for Watch {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let line = match self.first.take() {
+            Some(line) => Bytes::from(line),
+            None => {
+                std::task::ready!(self.ticks.poll_tick(context));
+                Bytes::from_static(b"\n")
+            }
+        };
+        Poll::Ready(Some(Ok(Frame::data(line))))
+    }
+}
