Give the driver's jobs a file each, and what the parts tell it a room of its own

The words of an upgrade after the hand-over are a type of their own, so the version of the exchange rises to 5. Behaviour is as it was: all tests pass with no other change than that version.

--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,8 @@
 use net::config::Config;
 use net::control::Control;
 use net::discovery::Backoff;
-use net::driver::{Clock, Driver, Input, Shared};
+use net::driver::{Driver, Shared};
+use net::events::{Clock, Input};
 use net::journal::Journal;
 use net::pool::{Connections, Means, limits};
 use net::server::{Classes, Server, serve};
@@ -59,6 +60,7 @@
     let (inputs, received) = mpsc::unbounded_channel();
     let (notices, queue) = mpsc::unbounded_channel();
     let (orders, ordered) = mpsc::channel(ORDERS);
+    let (asked, successors) = mpsc::channel(1);
     let (ready, ready_seen) = watch::channel(false);
     let (close, closing) = watch::channel(false);
     let (handed, handed_seen) = watch::channel(false);
@@ -147,11 +149,11 @@
     tokio::task::spawn_local(until_handed(Box::pin(watch) as Task));
     let post = discovery::post_notices(agent, queue, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(post)));
-    tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(config.state, orders))));
+    tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(config.state, asked))));
     tokio::task::spawn_local(reread(hangup, config.text, moved, inputs.clone()));
     draining.set(false);
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
-    let driver = tokio::task::spawn_local(driver.run(received, ordered));
+    let driver = tokio::task::spawn_local(driver.run(received, ordered, successors));
     let drain = async {
         terminate.recv().await;
         net::log(format_args!("{}: SIGTERM, draining", config.name));
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -4,7 +4,7 @@
 //! duplicate. When it is unsure whether a call may have run, the outcome says that it may.
 
 use super::Seldom;
-use super::driver::Input;
+use super::events::{BODY_MOST, Ended, Input};
 use super::pool::{Connections, Lease, NoLease};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,8 +12,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use milletturn::pool::{Answered, Cause, Denied, Place};
-use milletturn::{MILLISECOND, Micros, Outcome};
-use serde::{Deserialize, Serialize};
+use milletturn::{MILLISECOND, MessageId, Micros, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,8 +21,6 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
-/// Bodies hold at most this.
-pub const BODY_MOST: usize = 64 * 1024;
 /// Longest time for the rest of an answer whose first line has come.
 const DRAIN: Duration = Duration::from_secs(1);
 
@@ -35,18 +32,14 @@
     pub body: Bytes,
 }
 
-/// How one message of a call ended.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Ended {
-    pub call: u64,
-    /// Its position in the call.
-    pub item: usize,
-    pub outcome: Outcome,
-    /// Nothing more is owed for it.
-    pub closed: bool,
-    pub report: Vec<f64>,
-    /// A wait that the answer told and that no outcome carries.
-    pub wait: Option<Micros>,
+/// A call that has not ended.
+pub struct CallOut {
+    /// Takes the positions that are called off; none where the old process has the call out.
+    pub cancels: Option<mpsc::UnboundedSender<usize>>,
+    /// The message and attempt of each position.
+    pub items: Vec<(MessageId, usize)>,
+    /// Positions that have not ended.
+    pub left: usize,
 }
 
 /// A call to make.
@@ -340,9 +333,9 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::config::PoolSettings;
     use super::super::pool::limits;
     use super::*;
+    use milletturn::pool::PoolSettings;
     use milletturn::{EndpointId, SECOND, Settings};
     use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,7 +1,9 @@
 //! Reads `RELAY_CONFIG`. The nested settings are flattened into the reader of the simulator's wire, so that
 //! their names live in one place.
 
-use super::discovery::{ListUpdate, parse_list};
+use super::discovery::parse_list;
+use super::events::ListUpdate;
+use milletturn::pool::PoolSettings;
 use milletturn::wire::{Names, Pairs, read_settings};
 use milletturn::{Settings, SettingsError};
 use serde::Deserialize;
@@ -60,87 +62,54 @@
     pub pool: PoolSettings,
 }
 
-/// The `pool` object: how connections to endpoints are kept. Caps that are not set follow from the descriptors.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PoolSettings {
-    pub per_endpoint: Option<usize>,
-    pub dials: Option<usize>,
-    pub all: Option<usize>,
-    pub idle: Option<usize>,
-    pub idle_per_endpoint: Option<usize>,
-    /// Seconds in which the wanted number of connections falls by half.
-    pub decay_s: f64,
-    /// Caps of endpoints are learned from what they refuse.
-    pub learn_caps: bool,
-    /// The part of all connections that may be dialled ahead of need.
-    pub warm_share: f64,
-}
-
-impl Default for PoolSettings {
-    fn default() -> Self {
-        PoolSettings {
-            per_endpoint: None,
-            dials: None,
-            all: None,
-            idle: None,
-            idle_per_endpoint: None,
-            decay_s: 30.0,
-            learn_caps: true,
-            warm_share: 0.0,
+/// Reads the `pool` object; the process may hold so many descriptors.
+fn read_pool(value: &Value, descriptors: usize) -> Result<PoolSettings, ConfigError> {
+    let mut read = PoolSettings::default();
+    let fields = match value {
+        Value::Null => return Ok(read),
+        Value::Object(fields) => fields,
+        other => {
+            let (found, wanted) = (other.to_string(), "an object");
+            return Err(ConfigError::Value { name: "pool", found, wanted });
         }
-    }
-}
-
-impl PoolSettings {
-    /// Reads the object; the process may hold so many descriptors.
-    fn read(value: &Value, descriptors: usize) -> Result<Self, ConfigError> {
-        let mut read = PoolSettings::default();
-        let fields = match value {
-            Value::Null => return Ok(read),
-            Value::Object(fields) => fields,
-            other => {
-                let (found, wanted) = (other.to_string(), "an object");
-                return Err(ConfigError::Value { name: "pool", found, wanted });
+    };
+    // all is the bound of the others, whatever order they stand in
+    let most = pool_most(descriptors);
+    let whole = |name: &'static str, most: usize, wanted: &'static str| {
+        let key = name.trim_start_matches("pool.");
+        let Some(value) = fields.get(key) else { return Ok(None) };
+        let number = value.as_u64().and_then(|number| usize::try_from(number).ok());
+        match number.filter(|number| (1..=most).contains(number)) {
+            Some(number) => Ok(Some(number)),
+            None => Err(ConfigError::Value { name, found: value.to_string(), wanted }),
+        }
+    };
+    const IN_ALL: &str = "a whole number from 1 to pool.all";
+    read.all = whole("pool.all", most, "a whole number from 1 to half of limits.sockets")?;
+    let all = read.all.unwrap_or(most);
+    read.per_endpoint = whole("pool.per_endpoint", all, IN_ALL)?;
+    read.dials = whole("pool.dials", all, IN_ALL)?;
+    read.idle = whole("pool.idle", all, IN_ALL)?;
+    read.idle_per_endpoint = whole("pool.idle_per_endpoint", all, IN_ALL)?;
+    for (key, value) in fields {
+        let bad = |name, wanted| ConfigError::Value { name, found: value.to_string(), wanted };
+        match key.as_str() {
+            "all" | "per_endpoint" | "dials" | "idle" | "idle_per_endpoint" => {}
+            "decay_s" => {
+                let number = value.as_f64().filter(|number| (0.1..=3600.0).contains(number));
+                read.decay_s = number.ok_or(bad("pool.decay_s", "seconds from 0.1 to 3600"))?;
             }
-        };
-        // all is the bound of the others, whatever order they stand in
-        let most = pool_most(descriptors);
-        let whole = |name: &'static str, most: usize, wanted: &'static str| {
-            let key = name.trim_start_matches("pool.");
-            let Some(value) = fields.get(key) else { return Ok(None) };
-            let number = value.as_u64().and_then(|number| usize::try_from(number).ok());
-            match number.filter(|number| (1..=most).contains(number)) {
-                Some(number) => Ok(Some(number)),
-                None => Err(ConfigError::Value { name, found: value.to_string(), wanted }),
+            "learn_caps" => {
+                read.learn_caps = value.as_bool().ok_or(bad("pool.learn_caps", "true or false"))?;
             }
-        };
-        const IN_ALL: &str = "a whole number from 1 to pool.all";
-        read.all = whole("pool.all", most, "a whole number from 1 to half of limits.sockets")?;
-        let all = read.all.unwrap_or(most);
-        read.per_endpoint = whole("pool.per_endpoint", all, IN_ALL)?;
-        read.dials = whole("pool.dials", all, IN_ALL)?;
-        read.idle = whole("pool.idle", all, IN_ALL)?;
-        read.idle_per_endpoint = whole("pool.idle_per_endpoint", all, IN_ALL)?;
-        for (key, value) in fields {
-            let bad = |name, wanted| ConfigError::Value { name, found: value.to_string(), wanted };
-            match key.as_str() {
-                "all" | "per_endpoint" | "dials" | "idle" | "idle_per_endpoint" => {}
-                "decay_s" => {
-                    let number = value.as_f64().filter(|number| (0.1..=3600.0).contains(number));
-                    read.decay_s = number.ok_or(bad("pool.decay_s", "seconds from 0.1 to 3600"))?;
-                }
-                "learn_caps" => {
-                    read.learn_caps = value.as_bool().ok_or(bad("pool.learn_caps", "true or false"))?;
-                }
-                "warm_share" => {
-                    let number = value.as_f64().filter(|number| (0.0..=1.0).contains(number));
-                    read.warm_share = number.ok_or(bad("pool.warm_share", "a share from 0 to 1"))?;
-                }
-                other => return Err(ConfigError::Unknown(format!("pool.{other}"))),
+            "warm_share" => {
+                let number = value.as_f64().filter(|number| (0.0..=1.0).contains(number));
+                read.warm_share = number.ok_or(bad("pool.warm_share", "a share from 0 to 1"))?;
             }
+            other => return Err(ConfigError::Unknown(format!("pool.{other}"))),
         }
-        Ok(read)
     }
+    Ok(read)
 }
 
 /// Connections to endpoints that so many descriptors allow: clients hold a third of them, files the rest.
@@ -254,7 +223,7 @@
                 wanted: "a size of zero or more",
             });
         }
-        let pool = PoolSettings::read(&file.pool, file.limits.sockets)?;
+        let pool = read_pool(&file.pool, file.limits.sockets)?;
         let mut flat = BTreeMap::new();
         flatten("", &file.settings, &mut flat);
         let pairs = flat.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,6 @@
 //! The operators' address: one call a connection, answered beside whatever else goes on.
 
-use super::driver::{Order, Verdict};
+use super::events::{Order, Verdict};
 use super::server::{Seat, accept};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,6 @@
 //! The platform's agent: the watch of the endpoint list, and the notices that end undelivered messages.
 
-use super::driver::Input;
+use super::events::{Input, ListUpdate, Listed};
 use super::journal::Ending;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Full};
@@ -43,26 +43,6 @@
 /// Notices in one request.
 const BATCH: usize = 200;
 
-/// One endpoint as the list has it.
-#[derive(Debug, Clone)]
-pub struct Listed {
-    pub uid: String,
-    pub address: SocketAddr,
-    pub zone: String,
-    pub kind: String,
-    pub destination: u64,
-    pub status: Status,
-    pub weight: f64,
-}
-
-/// A list, or changes to one.
-#[derive(Debug, Clone)]
-pub struct ListUpdate {
-    pub version: u64,
-    pub full: bool,
-    pub targets: Vec<Listed>,
-}
-
 #[derive(Deserialize)]
 struct Line {
     rev: u64,
--- /dev/null
+++ b/src/net/driver/intake.rs
@@ -0,0 +1,173 @@
+//! What is handed in: from clients, and from an earlier life. A promise waits for the journal.
+
+use super::{Attempt, Driver, Message};
+use crate::net::calls::Item;
+use crate::net::events::{Answer, Arrival};
+use crate::net::journal::{Origin, Taken, Terms};
+use crate::net::upgrade::text;
+use hyper::header::HeaderValue;
+use milletturn::wire::position;
+use milletturn::{Action, Class, EndpointId, Event, MessageId, Micros, NewMessage, PastAttempt};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use tokio::time::Instant;
+
+/// The module's number for a subject. Two subjects with the same number only wait for one another.
+fn key_of(subject: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    subject.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl Driver {
+    /// Hands back what an earlier life had taken on; what had ended is owed its notice again.
+    pub(super) fn resume(&mut self, taken_over: bool) {
+        let owed = self.journal.owed().clone();
+        let now = self.clock.at(Instant::now());
+        for owed in owed.values() {
+            if let Some(terms) = &owed.terms {
+                self.settings.place(terms.class(&owed.taken.class));
+            }
+        }
+        if self.settings != *self.sender.settings() {
+            self.events.push(Event::Retuned(Box::new(self.settings.clone())));
+        }
+        for (number, owed) in owed {
+            self.next_message = self.next_message.max(number + 1);
+            let message = MessageId(number);
+            let class = match &owed.terms {
+                Some(terms) => self.settings.place(terms.class(&owed.taken.class)),
+                None => {
+                    let named = |class: &Class| class.name == owed.taken.class;
+                    self.settings.classes.iter().rposition(named).unwrap_or(usize::MAX)
+                }
+            };
+            let new = NewMessage {
+                key: owed.origin.subject.as_deref().map(key_of),
+                tenant: owed.origin.tenant.as_deref().map(|name| position(&self.names.tenants, name)),
+                attempts: owed.terms.as_ref().map(|terms| terms.attempts as usize),
+                ..NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now)
+            };
+            if let Some(ending) = owed.ending {
+                if !taken_over {
+                    self.events.push(Event::Unnoticed(new));
+                }
+                self.notify(number, owed.taken.id, ending);
+                continue;
+            }
+            if self.messages.contains_key(&message) {
+                continue; // handed over, with all that the journal does not hold
+            }
+            let (Ok(id), key) = (
+                HeaderValue::from_str(&owed.taken.id),
+                owed.taken.key.as_deref().and_then(|key| HeaderValue::from_str(key).ok()),
+            ) else {
+                continue;
+            };
+            let past: Vec<PastAttempt> = owed
+                .attempts
+                .iter()
+                .map(|sent| PastAttempt {
+                    endpoint: self.by_uid.get(&sent.uid).copied().unwrap_or(EndpointId(u32::MAX)),
+                    sent: sent.sent_at,
+                    may_have_run: !sent.never_ran,
+                })
+                .collect();
+            let attempts = past
+                .iter()
+                .enumerate()
+                .map(|(record, past)| Attempt {
+                    endpoint: past.endpoint,
+                    sent: past.sent,
+                    call: u64::MAX,
+                    item: 0,
+                    out: false,
+                    record: Some(record),
+                })
+                .collect();
+            self.events.push(Event::Resumed { message: new, attempts: past });
+            let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
+            self.messages.insert(message, Message { item, open: true, clients: 1, attempts });
+            self.by_id.insert(id, message);
+        }
+    }
+
+    pub(super) fn arrive(&mut self, arrival: Arrival) {
+        // a receiver that is gone is a client that left: its guard says so too
+        if let Some(&message) = self.by_id.get(&arrival.id) {
+            if let Some(held) = self.messages.get_mut(&message) {
+                held.clients += 1;
+            }
+            self.doubled.push((message, arrival.id, arrival.reply));
+        } else if self.delivered.contains(&arrival.id) {
+            let _ = arrival.reply.send(Answer::Delivered);
+        } else {
+            let message = MessageId(self.next_message);
+            self.next_message += 1;
+            let began = self.clock.at(arrival.began);
+            let left = began + arrival.time - self.clock.at(Instant::now());
+            let new = NewMessage {
+                key: arrival.subject.as_deref().map(key_of),
+                tenant: arrival.tenant.as_deref().map(|name| position(&self.names.tenants, name)),
+                again: arrival.again,
+                orphan: arrival.orphan,
+                ..NewMessage::new(message, arrival.class, arrival.destination, left)
+            };
+            self.events.push(Event::Accepted(new));
+            let item = Item { id: arrival.id.clone(), key: arrival.key.clone(), body: arrival.body.clone() };
+            self.messages.insert(message, Message { item, open: true, clients: 1, attempts: Vec::new() });
+            self.by_id.insert(arrival.id.clone(), message);
+            self.arrived.insert(message, (arrival, began));
+        }
+    }
+
+    /// Promises what the module keeps, once it is in the journal; what it ends at once was never promised.
+    pub(super) fn answer_arrivals(&mut self, actions: &[Action]) {
+        for (message, (arrival, began)) in std::mem::take(&mut self.arrived) {
+            let ends = actions.iter().find_map(|action| match action {
+                Action::Refuse { message: m, wait } if *m == message => Some(Answer::Refused { wait: *wait }),
+                Action::Fail(m) if *m == message => Some(Answer::Failed),
+                _ => None,
+            });
+            if !self.messages.get(&message).is_some_and(|held| held.open) {
+                continue; // its client has left
+            }
+            let answer = ends.unwrap_or_else(|| self.write_down(message, &arrival, began));
+            if answer != Answer::Taken {
+                self.close(message);
+                if answer == Answer::NoRoom {
+                    self.events.push(Event::Dropped(message));
+                }
+            }
+            // a client that is gone has said so by its guard
+            let _ = arrival.reply.send(answer);
+        }
+        for (message, id, reply) in std::mem::take(&mut self.doubled) {
+            let held = self.messages.get(&message).is_some_and(|held| held.open);
+            let _ = reply.send(match held {
+                true => Answer::Taken,
+                false if self.delivered.contains(&id) => Answer::Delivered,
+                false => Answer::Refused { wait: None },
+            });
+        }
+    }
+
+    pub(super) fn write_down(&mut self, message: MessageId, arrival: &Arrival, began: Micros) -> Answer {
+        // what came from an old process has its class's place too
+        let class = self.settings.classes.get(arrival.class);
+        let Some(terms) = class.map(|class| Terms::of(class, self.settings.max_attempts)) else {
+            return Answer::NoRoom;
+        };
+        let taken = Taken {
+            id: text(&arrival.id),
+            key: arrival.key.as_ref().map(text),
+            class: class.map(|class| class.name.clone()).unwrap_or_default(),
+            destination: arrival.destination,
+            taken_at: began,
+            deadline: began + arrival.time,
+            body: arrival.body.to_vec(),
+        };
+        let origin = Origin { subject: arrival.subject.clone(), tenant: arrival.tenant.clone() };
+        let written = self.journal.take(message.0, taken, origin, terms);
+        if self.check(written).is_some() { Answer::Taken } else { Answer::NoRoom }
+    }
+}
--- /dev/null
+++ b/src/net/driver/mod.rs
@@ -0,0 +1,322 @@
+//! The turns: all that is ready becomes events, the decision module is asked once, its actions become calls.
+//! This is the only owner of the module and of the messages.
+
+mod handing;
+mod intake;
+mod orders;
+mod outcomes;
+mod routes;
+
+use super::Seldom;
+use super::calls::{CallOut, Calls, Item};
+use super::discovery::Notice;
+use super::events::{Answer, Arrival, Clock, Input, ListUpdate, Order, Word};
+use super::journal::{Ending, Journal, JournalError};
+use super::server::Classes;
+use super::upgrade::{Handover, Link, Lock, Successor};
+use hyper::header::HeaderValue;
+use milletturn::pool::PoolSettings;
+use milletturn::wire::Names;
+use milletturn::{Action, EndpointId, Event, MILLISECOND, MessageId, Micros, Sender, Settings};
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+
+/// Delivered ids that are remembered, for clients whose request crossed a closed connection.
+const REMEMBERED: usize = 4096;
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(250);
+/// What goes and comes back within this time is the same endpoint still, with its waits: longer than these are.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+/// Inputs taken into one turn, so that a turn stays short.
+const MOST_AT_ONCE: usize = 1000;
+
+struct Attempt {
+    endpoint: EndpointId,
+    sent: Micros,
+    call: u64,
+    item: usize,
+    out: bool,
+    /// Its position in the journal; none where it was not written down, so that it never left.
+    record: Option<usize>,
+}
+
+struct Message {
+    item: Item,
+    open: bool,
+    /// Clients that were told, or are to be told, that it is taken on.
+    clients: usize,
+    /// Attempts of an earlier life count too, as calls that are over.
+    attempts: Vec<Attempt>,
+}
+
+/// A turn's sends to one endpoint that travel together.
+struct Bundle {
+    endpoint: EndpointId,
+    expires: Micros,
+    sends: Vec<(MessageId, usize)>,
+    size: usize,
+}
+
+/// Where an endpoint is and what its kind allows.
+struct Route {
+    uid: String,
+    address: Option<SocketAddr>,
+    /// Its kind, by position in the settings.
+    kind: usize,
+    destination: u64,
+    /// The last list that named it did not say that it is gone.
+    listed: bool,
+    /// Nor that it drains.
+    up: bool,
+    /// Since when nothing needs it any more, as far as that has been looked at.
+    gone: Option<Instant>,
+}
+
+/// What the driver has in common with the rest of the process.
+pub struct Shared {
+    pub clock: Clock,
+    pub inputs: mpsc::UnboundedSender<Input>,
+    pub lock: Lock,
+    /// The clients' places, and how many there are when none is taken.
+    pub places: Arc<Semaphore>,
+    pub most: usize,
+    /// What clients may name.
+    pub classes: Classes,
+    /// Tells that the process takes nothing new, and that another has taken over.
+    pub draining: Rc<Cell<bool>>,
+    pub handed: watch::Sender<bool>,
+}
+
+/// What follows once a next process has asked.
+enum Next {
+    GoOn,
+    Leave(Link),
+    End,
+}
+
+/// Owner of the module and the messages.
+pub struct Driver {
+    sender: Sender,
+    clock: Clock,
+    names: Names,
+    /// As the module has them: all that was ever in force, each in its place.
+    settings: Settings,
+    pool: PoolSettings,
+    journal: Journal,
+    calls: Calls,
+    notices: mpsc::UnboundedSender<Notice>,
+    ready: watch::Sender<bool>,
+    routes: BTreeMap<EndpointId, Route>,
+    next_endpoint: u32,
+    by_uid: HashMap<String, EndpointId>,
+    messages: BTreeMap<MessageId, Message>,
+    by_id: HashMap<HeaderValue, MessageId>,
+    next_message: u64,
+    out: BTreeMap<u64, CallOut>,
+    next_call: u64,
+    delivered: VecDeque<HeaderValue>,
+    /// Messages that came in this turn, with their clients and the times when these sent them.
+    arrived: BTreeMap<MessageId, (Arrival, Micros)>,
+    /// Clients that handed in once more what came in this turn: a promise to them must wait for the journal.
+    doubled: Vec<(MessageId, HeaderValue, oneshot::Sender<Answer>)>,
+    events: Vec<Event>,
+    alarm: Option<Micros>,
+    journal_fault: Seldom,
+    list_version: u64,
+    shared: Shared,
+    /// The old process, while it has calls out or clients connected, and the places that its clients hold.
+    predecessor: Option<(mpsc::UnboundedSender<Word>, usize)>,
+}
+
+impl Driver {
+    /// Sets the module up and hands it the list as last known and what the journal holds.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        sender: Sender, settings: Settings, names: Names, pool: PoolSettings, known: Option<ListUpdate>,
+        journal: Journal, calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>,
+        shared: Shared, handover: Option<Handover>,
+    ) -> Self {
+        let mut driver = Driver {
+            settings: sender.settings().clone(),
+            sender,
+            clock: shared.clock,
+            names: names.clone(),
+            pool,
+            journal,
+            calls,
+            notices,
+            ready,
+            routes: BTreeMap::new(),
+            next_endpoint: 0,
+            by_uid: HashMap::new(),
+            messages: BTreeMap::new(),
+            by_id: HashMap::new(),
+            next_message: 0,
+            out: BTreeMap::new(),
+            next_call: 0,
+            delivered: VecDeque::new(),
+            arrived: BTreeMap::new(),
+            doubled: Vec::new(),
+            events: Vec::new(),
+            alarm: None,
+            journal_fault: Seldom::default(),
+            list_version: 0,
+            shared,
+            predecessor: None,
+        };
+        let taken_over = handover.is_some();
+        if let Some(handover) = handover {
+            driver.take_over(handover);
+        }
+        driver.retune(settings, names);
+        if let Some(known) = known.filter(|_| !taken_over) {
+            driver.list(known, true);
+        }
+        let out: Vec<String> = driver.journal.out().map(str::to_string).collect();
+        for uid in out {
+            let endpoint = driver.endpoint_of(&uid);
+            driver.events.push(Event::Disabled(endpoint));
+        }
+        driver.resume(taken_over);
+        driver
+    }
+
+    /// Turns until the inputs end.
+    pub async fn run(
+        mut self, mut inputs: mpsc::UnboundedReceiver<Input>, mut orders: mpsc::Receiver<Order>,
+        mut successors: mpsc::Receiver<Successor>,
+    ) {
+        let mut sweep = tokio::time::interval(SWEEP);
+        self.turns();
+        loop {
+            let alarm = self.alarm.map(|at| self.clock.instant(at));
+            tokio::select! {
+                // operators wait a second at most, however much waits to be done
+                biased;
+                Some(order) = orders.recv() => match order {
+                    Order::SetOut { uid, out, reply } => self.obey(uid, out, reply),
+                    Order::Pools { reply } => {
+                        let uid_of = |id: EndpointId| Some(self.routes.get(&id)?.uid.clone());
+                        // an operator that has gone asks again
+                        let _ = reply.send(self.calls.connections().report(uid_of));
+                        continue;
+                    }
+                },
+                Some(successor) = successors.recv() => match self.hand_over(successor).await {
+                    Next::GoOn => {}
+                    Next::Leave(link) => return self.leave(link).run(inputs, orders).await,
+                    Next::End => return,
+                },
+                _ = sweep.tick() => {
+                    self.calls.connections().sweep();
+                    let written = self.journal.retry();
+                    self.check(written);
+                    continue;
+                }
+                input = inputs.recv() => match input {
+                    Some(input) => self.learn(input),
+                    None => return,
+                },
+                () = sleep_until(alarm.unwrap_or_else(Instant::now)), if alarm.is_some() => {}
+            }
+            for _ in 0..MOST_AT_ONCE {
+                let Ok(input) = inputs.try_recv() else { break };
+                self.learn(input);
+            }
+            self.turns();
+        }
+    }
+
+    /// The list that is known, by its version.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
+    /// A turn, and further ones while its own actions led to news for the module.
+    fn turns(&mut self) {
+        self.turn();
+        while !self.events.is_empty() {
+            self.turn();
+        }
+    }
+
+    fn learn(&mut self, input: Input) {
+        match input {
+            Input::Arrived(arrival) => self.arrive(arrival),
+            Input::ClientLeft(id) => {
+                let Some(&message) = self.by_id.get(&id) else { return };
+                let Some(held) = self.messages.get_mut(&message) else { return };
+                held.clients = held.clients.saturating_sub(1);
+                if held.clients == 0 {
+                    self.events.push(Event::Dropped(message));
+                    self.end(message);
+                }
+            }
+            Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
+            Input::Ended(ended) => self.ended(ended),
+            Input::Listed(update) => self.list(update, false),
+            Input::Retuned(new) => {
+                let (settings, names, pool) = *new;
+                self.pool = pool;
+                self.retune(settings, names);
+            }
+            Input::Linked(frame) => self.linked(frame),
+            Input::LinkLost => self.link_lost(),
+            Input::Noticed(numbers) => {
+                for number in numbers {
+                    let written = self.journal.over(number);
+                    self.check(written);
+                    self.events.push(Event::Noticed(MessageId(number)));
+                }
+            }
+        }
+    }
+
+    fn turn(&mut self) {
+        let now = self.clock.at(Instant::now());
+        if self.alarm.take_if(|at| *at <= now).is_some() {
+            self.events.push(Event::Alarm);
+        }
+        let events = std::mem::take(&mut self.events);
+        let mut actions = Vec::new();
+        self.sender.handle(now, &events, &mut actions);
+        self.answer_arrivals(&actions);
+        let mut bundles: Vec<Bundle> = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { message, endpoint, expires } => {
+                    self.send(now, message, endpoint, expires, &mut bundles);
+                }
+                Action::Cancel { message, attempt } => self.cancel(message, attempt),
+                Action::Refuse { message, wait } => {
+                    let after_ms = wait.and_then(|wait| u64::try_from(wait / MILLISECOND).ok());
+                    self.give_up(message, Ending::Returned { after_ms });
+                }
+                Action::Fail(message) => self.give_up(message, Ending::Failed),
+                Action::SetAlarm(at) => self.alarm = Some(at),
+                Action::Disconnect(endpoint) => {
+                    if let Some(place) = self.place_of(endpoint) {
+                        self.calls.connections().disconnect(place);
+                    }
+                }
+                Action::Log(text) => super::log(format_args!("{text}")),
+                // the watch is always on; probes and notes are not to be had on sockets
+                Action::Subscribe | Action::Probe(_) | Action::Note(_) => {}
+            }
+        }
+        for bundle in bundles {
+            self.start(bundle);
+        }
+    }
+
+    /// What the journal tells of an entry; none if it was not written.
+    fn check<T>(&self, written: Result<T, JournalError>) -> Option<T> {
+        written.inspect_err(|error| self.journal_fault.log(format_args!("journal: {error}"))).ok()
+    }
+}
--- /dev/null
+++ b/src/net/events.rs
@@ -0,0 +1,189 @@
+//! What the parts tell the driver, what operators order, and the clock: data alone, known to all parts.
+
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use milletturn::pool::PoolSettings;
+use milletturn::wire::Names;
+use milletturn::{Micros, Outcome, Settings, Status};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Bodies hold at most this.
+pub const BODY_MOST: usize = 64 * 1024;
+
+/// What the rest of the program tells the driver.
+#[derive(Debug)]
+pub enum Input {
+    Arrived(Arrival),
+    ClientLeft(HeaderValue),
+    /// The process ends at this time.
+    Stopping(Instant),
+    Ended(Ended),
+    Listed(ListUpdate),
+    /// Notices that the platform has taken, by number of message.
+    Noticed(Vec<u64>),
+    /// New settings, checked.
+    Retuned(Box<(Settings, Names, PoolSettings)>),
+    /// What the other process of an upgrade says, and that it says no more.
+    Linked(Word),
+    LinkLost,
+}
+
+/// What operators order; it overtakes all that waits.
+#[derive(Debug)]
+pub enum Order {
+    /// Take an endpoint out, or put it back.
+    SetOut { uid: String, out: bool, reply: oneshot::Sender<Verdict> },
+    /// Tell how the connections to endpoints stand, as JSON.
+    Pools { reply: oneshot::Sender<String> },
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    Done,
+    /// No list has this endpoint.
+    Unknown,
+    /// It could not be written down.
+    Unwritten,
+}
+
+/// A message that is handed in.
+#[derive(Debug)]
+pub struct Arrival {
+    pub id: HeaderValue,
+    pub key: Option<HeaderValue>,
+    /// What the message is about; messages of one subject take turns in classes that keep order.
+    pub subject: Option<String>,
+    /// Whose message it is, for the shares of the tenants.
+    pub tenant: Option<String>,
+    pub class: usize,
+    pub destination: u64,
+    pub time: Micros,
+    pub began: Instant,
+    pub again: bool,
+    pub orphan: bool,
+    pub body: Bytes,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// The answer to a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    Taken,
+    Delivered,
+    Refused { wait: Option<Micros> },
+    NoRoom,
+    Failed,
+}
+
+/// Module time: Unix microseconds at the start, carried on by the monotonic clock.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
+        Clock { start: Instant::now(), unix: Micros::try_from(unix).unwrap_or(0) }
+    }
+
+    /// Module time of an instant.
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.unix + Micros::try_from(instant.saturating_duration_since(self.start).as_micros()).unwrap_or(0)
+    }
+
+    /// The instant of a module time; the start for all that was before it.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(u64::try_from(at - self.unix).unwrap_or(0))
+    }
+}
+
+/// How one message of a call ended.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Ended {
+    pub call: u64,
+    /// Its position in the call.
+    pub item: usize,
+    pub outcome: Outcome,
+    /// Nothing more is owed for it.
+    pub closed: bool,
+    pub report: Vec<f64>,
+    /// A wait that the answer told and that no outcome carries.
+    pub wait: Option<Micros>,
+}
+
+/// One endpoint as the list has it.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    pub uid: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub destination: u64,
+    pub status: Status,
+    pub weight: f64,
+}
+
+/// A list, or changes to one.
+#[derive(Debug, Clone)]
+pub struct ListUpdate {
+    pub version: u64,
+    pub full: bool,
+    pub targets: Vec<Listed>,
+}
+
+/// What the two processes of an upgrade say to each other once all is handed over.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Word {
+    /// Call off one message of a call that the old one still has out.
+    Cancel {
+        call: u64,
+        item: usize,
+    },
+    /// How one message of such a call ended.
+    Ended(Ended),
+    /// A message that came in on one of the old one's connections, and its answer.
+    Arrived {
+        number: u64,
+        arrival: Box<Passed>,
+    },
+    Answered {
+        number: u64,
+        answer: Answer,
+    },
+    /// The client of a message left before its answer.
+    Left(String),
+    /// An order that came to the old one's operators' address, and what came of it.
+    Ordered {
+        number: u64,
+        uid: String,
+        out: bool,
+    },
+    Judged {
+        number: u64,
+        verdict: Verdict,
+    },
+}
+
+/// A message that is handed in, passed on.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Passed {
+    pub id: String,
+    pub key: Option<String>,
+    pub subject: Option<String>,
+    pub tenant: Option<String>,
+    pub class: usize,
+    pub destination: u64,
+    pub time: Micros,
+    /// Unix time in microseconds.
+    pub began: Micros,
+    pub again: bool,
+    pub orphan: bool,
+    pub body: Vec<u8>,
+}
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -1,8 +1,9 @@
 //! What is left to a process that has handed over: it reports how its calls end and passes on what clients and
 //! operators still bring. It decides nothing, writes nothing down and starts no call.
 
-use super::driver::{Answer, Arrival, CallOut, Clock, Input, Order, Verdict};
-use super::upgrade::{Frame, LinkError, Passed, Writer, text};
+use super::calls::CallOut;
+use super::events::{Answer, Arrival, Clock, Input, Order, Passed, Verdict, Word};
+use super::upgrade::{LinkError, Writer, text};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,7 +58,7 @@
         let Order::SetOut { uid, out, reply } = order else { return Ok(()) };
         self.next += 1;
         self.verdicts.insert(self.next, reply);
-        self.writer.send(&Frame::Ordered { number: self.next, uid, out }).await
+        self.writer.say(Word::Ordered { number: self.next, uid, out }).await
     }
 
     async fn learn(&mut self, input: Input) -> Result<(), LinkError> {
@@ -66,9 +67,9 @@
                 self.next += 1;
                 let (arrival, reply) = self.passed(arrival);
                 self.answers.insert(self.next, reply);
-                self.writer.send(&Frame::Arrived { number: self.next, arrival: Box::new(arrival) }).await
+                self.writer.say(Word::Arrived { number: self.next, arrival: Box::new(arrival) }).await
             }
-            Input::ClientLeft(id) => self.writer.send(&Frame::Left(text(&id))).await,
+            Input::ClientLeft(id) => self.writer.say(Word::Left(text(&id))).await,
             Input::Ended(ended) => {
                 if let Some(call) = self.out.get_mut(&ended.call) {
                     call.left -= 1;
@@ -76,22 +77,22 @@
                         self.out.remove(&ended.call);
                     }
                 }
-                self.writer.send(&Frame::Ended(ended)).await
+                self.writer.say(Word::Ended(ended)).await
             }
-            Input::Linked(Frame::Cancel { call, item }) => {
+            Input::Linked(Word::Cancel { call, item }) => {
                 if let Some(cancels) = self.out.get(&call).and_then(|call| call.cancels.as_ref()) {
                     // a call that has just ended has told how
                     let _ = cancels.send(item);
                 }
                 Ok(())
             }
-            Input::Linked(Frame::Answered { number, answer }) => {
+            Input::Linked(Word::Answered { number, answer }) => {
                 if let Some(reply) = self.answers.remove(&number) {
                     let _ = reply.send(answer); // a client that is gone has said so by its guard
                 }
                 Ok(())
             }
-            Input::Linked(Frame::Judged { number, verdict }) => {
+            Input::Linked(Word::Judged { number, verdict }) => {
                 if let Some(reply) = self.verdicts.remove(&number) {
                     let _ = reply.send(verdict); // an operator that has gone sees the log
                 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod discovery;
 pub mod driver;
+pub mod events;
 pub mod journal;
 pub mod leaving;
 pub mod pool;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,13 +1,15 @@
 //! The connections to the endpoints, from dial to close: carries out what the pool's rules say, and owns the
 //! sockets. Calls ask for a connection, use it, and give it back or say that it is spoilt.
 
-use super::calls::BODY_MOST;
-use super::config::{PoolSettings, pool_most};
+use super::config::pool_most;
+use super::events::BODY_MOST;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use milletturn::pool::{Answered, Cause, Command, Denied, DialFailure, Limits, Place, Pool, SiteView};
+use milletturn::pool::{
+    Answered, Cause, Command, Denied, DialFailure, Limits, Place, Pool, PoolSettings, SiteView,
+};
 use milletturn::{EndpointId, MILLISECOND, Micros, SECOND, Settings};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,8 +1,7 @@
 //! The clients' side: reads messages that are handed in, and answers as the driver decides.
 
 use super::Seldom;
-use super::calls::BODY_MOST;
-use super::driver::{Answer, Arrival, Input};
+use super::events::{Answer, Arrival, BODY_MOST, Input};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -4,8 +4,8 @@
 //! Only the holder of the lock writes the journal and starts calls. The old process gives the lock up before it
 //! hands over, and waits for [`Frame::Owns`]; if the link breaks before that, it takes the lock back if it can.
 
-use super::calls::{self, Item};
-use super::driver::{Answer, Input, Order, Verdict};
+use super::calls::Item;
+use super::events::{Input, Word};
 use hyper::header::HeaderValue;
 use milletturn::wire::Names;
 use milletturn::{Micros, Outcome, Sender};
@@ -24,7 +24,7 @@
 
 /// What the two processes say to each other, the state of the module included. To be raised with every change
 /// of [`Frame`], of what it holds, or of anything that the module keeps.
-const VERSION: u32 = 4;
+const VERSION: u32 = 5;
 /// Asks the old process to leave the journal and go, handing over nothing else.
 const JOURNAL_ALONE: u32 = 0;
 const LOCK: &str = "lock";
@@ -55,41 +55,13 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Frame {
     /// The new process's first word; stays the first variant for ever.
-    Ask {
-        version: u32,
-    },
+    Ask { version: u32 },
     /// All that the old one holds; it has given up the lock.
     Hand(Box<Handover>),
     /// The new one has the lock and the journal: from here on it alone owns the messages.
     Owns,
-    /// Call off one message of a call that the old one still has out.
-    Cancel {
-        call: u64,
-        item: usize,
-    },
-    /// How one message of such a call ended.
-    Ended(calls::Ended),
-    /// A message that came in on one of the old one's connections, and its answer.
-    Arrived {
-        number: u64,
-        arrival: Box<Passed>,
-    },
-    Answered {
-        number: u64,
-        answer: Answer,
-    },
-    /// The client of a message left before its answer.
-    Left(String),
-    /// An order that came to the old one's operators' address, and what came of it.
-    Ordered {
-        number: u64,
-        uid: String,
-        out: bool,
-    },
-    Judged {
-        number: u64,
-        verdict: Verdict,
-    },
+    /// Whatever the two say to each other from then on.
+    Said(Word),
 }
 
 /// What the driver holds, and the module.
@@ -146,23 +118,6 @@
     pub attempts: Vec<(u32, Micros, u64, usize, bool, Option<usize>)>,
 }
 
-/// A message that is handed in, passed on.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Passed {
-    pub id: String,
-    pub key: Option<String>,
-    pub subject: Option<String>,
-    pub tenant: Option<String>,
-    pub class: usize,
-    pub destination: u64,
-    pub time: Micros,
-    /// Unix time in microseconds.
-    pub began: Micros,
-    pub again: bool,
-    pub orphan: bool,
-    pub body: Vec<u8>,
-}
-
 /// The text of an id or key, which is visible ASCII.
 pub fn text(value: &HeaderValue) -> String {
     value.to_str().map(str::to_string).unwrap_or_default()
@@ -215,6 +170,11 @@
 pub struct Writer(OwnedWriteHalf);
 
 impl Writer {
+    /// Says a word.
+    pub async fn say(&mut self, word: Word) -> Result<(), LinkError> {
+        self.send(&Frame::Said(word)).await
+    }
+
     /// Writes a frame, whole.
     pub async fn send(&mut self, frame: &Frame) -> Result<(), LinkError> {
         let payload = postcard::to_allocvec(frame)?;
@@ -251,7 +211,8 @@
         let Link { mut reader, writer } = self;
         tokio::task::spawn_local(async move {
             while let Ok(frame) = read_frame(&mut reader).await {
-                if inputs.send(Input::Linked(frame)).is_err() {
+                let Frame::Said(word) = frame else { continue };
+                if inputs.send(Input::Linked(word)).is_err() {
                     return;
                 }
             }
@@ -337,7 +298,7 @@
 }
 
 /// Waits for a next process, for ever; only the holder of the lock may.
-pub async fn wait_for_successor(folder: std::path::PathBuf, orders: mpsc::Sender<Order>) {
+pub async fn wait_for_successor(folder: std::path::PathBuf, successors: mpsc::Sender<Successor>) {
     let path = folder.join(SOCKET);
     let _ = fs::remove_file(&path);
     let listener = match UnixListener::bind(&path) {
@@ -357,7 +318,7 @@
             Ok(Ok(Frame::Ask { .. })) => Successor::Stranger,
             _ => continue,
         };
-        if orders.send(Order::HandOver(successor)).await.is_err() {
+        if successors.send(successor).await.is_err() {
             return;
         }
     }
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -42,6 +42,42 @@
     pub endpoint: EndpointId,
 }
 
+/// The `pool` object: how connections to endpoints are kept. Caps that are not set follow from the descriptors.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolSettings {
+    /// Connections to one endpoint.
+    pub per_endpoint: Option<usize>,
+    /// Dials at once.
+    pub dials: Option<usize>,
+    /// Connections to all endpoints, those being dialled counted.
+    pub all: Option<usize>,
+    /// Idle ones of them.
+    pub idle: Option<usize>,
+    /// Idle ones to one endpoint.
+    pub idle_per_endpoint: Option<usize>,
+    /// Seconds in which the wanted number of connections falls by half.
+    pub decay_s: f64,
+    /// Caps of endpoints are learned from what they refuse.
+    pub learn_caps: bool,
+    /// The part of all connections that may be dialled ahead of need.
+    pub warm_share: f64,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        PoolSettings {
+            per_endpoint: None,
+            dials: None,
+            all: None,
+            idle: None,
+            idle_per_endpoint: None,
+            decay_s: 30.0,
+            learn_caps: true,
+            warm_share: 0.0,
+        }
+    }
+}
+
 /// What the pool may do.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
