Scale by the senders that live once a majority holds that view and it has stood

Every part of a limit, a trickle and a rest is scaled by the configured number, which is wrong while a third of the senders is gone. The module is told the view as an event: the number falls below the configured one only when nobody is suspect, a majority of the configured is known to hold just this view and it has stood for the cold time; it rises at once and is the configured one in a minority or in doubt. Without a view nothing changes.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -135,6 +135,10 @@
     ends: Option<Micros>,
     /// The next time at which something may be due; the alarm is set by it.
     due: Micros,
+    /// The senders that all is scaled by, and what is known of the others, since when.
+    counted: u32,
+    fleet: Option<FleetView>,
+    fleet_since: Micros,
     /// Messages for which an endpoint was looked for in the last turn.
     #[serde(skip)]
     weighed: usize,
@@ -150,6 +154,9 @@
         let list_retry = settings.list_on_request.then_some(Micros::MIN);
         let tenant_tokens = settings.tenants.iter().map(|_| (f64::MAX, 0)).collect();
         Ok(Sender {
+            counted: settings.senders,
+            fleet: None,
+            fleet_since: 0,
             settings,
             random: Pcg32::seed_from_u64(seed),
             now: 0,
@@ -192,6 +199,7 @@
             self.learn(event, actions);
         }
         self.due = Micros::MAX;
+        self.count_senders();
         if self.list_retry.take_if(|at| *at <= self.now).is_some() {
             actions.push(Action::Subscribe);
         }
@@ -203,6 +211,14 @@
 
     fn learn(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
+            Event::Fleet(view) => {
+                // who holds a view may grow; what is seen must stand
+                let seen = |view: FleetView| FleetView { holders: 0, ..view };
+                if view.map(seen) != self.fleet.map(seen) {
+                    self.fleet_since = self.now;
+                }
+                self.fleet = *view;
+            }
             Event::Listed { listing, entries } => self.learn_list(*listing, entries),
             Event::ListFailed => {
                 let jitter = Micros::from(self.random.next_u32()) % self.list_rest;
@@ -231,6 +247,9 @@
                 self.forget_if_done(*message);
             }
             Event::Retuned(settings) => {
+                if settings.senders != self.settings.senders {
+                    self.counted = settings.senders;
+                }
                 self.settings = (**settings).clone();
                 self.tenant_tokens.resize(self.settings.tenants.len(), (f64::MAX, 0));
             }
@@ -268,6 +287,40 @@
         }
     }
 
+    /// The number of senders that all is scaled by. Guards destinations against senders that hear less and grow
+    /// bolder: it falls below the configured number only once nobody is suspect, a majority of the configured is
+    /// known to hold just this view, and it has stood for the cold time; it rises at once, and is the configured
+    /// one in a minority and in doubt. Senders never heard of count as living. Could starve a destination for that
+    /// time after many have gone.
+    fn count_senders(&mut self) {
+        let (configured, before) = (self.settings.senders, self.counted);
+        let target = self.fleet.map_or(configured, |view| {
+            let gone = if view.doubt || view.living.saturating_mul(2) <= configured { 0 } else { view.gone };
+            view.living.max(configured.saturating_sub(gone)).max(1)
+        });
+        let sure =
+            self.fleet.is_some_and(|view| view.suspects == 0 && view.holders.saturating_mul(2) > configured);
+        let stands = self.fleet_since + self.settings.safety.cold_time;
+        if target < before && !(sure && stands <= self.now) {
+            self.due = if sure { self.due.min(stands) } else { self.due };
+            return;
+        }
+        self.counted = target;
+        let part = f64::from(before) / f64::from(target);
+        for unit in self.units.values_mut().filter(|_| target != before) {
+            (unit.share, unit.listed) = (unit.share * part, unit.listed * part);
+            if part < 1.0 {
+                // others are back: what was theirs is given up, and only successes bring it again
+                (unit.pace, unit.best_rate) = (unit.pace * part, unit.best_rate * part);
+            }
+        }
+    }
+
+    /// Senders that all is scaled by.
+    pub fn senders(&self) -> u32 {
+        self.counted
+    }
+
     fn learn_list(&mut self, listing: Listing, entries: &[Entry]) {
         if listing != Listing::Old {
             self.list_rest = LIST_FIRST;
@@ -286,7 +339,7 @@
             self.routes.entry(entry.destination).or_default().insert(entry.endpoint);
             let id = self.unit_of(entry.endpoint);
             let weight = if entry.weight.is_finite() { entry.weight.max(0.0) } else { 0.0 };
-            let told = self.settings.weight_trust * weight / f64::from(self.settings.senders);
+            let told = self.settings.weight_trust * weight / f64::from(self.counted);
             let listed = if told > 0.0 { told / self.settings.weight_trust } else { 0.0 };
             let unit = self.unit(id);
             (unit.share, unit.best_rate, unit.listed) = (told, unit.best_rate.max(told), listed);
@@ -316,8 +369,8 @@
         let (mut worth, ordered) = class.map_or((1.0, false), |class| (class.worth, class.ordered));
         let born = class.map_or(self.now, |class| deadline - class.deadline);
         if let Some(tenant) = new.tenant.and_then(|index| self.settings.tenants.get(index)) {
-            let (rate, crowd) =
-                (tenant.allowance / f64::from(self.settings.senders), crowd(self.settings.senders.into()));
+            let senders = f64::from(self.counted);
+            let (rate, crowd) = (tenant.allowance / senders, crowd(senders));
             let (tokens, at) = &mut self.tenant_tokens[new.tenant.unwrap_or_default()];
             // a few messages at one of many senders are chance, not a tenant beyond its share
             let burst = (rate * TENANT_BURST).max(1.0 + TENANT_CHANCE * crowd);
@@ -402,7 +455,7 @@
             return;
         }
         let (now, span, cold) = (self.now, self.settings.safety.fall_span, self.settings.safety.cold_time);
-        let (slots, senders) = (self.settings.call_slots as f64, f64::from(self.settings.senders));
+        let (slots, senders) = (self.settings.call_slots as f64, f64::from(self.counted));
         let (phase, crowd) = (self.phase(), self.crowd());
         let silence = self.unit(unit_id).silence_limit();
         let served = self.unit(unit_id).succeeded;
@@ -516,7 +569,7 @@
     fn learn_report(&mut self, id: UnitId, report: &[f64]) {
         let read = |at: Option<usize>| at.and_then(|index| report.get(index).copied());
         let (limit, left) = (read(self.settings.report_limit), read(self.settings.report_left));
-        let share = limit.unwrap_or(0.0) / f64::from(self.settings.senders);
+        let share = limit.unwrap_or(0.0) / f64::from(self.counted);
         let Some(limit) = limit.filter(|&limit| limit > 0.0 && limit.is_finite()) else { return };
         let unit = self.unit(id);
         (unit.told_limit, unit.share) = (Some(limit), share);
@@ -838,7 +891,7 @@
         let burdens = |call: &&Call| self.units.get(&call.unit).is_some_and(Unit::is_burden);
         let burden_full =
             self.calls.values().filter(burdens).count() >= share_of(self.settings.call_slots, WINDOW_SICK);
-        let senders = f64::from(self.settings.senders);
+        let senders = f64::from(self.counted);
         let unit = self.unit(id);
         let rate = unit.allowed_rate(&safety, senders, now);
         unit.refill(now, rate);
@@ -990,7 +1043,7 @@
 
     /// The part of all senders that has not heard yet what this one has; none where they are few.
     fn crowd(&self) -> f64 {
-        crowd(f64::from(self.settings.senders))
+        crowd(f64::from(self.counted))
     }
 
     /// A random part of one token, so that senders do not all start at once.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -450,9 +450,26 @@
     }
 }
 
+/// What is known of the other senders of the group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct FleetView {
+    /// Senders that live, this one and the suspects among them counted.
+    pub living: u32,
+    /// Those that some have had no answer from.
+    pub suspects: u32,
+    /// Senders known to have died or left.
+    pub gone: u32,
+    /// Senders known to see just the same living ones, this one counted.
+    pub holders: u32,
+    /// This sender has reason to doubt what it sees.
+    pub doubt: bool,
+}
+
 /// What the sender is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
+    /// What is known of the other senders; none where nothing is.
+    Fleet(Option<FleetView>),
     /// News of the endpoint list.
     Listed {
         /// What the entries are.
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -174,6 +174,10 @@
         if let Some(handover) = handover {
             driver.take_over(handover);
         }
+        if taken_over {
+            // what the old process saw of the others is its own affair
+            driver.events.push(Event::Fleet(None));
+        }
         driver.retune(settings, names);
         if let Some(known) = known.filter(|_| !taken_over) {
             driver.list(known, true);
--- /dev/null
+++ b/tests/fleet_view.rs
@@ -0,0 +1,175 @@
+//! What a sender makes of the number of its fellows that live.
+
+mod common;
+use common::*;
+use milletturn::*;
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+
+/// Cold time of the settings: a view must stand for so long before the number falls.
+const STANDS: Micros = 10 * SECOND;
+
+fn sender(senders: u32) -> (Rig, impl Fn(&mut Rig, Micros, Option<FleetView>) -> u32) {
+    let mut settings = settings(8);
+    settings.senders = senders;
+    let rig = Rig::new(settings, vec![entry(1, 7)]);
+    let tell = |rig: &mut Rig, after: Micros, view| {
+        rig.now += after;
+        rig.sender.handle(rig.now, &[Event::Fleet(view)], &mut Vec::new());
+        rig.sender.senders()
+    };
+    (rig, tell)
+}
+
+/// All that live hold this view.
+fn view(living: u32, gone: u32) -> FleetView {
+    FleetView { living, suspects: 0, gone, holders: living, doubt: false }
+}
+
+#[test]
+fn the_number_falls_once_the_view_has_stood_and_rises_at_once() {
+    let (mut rig, tell) = sender(100);
+    assert_eq!(tell(&mut rig, 0, Some(view(60, 40))), 100);
+    assert_eq!(tell(&mut rig, STANDS - 1, Some(view(60, 40))), 100);
+    let mut actions = Vec::new();
+    rig.now += 1;
+    rig.sender.handle(rig.now, &[Event::Alarm], &mut actions);
+    assert_eq!(rig.sender.senders(), 60, "at its own alarm");
+    assert_eq!(tell(&mut rig, SECOND, Some(view(61, 39))), 61, "at once");
+    assert_eq!(tell(&mut rig, SECOND, Some(FleetView { doubt: true, ..view(61, 39) })), 100, "in doubt");
+    assert_eq!(tell(&mut rig, SECOND, None), 100);
+}
+
+#[test]
+fn it_rings_when_the_view_will_have_stood() {
+    let (mut rig, _) = sender(100);
+    let mut actions = Vec::new();
+    rig.sender.handle(rig.now, &[Event::Fleet(Some(view(60, 40)))], &mut actions);
+    assert!(actions.contains(&Action::SetAlarm(rig.now + STANDS)), "{actions:?}");
+}
+
+#[test]
+fn what_is_less_than_sure_never_lowers_the_number() {
+    let lowered = view(60, 40);
+    for (what, view) in [
+        ("a suspect", FleetView { suspects: 1, ..lowered }),
+        ("few hold it", FleetView { holders: 50, ..lowered }),
+        ("a minority", view(50, 50)),
+        ("doubt", FleetView { doubt: true, ..lowered }),
+        ("never heard of", view(60, 0)),
+    ] {
+        let (mut rig, tell) = sender(100);
+        tell(&mut rig, 0, Some(view));
+        assert_eq!(tell(&mut rig, 100 * STANDS, Some(view)), 100, "{what}");
+    }
+    // one that is never still
+    let (mut rig, tell) = sender(100);
+    for step in 0..100 {
+        assert_eq!(tell(&mut rig, STANDS / 2, Some(view(60 + step % 2, 40 - step % 2))), 100);
+    }
+}
+
+#[test]
+fn new_settings_bind_at_once() {
+    let (mut rig, tell) = sender(100);
+    tell(&mut rig, 0, Some(view(60, 40)));
+    assert_eq!(tell(&mut rig, STANDS, Some(view(60, 40))), 60);
+    let mut settings = rig.sender.settings().clone();
+    settings.senders = 80;
+    rig.sender.handle(rig.now, &[Event::Retuned(Box::new(settings))], &mut Vec::new());
+    assert_eq!(rig.sender.senders(), 60, "forty of them are known to be gone");
+    let (mut rig, _) = sender(100);
+    let mut settings = rig.sender.settings().clone();
+    settings.senders = 80;
+    rig.sender.handle(rig.now, &[Event::Retuned(Box::new(settings))], &mut Vec::new());
+    assert_eq!(rig.sender.senders(), 80);
+}
+
+#[test]
+fn in_any_run_of_views_the_number_is_no_lower_than_what_may_live_and_falls_only_when_sure() {
+    let mut random = Pcg32::seed_from_u64(4);
+    let mut below = |most: u32| random.next_u32() % most;
+    for _ in 0..300 {
+        let configured = 1 + below(40);
+        let (mut rig, tell) = sender(configured);
+        let (mut before, mut held): (u32, Option<(FleetView, Micros)>) = (configured, None);
+        for _ in 0..60 {
+            let view = FleetView {
+                living: 1 + below(configured + 3),
+                suspects: below(3) / 2,
+                gone: below(configured + 2),
+                holders: below(configured + 2),
+                doubt: below(5) == 0,
+            };
+            // often the same one again, so that views stand
+            let view = held.filter(|_| below(4) > 0).map_or(view, |(view, _)| view);
+            let after = Micros::from(below(8)) * SECOND;
+            let now = tell(&mut rig, after, Some(view));
+            let seen = |view: FleetView| FleetView { holders: 0, ..view };
+            held =
+                Some((view, held.filter(|(old, _)| seen(*old) == seen(view)).map_or(rig.now, |(_, at)| at)));
+            let stood = held.is_some_and(|(_, since)| rig.now - since >= STANDS);
+            assert!(now >= view.living.min(before), "{view:?}: {now}");
+            if now < before && now < configured {
+                assert!(
+                    stood && view.suspects == 0 && 2 * view.holders > configured,
+                    "{view:?}: {before} to {now}"
+                );
+            }
+            if view.doubt || 2 * view.living <= configured {
+                assert!(now >= configured, "{view:?}: {now}");
+            }
+            before = now;
+        }
+    }
+}
+
+#[test]
+fn those_that_are_left_try_a_shut_destination_as_often_as_all_did() {
+    // twenty senders, nine of which have gone: what refuses all is tried by the eleven as often as by the twenty
+    let tries = |view: Option<FleetView>| {
+        let mut settings = settings(8);
+        settings.senders = 20;
+        let mut rig = Rig::new(settings, vec![entry(1, 7)]);
+        rig.tell(vec![Event::Fleet(view)]);
+        let begin = rig.now + 2 * STANDS;
+        rig.run(begin);
+        for id in 0..300 {
+            rig.tell(vec![message(id, FREE, 7)]);
+            for step in 1..=20 {
+                let before = rig.sends.len();
+                rig.run(begin + id as Micros * SECOND + step * SECOND / 20);
+                let new: Vec<u64> = rig.sends[before..].iter().map(|send| send.1).collect();
+                new.iter()
+                    .for_each(|&id| drop(rig.end(id, Outcome::Refused { wait: None }, 10 * MILLISECOND)));
+            }
+        }
+        rig.sends.len() as f64
+    };
+    let (all, left) = (tries(None), tries(Some(view(11, 9))));
+    let ratio = left / all;
+    assert!((1.5..=2.1).contains(&ratio), "{left} for {all} tries, 20/11 wanted");
+}
+
+#[test]
+fn when_others_come_back_their_part_is_given_up_at_once() {
+    let mut settings = settings(8);
+    (settings.senders, settings.weight_trust) = (20, 1.0);
+    let entries = vec![Entry { weight: 40.0, ..entry(1, 7) }];
+    let mut rig = Rig::new(settings, entries);
+    rig.tell(vec![Event::Fleet(Some(view(11, 9)))]);
+    rig.run(rig.now + 2 * STANDS);
+    assert_eq!(rig.sender.senders(), 11);
+    rig.tell(vec![Event::Fleet(Some(view(20, 0)))]);
+    assert_eq!(rig.sender.senders(), 20);
+    // one whose only call was refused is at its part of the listed rate: two a second, and no longer four
+    rig.tell(vec![message(1, FREE, 7)]);
+    rig.end(1, Outcome::Refused { wait: None }, 10 * MILLISECOND);
+    let begin = rig.now;
+    for id in 2..60 {
+        rig.tell(vec![message(id, FREE, 7)]);
+    }
+    rig.run(begin + 2 * SECOND);
+    let sent = rig.sends.iter().filter(|send| send.0 > begin).count();
+    assert!(sent <= 4, "{sent} in 2 s");
+}
