Take part in membership where the configuration has its object

The protocol gets its socket, clock and file: membership is read strictly, comes and goes by SIGHUP, says left at SIGTERM, is the same member over an upgrade, remembers members in the lasting folder within disk_mb, and is seen by GET /members. The module is told each view as an event. Without the object there is no socket, no file and no log line (a test looks).

--- a/membership/src/node/mod.rs
+++ b/membership/src/node/mod.rs
@@ -229,6 +229,11 @@
         self.settings.configured = configured.max(1);
     }
 
+    /// The settings as they are now.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// When it wants [`Node::tick`] next.
     pub fn wake_at(&self) -> Micros {
         self.wake
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,10 +10,11 @@
 use net::driver::{Driver, Shared};
 use net::events::{Clock, Input};
 use net::journal::Journal;
+use net::membership::settings::Membership;
 use net::pool::{Connections, Means, limits};
 use net::server::{Classes, Server, serve};
 use net::upgrade::{self, Frame, Lock, Taken};
-use net::{control, discovery, journal};
+use net::{control, discovery, journal, membership};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -65,11 +66,18 @@
     let (close, closing) = watch::channel(false);
     let (handed, handed_seen) = watch::channel(false);
     let (moved, agent) = watch::channel(config.discovery);
+    let (member, membership) = watch::channel(config.membership);
+    let (stop, stopping) = watch::channel(false);
+    let (members, queries) = mpsc::channel(ORDERS);
     // nothing is taken before the messages are this process's own
     let draining = Rc::new(Cell::new(true));
     if let Some(address) = config.control {
-        let control =
-            Control { orders: orders.clone(), ready: ready_seen.clone(), draining: draining.clone() };
+        let control = Control {
+            orders: orders.clone(),
+            members,
+            ready: ready_seen.clone(),
+            draining: draining.clone(),
+        };
         // messages are served without it too
         match TcpListener::bind(address).await {
             Ok(listener) => {
@@ -111,6 +119,7 @@
         handed: handed_seen.clone(),
         closing,
     };
+    let counted = Rc::new(Cell::new(senders));
     let shared = Shared {
         clock,
         inputs: inputs.clone(),
@@ -120,6 +129,7 @@
         classes,
         draining: draining.clone(),
         handed,
+        counted: counted.clone(),
     };
     let known = config.known;
     let mut driver = Driver::new(
@@ -149,8 +159,20 @@
     tokio::task::spawn_local(until_handed(Box::pin(watch) as Task));
     let post = discovery::post_notices(agent, queue, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(post)));
-    tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(config.state, asked))));
-    tokio::task::spawn_local(reread(hangup, config.text, moved, inputs.clone()));
+    tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(
+        config.state.clone(),
+        asked,
+    ))));
+    let means = membership::Means {
+        clock,
+        seed: config.seed,
+        state: config.state.clone(),
+        inputs: inputs.clone(),
+        counted,
+    };
+    let part = membership::take_part(means, membership, queries, stopping);
+    tokio::task::spawn_local(until_handed(Box::pin(part)));
+    tokio::task::spawn_local(reread(hangup, config.text, moved, member, inputs.clone()));
     draining.set(false);
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let driver = tokio::task::spawn_local(driver.run(received, ordered, successors));
@@ -158,6 +180,7 @@
         terminate.recv().await;
         net::log(format_args!("{}: SIGTERM, draining", config.name));
         draining.set(true);
+        let _ = stop.send(true);
         let ends = Instant::now() + END;
         let _ = inputs.send(Input::Stopping(ends));
         sleep(CLOSE_IDLE).await;
@@ -181,7 +204,7 @@
 /// Rereads the configuration on each SIGHUP: settings and discovery come from a file that is whole, or neither.
 async fn reread(
     mut hangup: Signal, mut text: Vec<u8>, moved: watch::Sender<SocketAddr>,
-    inputs: mpsc::UnboundedSender<Input>,
+    member: watch::Sender<Option<Membership>>, inputs: mpsc::UnboundedSender<Input>,
 ) {
     while hangup.recv().await.is_some() {
         let before = text.clone();
@@ -194,6 +217,11 @@
                 net::log(format_args!("SIGHUP: classes {names}; discovery at {}", new.discovery));
                 text = new.text;
                 let _ = inputs.send(Input::Retuned(Box::new((new.settings, new.names, new.pool))));
+                member.send_if_modified(|old| {
+                    let changed = *old != new.membership;
+                    *old = new.membership;
+                    changed
+                });
                 moved.send_if_modified(|old| std::mem::replace(old, new.discovery) != new.discovery);
             }
             Err(error) => net::log(format_args!("SIGHUP: configuration left as it was: {error}")),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,6 +3,8 @@
 
 use super::discovery::parse_list;
 use super::events::ListUpdate;
+use super::membership;
+use super::membership::settings::{Membership, MembershipError};
 use milletturn::pool::PoolSettings;
 use milletturn::wire::{Names, Pairs, read_settings};
 use milletturn::{Settings, SettingsError};
@@ -18,6 +20,8 @@
 const LAST: &str = "config.last";
 /// Keys of a class that may be absent by the rules of the settings.
 const MAY_LACK: [&str; 2] = ["aimStretch", "oneAtATime"];
+/// Objects that may come and go.
+const PARTS: [&str; 2] = ["pool", "membership"];
 
 /// Why the sender cannot start.
 #[derive(Debug, Error)]
@@ -36,6 +40,8 @@
     Unknown(String),
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Membership(#[from] MembershipError),
 }
 
 /// All that the sender is told at its start.
@@ -60,6 +66,8 @@
     pub settings: Settings,
     pub names: Names,
     pub pool: PoolSettings,
+    /// How this sender takes part in membership, if it does.
+    pub membership: Option<Membership>,
 }
 
 /// Reads the `pool` object; the process may hold so many descriptors.
@@ -131,6 +139,8 @@
     known: Value,
     #[serde(default)]
     pool: Value,
+    #[serde(default)]
+    membership: Value,
     settings: Value,
 }
 
@@ -230,6 +240,8 @@
         let (mut settings, names) = read_settings(&Pairs(pairs))?;
         settings.ends_by_notice = true;
         settings.validate()?;
+        let membership = membership::settings::read(&file.membership, &name, settings.senders)?;
+        let remembered = if membership.is_some() { membership::DISK } else { 0 };
         Ok(Config {
             name,
             listen,
@@ -239,13 +251,14 @@
             state,
             seed,
             // the last good file stands beside the journal, twice while it is replaced
-            disk: (disk as u64).saturating_sub(2 * text.len() as u64 + 4096),
+            disk: (disk as u64).saturating_sub(2 * text.len() as u64 + 4096 + remembered),
             text,
             sockets: file.limits.sockets,
             known: parse_list(&file.known),
             settings,
             names,
             pool,
+            membership,
         })
     }
 }
@@ -269,11 +282,15 @@
     let lacks = |what: &str| Err(ConfigError::Incomplete(format!("{path}{what}")));
     match (before, new) {
         // for the start alone, or with defaults for all that is not set
-        _ if ["/known", "/control", "/seed", "/pool"].contains(&path) => Ok(()),
+        _ if ["/known", "/control", "/seed", "/pool", "/membership"].contains(&path) => Ok(()),
         (Value::Object(before), Value::Object(new)) => {
             before.iter().try_for_each(|(name, value)| match new.get(name) {
                 Some(new) => complete(&format!("{path}/{name}"), value, new),
-                None if MAY_LACK.contains(&name.as_str()) || path.is_empty() && name == "pool" => Ok(()),
+                None if MAY_LACK.contains(&name.as_str())
+                    || path.is_empty() && PARTS.contains(&name.as_str()) =>
+                {
+                    Ok(())
+                }
                 None => lacks(&format!("/{name}")),
             })
         }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,7 @@
 //! The operators' address: one call a connection, answered beside whatever else goes on.
 
 use super::events::{Order, Verdict};
+use super::membership::Query;
 use super::server::{Seat, accept};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -33,6 +34,7 @@
 /// What the calls need.
 pub struct Control {
     pub orders: mpsc::Sender<Order>,
+    pub members: mpsc::Sender<Query>,
     pub ready: watch::Receiver<bool>,
     /// Set once the process takes nothing new.
     pub draining: Rc<Cell<bool>>,
@@ -108,7 +110,15 @@
             let ending = (StatusCode::SERVICE_UNAVAILABLE, "ending");
             return report.await.map(Cow::from).map_err(|_| ending);
         }
-        ("/ready" | "/pools", _) => return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET)),
+        ("/members", &Method::GET) => {
+            seat.set_idle(false);
+            let (reply, report) = oneshot::channel();
+            let busy = (StatusCode::SERVICE_UNAVAILABLE, "no order is taken now");
+            control.members.try_send(reply).map_err(|_| busy)?;
+            let off = (StatusCode::NOT_FOUND, "membership is off");
+            return report.await.map(Cow::from).map_err(|_| off);
+        }
+        ("/ready" | "/pools" | "/members", _) => return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET)),
         ("/endpoints/disable", &Method::POST) => true,
         ("/endpoints/enable", &Method::POST) => false,
         ("/endpoints/disable" | "/endpoints/enable", _) => {
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -91,6 +91,8 @@
     /// Tells that the process takes nothing new, and that another has taken over.
     pub draining: Rc<Cell<bool>>,
     pub handed: watch::Sender<bool>,
+    /// The number of senders that the decisions scale by.
+    pub counted: Rc<Cell<u32>>,
 }
 
 /// What follows once a next process has asked.
@@ -264,6 +266,7 @@
             }
             Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
             Input::Ended(ended) => self.ended(ended),
+            Input::Fleet(view) => self.events.push(Event::Fleet(view)),
             Input::Listed(update) => self.list(update, false),
             Input::Retuned(new) => {
                 let (settings, names, pool) = *new;
@@ -290,6 +293,13 @@
         let events = std::mem::take(&mut self.events);
         let mut actions = Vec::new();
         self.sender.handle(now, &events, &mut actions);
+        let counted = self.sender.senders();
+        let before = self.shared.counted.replace(counted);
+        if counted != before && events.iter().any(|event| matches!(event, Event::Fleet(_) | Event::Alarm)) {
+            super::log(format_args!(
+                "members: limits are shared by {counted} senders, no longer by {before}"
+            ));
+        }
         self.answer_arrivals(&actions);
         let mut bundles: Vec<Bundle> = Vec::new();
         for action in actions {
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -4,7 +4,7 @@
 use hyper::header::HeaderValue;
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
-use milletturn::{Micros, Outcome, Settings, Status};
+use milletturn::{FleetView, Micros, Outcome, Settings, Status};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -25,6 +25,8 @@
     Listed(ListUpdate),
     /// Notices that the platform has taken, by number of message.
     Noticed(Vec<u64>),
+    /// What is seen of the other senders; none where nothing is.
+    Fleet(Option<FleetView>),
     /// New settings, checked.
     Retuned(Box<(Settings, Names, PoolSettings)>),
     /// What the other process of an upgrade says, and that it says no more.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod journal;
 pub mod leaving;
+pub mod membership;
 pub mod pool;
 pub mod server;
 pub mod upgrade;
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -358,6 +358,21 @@
         Node::spawn(command(&folder), folder, agent.address, 3.0, idle_s, 1024, None)
     }
 
+    /// One whose configuration is changed as the caller likes.
+    pub fn configured_with(agent: &Agent, change: impl FnOnce(String) -> String) -> Self {
+        let folder = fresh_folder();
+        let text = change(config(agent.address, 3.0, 5.0, 1024));
+        std::fs::write(folder.join("config.json"), text).expect("written");
+        Node::spawn(command(&folder), folder, agent.address, 3.0, 5.0, 1024, None)
+    }
+
+    /// Starts a further process on the same folder, with the configuration as it stands there.
+    pub fn successor_as_configured(&self) -> Self {
+        let (disk_mb, idle_s, sockets) = (self.disk_mb, self.idle_s, self.sockets);
+        let (folder, passed) = (self.folder.clone(), self.passed.clone());
+        Node::spawn(command(&folder), folder, self.discovery, disk_mb, idle_s, sockets, passed)
+    }
+
     /// Another build of the program, to be measured beside this one.
     pub fn of_program(program: &std::path::Path, agent: &Agent, idle_s: f64) -> Self {
         let folder = fresh_folder();
