Find the islands of a fleet that starts piece by piece

A hundred real senders on the lab never joined: after 20 s one saw two living. Each pair that met at the start took the other's two members for the fleet and asked no seed again. The exchange of state now goes on to addresses that are no known member's, and each period while no majority is known.

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -1,6 +1,7 @@
 //! Rules, checked over a history. Each says what it saw break, with the time and the id.
 
-use crate::history::{Event, Record};
+use crate::history::{Event, Head, Record};
+use crate::members;
 use crate::plan::CLASSES;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -19,11 +20,13 @@
 }
 
 /// All breaches of all rules, in order of time.
-pub fn check(records: &[Record]) -> Vec<Breach> {
+pub fn check(head: &Head, records: &[Record]) -> Vec<Breach> {
     // what the lab does to the processes after the run breaks nothing
     let over = records.iter().position(|record| record.event == Event::Over {});
     let records = over.map_or(records, |over| &records[..=over]);
-    let mut breaches = [ends(records), effects(records), uninvited(records), processes(records)].concat();
+    let members = members::check(head, records);
+    let mut breaches =
+        [ends(records), effects(records), uninvited(records), processes(records), members].concat();
     breaches.sort_by_key(|breach| breach.at_us);
     breaches
 }
@@ -199,7 +202,9 @@
     fn broken(events: Vec<(f64, Event)>) -> Vec<&'static str> {
         let record = |(at, event): (f64, Event)| Record { at_us: (at * 1e6) as u64, event };
         let records: Vec<Record> = events.into_iter().map(record).collect();
-        check(&records).iter().map(|breach| breach.rule).collect()
+        let scenario = "s".to_string();
+        let head = Head { version: 1, scenario, seed: 1, senders: 2, ends_us: 0, period_us: None };
+        check(&head, &records).iter().map(|breach| breach.rule).collect()
     }
 
     #[test]
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -23,7 +23,7 @@
 const CONTROL: u16 = 8001;
 const MEMBERS: u16 = 8002;
 const STANDS: u16 = 9000;
-/// The second process of an upgrade has its operators' address here.
+/// Each second process of a sender has its operators' address here.
 const CONTROL_NEXT: u16 = 8011;
 /// Held by a run, so that no two share addresses.
 const CLAIM: u16 = 7999;
@@ -91,6 +91,8 @@
     scenario: Scenario,
     seed: u64,
     processes: Vec<Option<Process>>,
+    /// The control port of each one's last process.
+    ports: Vec<u16>,
     starts: u64,
 }
 
@@ -109,7 +111,8 @@
         discovery: Vec<SocketAddr>, scenario: Scenario, seed: u64,
     ) -> Self {
         let processes = discovery.iter().map(|_| None).collect();
-        Fleet { program, folder, addresses, history, discovery, scenario, seed, processes, starts: 0 }
+        let ports = vec![CONTROL_NEXT; discovery.len()];
+        Fleet { program, folder, addresses, history, discovery, scenario, seed, processes, ports, starts: 0 }
     }
 
     pub fn addresses(&self) -> &Addresses {
@@ -189,8 +192,9 @@
     /// Its folder can't be written or the program can't be started.
     pub fn start(&mut self, sender: usize) -> anyhow::Result<()> {
         self.starts += 1;
-        let before = self.control(sender).map(|control| control.port());
-        let port = if before == Some(CONTROL) { CONTROL_NEXT } else { CONTROL };
+        // the process before it may still be there: it leaves slowly, or hands over
+        let port = if self.ports[sender] == CONTROL { CONTROL_NEXT } else { CONTROL };
+        self.ports[sender] = port;
         let control = SocketAddr::new(self.addresses.own(sender), port);
         let home = self.home(sender);
         let temporary = home.join(format!("tmp{}", self.starts));
@@ -227,7 +231,6 @@
 
     /// The process of a sender, to be ended by an upgrade once its successor is ready.
     pub fn part_with(&mut self, sender: usize) -> Option<impl FnOnce() + Send + use<>> {
-        // it stays known until the next start, which must take the other control port
         let old = self.processes[sender].clone()?;
         Some(move || old.signal(Signal::TERM, true))
     }
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -23,6 +23,8 @@
     pub senders: usize,
     /// When clients stopped handing in, us.
     pub ends_us: u64,
+    /// The members' protocol period, us; none: membership is off.
+    pub period_us: Option<u64>,
 }
 
 /// One line.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,9 +2,11 @@
 
 mod check;
 mod clients;
+mod figures;
 mod fleet;
 mod history;
 mod links;
+mod members;
 mod plan;
 mod relay;
 mod run;
@@ -89,8 +91,9 @@
             Ok(code)
         }
         Command::Check { history } => {
-            let (_, records) = history::read(&history)?;
-            Ok(verdict(&check::check(&records), None))
+            let (head, records) = history::read(&history)?;
+            let breaches = check::check(&head, &records);
+            Ok(verdict(&breaches, None))
         }
         Command::Exec { parent, program } => fleet::exec(parent, &program).map(|()| ExitCode::SUCCESS),
     }
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -4,7 +4,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// A class of message, as the deployment has them.
 #[derive(Debug, Clone, Copy)]
@@ -75,7 +75,7 @@
 }
 
 /// A party of a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Party {
     Sender(usize),
@@ -92,7 +92,7 @@
 }
 
 /// What is done. Faults carry the number by which they end.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Act {
     Impair { fault: usize, from: Vec<Party>, to: Vec<Party>, how: Impairment },
@@ -109,7 +109,7 @@
 }
 
 /// What a link suffers, in the direction named.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Impairment {
     Cut { there: bool, back: bool },
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -2,8 +2,10 @@
 
 use crate::check::{Breach, check};
 use crate::clients::{self, Front};
+use crate::figures;
 use crate::fleet::{Addresses, Fleet};
 use crate::history::{self, Event, Head, History};
+use crate::members;
 use crate::plan::{Act, CLASSES, Plan, Step, micros};
 use crate::relay::{Datagrams, Net, watch_lateness};
 use crate::scenario::Scenario;
@@ -23,7 +25,9 @@
 /// After the last deadline, for notices under way.
 const SETTLE: Duration = Duration::from_millis(1500);
 /// How often each sender is asked for its members.
-const ASK_MEMBERS: Duration = Duration::from_millis(500);
+const ASK_MEMBERS: Duration = Duration::from_millis(250);
+/// Between two lines that tell how far a run is, us.
+const PROGRESS_US: u64 = 5_000_000;
 /// Senders that are started together, so that starting them does not make the lab late.
 const START_TOGETHER: usize = 20;
 
@@ -59,6 +63,11 @@
     pub datagram_bytes: u64,
     pub datagrams_lost: u64,
     pub lab_late_ms: f64,
+    pub worth: figures::Worth,
+    pub evenness: figures::Evenness,
+    /// What the senders saw of one another's ends and of the ends of faults.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<members::Seen>,
 }
 
 /// Plays a run.
@@ -80,6 +89,7 @@
         seed: *seed,
         senders: scenario.senders,
         ends_us: micros(scenario.seconds),
+        period_us: scenario.period_us(),
     };
     let history = Arc::new(History::create(&path, &head)?);
     tokio::spawn(watch_lateness(history.clone()));
@@ -106,7 +116,11 @@
     played?;
     let (_, records) = history::read(&path)?;
     let (late, [datagrams, datagram_bytes, datagrams_lost]) = history.counts();
+    let members = if head.period_us.is_some() { members::figures(&head, &records) } else { Vec::new() };
     let figures = Figures {
+        members,
+        worth: figures::worth(&records),
+        evenness: figures::evenness(&records, scenario.endpoints()),
         datagrams,
         datagram_bytes,
         datagrams_lost,
@@ -114,7 +128,7 @@
         ..count(&records)
     };
     let void = (late > VOID_LATE).then(|| format!("the lab was {} ms late", late.as_millis()));
-    Ok(Outcome { breaches: check(&records), void, figures })
+    Ok(Outcome { breaches: check(&head, &records), void, figures })
 }
 
 /// Descriptors: a listener for each sender and endpoint, and connections beside them.
@@ -177,9 +191,12 @@
         let mut steps = plan.steps.iter();
         let mut next = steps.next();
         let last_step = plan.steps.last().map_or(0, |step| step.at_us);
+        // the members are given their time to agree, and some views more
+        let agreed_by = scenario.period_us().map_or(0, |period| last_step + period * (members::SETTLES + 10));
         let longest = CLASSES.iter().map(|class| class.deadline_s).fold(0.0, f64::max);
         let mut ends = None;
         let mut settled = None;
+        let mut told = 0;
         loop {
             let at = next.map(|step| self.history.instant(begin + step.at_us));
             tokio::select! {
@@ -191,12 +208,16 @@
                 }
                 Some(step) = due.recv() => self.follow_up(step),
                 _ = ask.tick() => {
-                    tracing::info!(at_s = (self.history.now_us() - begin) / 1_000_000, "running");
+                    let at = self.history.now_us() - begin;
+                    if at / PROGRESS_US != told {
+                        told = at / PROGRESS_US;
+                        tracing::info!(at_s = at / 1_000_000, owed = self.history.owed(), "running");
+                    }
                     if asking {
                         self.ask_members(&all);
                     }
                     // nothing is handed in, done or owed any more, for long enough to hear of a second end
-                    let quiet = ends.is_some() && next.is_none() && self.history.owed() == 0;
+                    let quiet = ends.is_some() && next.is_none() && self.history.owed() == 0 && at > agreed_by;
                     settled = quiet.then(|| settled.unwrap_or_else(tokio::time::Instant::now));
                     if settled.is_some_and(|since| since.elapsed() >= SETTLE) {
                         return Ok(());
@@ -204,7 +225,8 @@
                 }
                 _ = &mut handing, if ends.is_none() => {
                     // until no message can be owed: its end may come with the last deadline
-                    let quiet = micros(longest).max(last_step.saturating_sub(self.history.now_us() - begin));
+                    let left = last_step.max(agreed_by).saturating_sub(self.history.now_us() - begin);
+                    let quiet = micros(longest).max(left);
                     ends = Some(self.history.instant(self.history.now_us() + quiet) + SETTLE);
                 }
                 () = async { sleep_until(ends.unwrap_or_else(tokio::time::Instant::now)).await }, if ends.is_some() && next.is_none() => {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -205,6 +205,14 @@
         }
     }
 
+    /// The members' protocol period, us, if there is membership.
+    pub fn period_us(&self) -> Option<u64> {
+        let told = self.membership.as_ref()?.get("period_ms");
+        let told =
+            told.and_then(|period| period.as_float().or(period.as_integer().map(|whole| whole as f64)));
+        Some((told.unwrap_or(1000.0) * 1e3) as u64)
+    }
+
     /// All endpoints.
     pub fn endpoints(&self) -> usize {
         self.destinations.count * self.destinations.endpoints
--- a/lab/tests/fleets.rs
+++ b/lab/tests/fleets.rs
@@ -74,6 +74,51 @@
     assert!(count("replied") > 50, "{} answers", count("replied"));
 }
 
+#[test]
+fn five_members_agree_on_who_lives_through_cuts_a_stall_a_kill_and_an_upgrade() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let text = SMALL
+        .replace("seconds = 3", "seconds = 10")
+        .replace("[traffic]", "[membership]\nperiod_ms = 100\n[traffic]");
+    let faults = r#"
+        [[fault]]
+        at = 1
+        seconds = 2
+        kind = "cut"
+        from = "n1"
+        to = "n2"
+        way = "both"
+        [[fault]]
+        at = 3.5
+        seconds = 3
+        kind = "cut"
+        from = "senders"
+        to = "n3"
+        way = "there"
+        [[fault]]
+        at = 4
+        seconds = 1
+        kind = "stop"
+        who = "n0"
+        [[fault]]
+        at = 7
+        seconds = 2
+        kind = "kill"
+        who = "n4"
+        [[fault]]
+        at = 9.5
+        kind = "upgrade"
+        who = "n1"
+    "#;
+    let output = play(&format!("{text}{faults}"), &program(), folder.path());
+    let said = said(&output);
+    assert!(said.contains("HELD") || said.contains("VOID"), "{said}");
+    let history = std::fs::read_to_string(folder.path().join("out/history.jsonl")).expect("recorded");
+    let views: Vec<&str> = history.lines().filter(|line| line.contains(r#""event":"members""#)).collect();
+    let last = views.last().expect("views");
+    assert!(last.contains(r#""living":5"#) && last.contains(r#""holders":5"#), "{last}");
+}
+
 #[test]
 fn a_faulty_sender_is_caught_by_the_rule_that_it_breaks() {
     // examples are built with the tests
--- a/membership/src/gossip.rs
+++ b/membership/src/gossip.rs
@@ -6,7 +6,7 @@
 pub type Topic = (String, Option<String>);
 
 /// What is still to be passed on.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Gossip {
     /// How often each has gone out, and its age by number.
     topics: BTreeMap<Topic, (u32, u64)>,
--- a/membership/src/node/mod.rs
+++ b/membership/src/node/mod.rs
@@ -125,7 +125,7 @@
 }
 
 /// A member of a fleet.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     settings: Settings,
     random: Pcg64,
--- a/membership/src/node/probe.rs
+++ b/membership/src/node/probe.rs
@@ -19,7 +19,7 @@
 const NACK_DEN: Micros = 10;
 
 /// The probe of this period.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Probe {
     target: String,
     number: u32,
@@ -33,7 +33,7 @@
 }
 
 /// A probe on another's behalf, by its own number.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Relay {
     target: String,
     requester: String,
--- a/membership/src/node/sync.rs
+++ b/membership/src/node/sync.rs
@@ -13,11 +13,13 @@
 
 /// One exchange of so many goes to one that is gone, or to an address once known: so halves find one another.
 const TO_THE_GONE: u32 = 4;
+/// The same while no majority is known, when one exchange is made a period: a fleet that starts is a heap of islands.
+const TO_THE_GONE_FEW: u32 = 2;
 /// Parts asked of one member without an answer before another is asked.
 const PATIENCE: u32 = 2;
 
 /// Where the exchange stands.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Sync {
     pub at: Micros,
     /// The last member whose part is known, and who is asked for the next.
@@ -41,7 +43,11 @@
         }
         let period = self.settings.period;
         // each at moments of its own, as far as members that started together are concerned
-        let every = if self.sync.joined { period * Micros::from(self.settings.sync) } else { period / 2 };
+        let every = match (self.sync.joined, self.is_few()) {
+            (false, _) => period / 2,
+            (true, true) => period,
+            (true, false) => period * Micros::from(self.settings.sync),
+        };
         self.sync.at = now + every / 2 + self.random.random_range(0..=every);
         let Some((name, address)) = self.partner() else { return };
         self.sync.unanswered += 1;
@@ -54,14 +60,12 @@
     }
 
     /// Whom to ask: the one that gave the last part while there are more, else a member at random, now and then one
-    /// that is gone. Who knows nobody asks the seeds and those last known.
+    /// that is gone or an address once known that is no living member's. Who knows nobody asks the seeds and those last
+    /// known. Without the last, members that started one after the other stay in islands, each of which thinks that
+    /// it is the fleet.
     fn partner(&mut self) -> Option<(String, SocketAddr)> {
-        let contact = |node: &mut Self| {
-            let address = node.contacts.iter().choose(&mut node.random).copied();
-            address.map(|address| (String::new(), address))
-        };
         if self.table.living().len() == 1 || !self.sync.joined && self.sync.asked.is_none() {
-            return contact(self);
+            return self.contact();
         }
         let asked = self.sync.asked.as_ref().filter(|_| self.sync.unanswered < PATIENCE);
         let peer = asked.and_then(|name| Some((name.clone(), self.table.get(name)?.address)));
@@ -72,13 +76,14 @@
             self.sync.after.clear();
             self.sync.unanswered = 0;
             if !self.sync.joined {
-                return contact(self);
+                return self.contact();
             }
         }
-        if self.random.random_ratio(1, TO_THE_GONE) {
+        if self.random.random_ratio(1, if self.is_few() { TO_THE_GONE_FEW } else { TO_THE_GONE }) {
             let dead = |(_, peer): &(&String, &crate::table::Peer)| peer.state == State::Dead;
-            let gone: Vec<(String, SocketAddr)> =
-                self.table.iter().filter(dead).map(|(name, peer)| (name.clone(), peer.address)).collect();
+            let dead = self.table.iter().filter(dead).map(|(name, peer)| (name.clone(), peer.address));
+            let mut gone: Vec<(String, SocketAddr)> = dead.collect();
+            gone.extend(self.strangers().into_iter().map(|address| (String::new(), address)));
             if let Some(gone) = gone.choose(&mut self.random) {
                 return Some(gone.clone());
             }
@@ -88,6 +93,22 @@
         Some((name, address))
     }
 
+    /// A majority of the configured members is not known yet, or no more.
+    fn is_few(&self) -> bool {
+        2 * self.table.living().len() <= self.settings.configured as usize
+    }
+
+    /// Addresses once known that are no known member's.
+    fn strangers(&self) -> Vec<SocketAddr> {
+        let known = |address: &SocketAddr| self.table.iter().any(|(_, peer)| peer.address == *address);
+        self.contacts.iter().filter(|address| !known(address)).copied().collect()
+    }
+
+    fn contact(&mut self) -> Option<(String, SocketAddr)> {
+        let address = self.contacts.iter().choose(&mut self.random).copied();
+        address.map(|address| (String::new(), address))
+    }
+
     /// The records of the members after a name and up to another, as many as an answer has room for beside these, and
     /// the last one's name where there are more.
     fn part(&self, after: &str, until: Option<&str>, beside: &[Record]) -> (Vec<Record>, Option<String>) {
--- a/membership/src/table.rs
+++ b/membership/src/table.rs
@@ -128,7 +128,7 @@
 }
 
 /// All other members, and the view that follows.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Table {
     peers: BTreeMap<String, Peer>,
     own: String,
--- a/membership/tests/fleets.rs
+++ b/membership/tests/fleets.rs
@@ -27,6 +27,21 @@
     assert!(fleet.until(20.0, Fleet::agrees).is_some());
 }
 
+#[test]
+fn members_that_start_one_after_the_other_are_no_islands() {
+    for seed in 0..4 {
+        // each knows the next two alone, which start after it
+        let mut fleet = Fleet::new(60, seed);
+        (1..60).for_each(|index| fleet.kill(index));
+        for index in 1..60 {
+            fleet.run(0.3);
+            fleet.start(index, false);
+        }
+        let agreed = fleet.until(60.0, Fleet::agrees);
+        assert!(agreed.is_some_and(|periods| periods < 30.0), "seed {seed}: {agreed:?}");
+    }
+}
+
 #[test]
 fn a_death_is_found_by_all_and_kills_no_other() {
     for seed in 0..5 {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -287,15 +287,16 @@
         }
     }
 
-    /// The number of senders that all is scaled by. Guards destinations against senders that hear less and grow
-    /// bolder: it falls below the configured number only once nobody is suspect, a majority of the configured is
-    /// known to hold just this view, and it has stood for the cold time; it rises at once, and is the configured
-    /// one in a minority and in doubt. Senders never heard of count as living. Could starve a destination for that
-    /// time after many have gone.
+    /// The number of senders that all is scaled by. Guards destinations against senders that hear less and
+    /// grow bolder: it falls below the configured number only once nobody is suspect, a majority of the
+    /// configured is known to hold just this view, and it has stood for the cold time; it rises at once, and
+    /// is the configured one in a minority and in doubt. Senders never heard of count as living. Could starve
+    /// a destination for that time after many have gone.
     fn count_senders(&mut self) {
         let (configured, before) = (self.settings.senders, self.counted);
         let target = self.fleet.map_or(configured, |view| {
-            let gone = if view.doubt || view.living.saturating_mul(2) <= configured { 0 } else { view.gone };
+            let minority = view.living.saturating_mul(2) <= configured;
+            let gone = if view.doubt || minority { 0 } else { view.gone };
             view.living.max(configured.saturating_sub(gone)).max(1)
         });
         let sure =
