--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -7,6 +7,7 @@
 use crate::history::{Event, History};
 use crate::plan::{CLASSES, SHOPS, WINDOW_S};
 use crate::scenario::Scenario;
+use crate::usage;
 use anyhow::{Context, bail};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -235,6 +236,11 @@
         Some(move || old.signal(Signal::TERM, true))
     }
 
+    /// What the processes use that run now.
+    pub fn usage(&self) -> usage::Usage {
+        usage::measure(self.processes.iter().flatten().map(|process| process.pid))
+    }
+
     /// Takes a sender's lasting folder away.
     pub fn lose_folder(&self, sender: usize) {
         if let Err(error) = std::fs::remove_dir_all(self.home(sender).join("state")) {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -12,6 +12,7 @@
 mod run;
 mod scenario;
 mod serve;
+mod usage;
 mod world;
 
 use clap::{Parser, Subcommand};
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -10,6 +10,7 @@
 use crate::relay::{Datagrams, Net, watch_lateness};
 use crate::scenario::Scenario;
 use crate::serve::World;
+use crate::usage;
 use anyhow::{Context, bail};
 use rustix::process::{Resource, Signal, getrlimit};
 use std::path::{Path, PathBuf};
@@ -65,6 +66,8 @@
     pub lab_late_ms: f64,
     pub worth: figures::Worth,
     pub evenness: figures::Evenness,
+    /// Of the senders' processes at the end.
+    pub usage: usage::Usage,
     /// What the senders saw of one another's ends and of the ends of faults.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<members::Seen>,
@@ -110,6 +113,7 @@
     let mut play = Play { net, world, front: front.clone(), fleet, history: history.clone() };
     let played = play.play(&plan, scenario).await;
     history.tell(Event::Over {});
+    let usage = play.fleet.usage();
     play.fleet.kill_all();
     sleep(Duration::from_millis(50)).await;
     history.flush()?;
@@ -119,6 +123,7 @@
     let members = if head.period_us.is_some() { members::figures(&head, &records) } else { Vec::new() };
     let figures = Figures {
         members,
+        usage,
         worth: figures::worth(&records),
         evenness: figures::evenness(&records, scenario.endpoints()),
         datagrams,
