Tell who holds a view while it is new, and then where states are compared

The bitmap of those who hold a view went with every datagram, 91 bytes a period and member at 300. Now each datagram has it for some 25 periods after a change, later only the exchange of state.

--- a/membership/examples/measure.rs
+++ b/membership/examples/measure.rs
@@ -1,5 +1,6 @@
 //! Measures the protocol: how soon deaths are known, who is taken for dead wrongly, what it costs, how soon all agree
-//! again. Figures in periods, over seeds; prints Markdown. Arguments: members of the large fleet, seeds.
+//! again. Figures in periods, over seeds; prints Markdown. Arguments: members of the large fleet, seeds, and a part
+//! (`times`, `deaths`, `cost` or `splits`) if not all are wanted.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -169,33 +170,44 @@
 }
 
 fn main() {
-    let mut arguments = std::env::args().skip(1).filter_map(|text| text.parse::<u64>().ok());
-    let (large, seeds) = (arguments.next().unwrap_or(300) as usize, arguments.next().unwrap_or(20));
-    println!("{seeds} seeds each; in periods: median / 99th percentile / worst.\n");
-    println!("| members | until all know all, from a start together |\n| --- | --- |");
-    [10, 100, large].into_iter().for_each(|members| joining(members, seeds));
-    println!(
-        "\n| members | first suspects a death | first knows it | all know it |\n| --- | --- | --- | --- |"
-    );
-    [10, 100, large].into_iter().for_each(|members| detection(members, seeds));
-    println!(
-        "\nObservers that took a living member for dead wrongly, {large} members, 60 periods, all seeds together:\n"
-    );
-    println!("| datagrams lost | with all rules | plain SWIM |\n| --- | --- | --- |");
-    for loss in [0.0, 0.1, 0.3] {
-        let count = |lifeguard| false_deaths(large, seeds, loss, false, lifeguard);
-        println!("| {:.0}% | {} | {} |", loss * 100.0, count(true), count(false));
+    let mut arguments = std::env::args().skip(1);
+    let mut number = |default: u64| arguments.next().and_then(|text| text.parse().ok()).unwrap_or(default);
+    let (large, seeds) = (number(300) as usize, number(20));
+    let part = arguments.next();
+    let wanted = |name: &str| part.as_deref().is_none_or(|part| part == name);
+    println!("{seeds} seeds each; in periods: median / 99th percentile / worst.");
+    if wanted("times") {
+        println!("\n| members | until all know all, from a start together |\n| --- | --- |");
+        [10, 100, large].into_iter().for_each(|members| joining(members, seeds));
+        println!(
+            "\n| members | first suspects a death | first knows it | all know it |\n| --- | --- | --- | --- |"
+        );
+        [10, 100, large].into_iter().for_each(|members| detection(members, seeds));
+    }
+    if wanted("deaths") {
+        println!(
+            "\nObservers that held a living member for dead, {large} members, 60 periods, all seeds together:\n"
+        );
+        println!("| datagrams lost | with all rules | plain SWIM |\n| --- | --- | --- |");
+        for loss in [0.0, 0.1, 0.3] {
+            let count = |lifeguard| false_deaths(large, seeds, loss, false, lifeguard);
+            println!("| {:.0}% | {} | {} |", loss * 100.0, count(true), count(false));
+        }
+        let count = |lifeguard| false_deaths(large, seeds, 0.0, true, lifeguard);
+        println!("| 0%, one in twenty stands still for 2 to 10 s | {} | {} |", count(true), count(false));
+    }
+    if wanted("cost") {
+        println!("\nOut for each member and period:\n");
+        println!("| members | datagrams | bytes | datagrams, after a death | bytes, after a death |");
+        println!("| --- | --- | --- | --- | --- |");
+        [10, 100, large].into_iter().for_each(|members| cost(members, seeds));
+    }
+    if wanted("splits") {
+        println!("\nSplits of 100 periods, 100 members:\n");
+        println!(
+            "| split | members that any held for dead | all agree after the heal | more than there and back |"
+        );
+        println!("| --- | --- | --- | --- |");
+        splits(100, seeds);
     }
-    let count = |lifeguard| false_deaths(large, seeds, 0.0, true, lifeguard);
-    println!("| 0%, one in twenty stands still for 2 to 10 s | {} | {} |", count(true), count(false));
-    println!("\nOut for each member and period:\n");
-    println!(
-        "| members | datagrams | bytes | datagrams, after a death | bytes, after a death |\n| --- | --- | --- | --- | --- |"
-    );
-    [10, 100, large].into_iter().for_each(|members| cost(members, seeds));
-    println!("\nSplits of 100 periods, 100 members:\n");
-    println!(
-        "| split | members that any held for dead | periods until all agree after the heal | changed more than there and back |\n| --- | --- | --- | --- |"
-    );
-    splits(100, seeds);
 }
--- a/membership/src/node/mod.rs
+++ b/membership/src/node/mod.rs
@@ -403,7 +403,8 @@
         &mut self, to: SocketAddr, name: &str, message: Message, records: Vec<Record>, output: &mut Output,
     ) {
         self.counter += 1;
-        let (view, holders) = self.table.view();
+        let compares = matches!(message, Message::Pull { .. } | Message::Part { .. });
+        let (view, holders) = (self.table.view().0, self.table.tell_holders(compares));
         let mut packet = Packet {
             fleet: self.settings.fleet.clone(),
             from: self.settings.name.clone(),
@@ -413,7 +414,7 @@
             counter: self.counter,
             listener: self.yielded,
             view,
-            holders: holders.to_vec(),
+            holders,
             message,
             records,
         };
--- a/membership/src/table.rs
+++ b/membership/src/table.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::Xxh3;
 
+/// Datagrams that tell who holds a new view: some 25 periods' worth, where a word is with a thousand after ten.
+const FRESH: u32 = 60;
 /// Observers of one suspicion that are remembered: more change nothing.
 pub const OBSERVERS: usize = 4;
 
@@ -138,6 +140,8 @@
     view: u64,
     /// Those known to hold the same view, by place among the living.
     holders: Vec<u8>,
+    /// Datagrams that are still to tell them, whatever they are for.
+    fresh: u32,
 }
 
 impl Table {
@@ -149,6 +153,7 @@
             living: Vec::new(),
             view: 0,
             holders: Vec::new(),
+            fresh: 0,
         };
         table.look_again();
         table
@@ -205,6 +210,7 @@
         }
         self.view = hash.digest();
         self.holders = vec![0; self.living.len().div_ceil(8)];
+        self.fresh = FRESH;
         let own = self.own.clone();
         self.holds(&own);
     }
@@ -218,6 +224,9 @@
 
     /// Takes over what another one knows of who holds which view.
     pub fn learn_holders(&mut self, name: &str, view: u64, holders: &[u8]) {
+        if view == self.view {
+            self.holds(name);
+        }
         if view == self.view && holders.len() == self.holders.len() {
             let spare = self.holders.len() * 8 - self.living.len();
             for (known, new) in self.holders.iter_mut().zip(holders) {
@@ -226,10 +235,17 @@
             if let Some(last) = self.holders.last_mut() {
                 *last &= 0xff >> spare; // places that nobody has
             }
-            self.holds(name);
         }
     }
 
+    /// Those that hold the view, for a datagram: while the view is new each tells them, later those that compare the
+    /// state, so that what a datagram costs at rest does not grow with the fleet.
+    pub fn tell_holders(&mut self, compares: bool) -> Vec<u8> {
+        let tells = self.fresh > 0 || compares;
+        self.fresh = self.fresh.saturating_sub(1);
+        if tells { self.holders.clone() } else { Vec::new() }
+    }
+
     /// The view's hash and who holds it.
     pub fn view(&self) -> (u64, &[u8]) {
         (self.view, &self.holders)
@@ -347,6 +363,7 @@
         table.learn_holders("a", view, &[0b1111_1000]);
         assert_eq!(table.held_by(), 3, "a and d, and no places that nobody has");
         table.learn_holders("c", view ^ 1, &[0b1111]);
+        table.learn_holders("x", view, &[]);
         assert_eq!(table.held_by(), 3, "another view");
         table.insert("c", peer(State::Suspect));
         assert_eq!((table.held_by(), table.unsuspected()), (3, 3), "a suspect lives");
