Say once how a member's packet looks, and take no digest where only names are asked

Read over, the frame of a packet was written twice, each part of an exchange hashed its range only to drop the hash, the end of a suspicion asked for the same switch three times, and two functions took a time that they did not use.

--- a/membership/src/node/learn.rs
+++ b/membership/src/node/learn.rs
@@ -29,7 +29,7 @@
         }
         if new == peer.rank() {
             if let Some(observer) = record.observer {
-                self.confirm(now, &record.name, observer);
+                self.confirm(&record.name, observer);
             }
             return;
         }
@@ -134,13 +134,13 @@
                     self.suspect(now, &Record { state: State::Suspect, ..record }, own, false, output);
                 }
             }
-            State::Suspect => self.confirm(now, name, own),
+            State::Suspect => self.confirm(name, own),
             State::Dead | State::Left => {}
         }
     }
 
     /// A further observer agrees; its word is passed on, as far as it changes anything (Lifeguard, section IV-C).
-    fn confirm(&mut self, _now: Micros, name: &str, observer: String) {
+    fn confirm(&mut self, name: &str, observer: String) {
         let Some(suspicion) = self.suspicion_of(name) else { return };
         if suspicion.observers.len() < OBSERVERS && suspicion.observers.insert(observer.clone()) {
             self.gossip.suspect(name, &observer);
@@ -159,6 +159,9 @@
     /// The end of a suspicion: from the most to the least time as observers agree (Lifeguard, section IV-C).
     fn ends(&self, suspicion: &Suspicion) -> Micros {
         let least = self.settings.suspicion * self.scale() * self.settings.period as f64;
+        if !self.settings.lifeguard {
+            return suspicion.since + least as Micros;
+        }
         let most = least * self.settings.suspicion_most;
         let agreed = if suspicion.told_dead { OBSERVERS } else { suspicion.observers.len() };
         // the first observer opens the suspicion, the others confirm it
@@ -167,10 +170,8 @@
         let time = most - (most - least) * (others + 1.0).ln() / (wanted + 1.0).ln();
         // ours: the own health stretches this as it does the period, for where helpers fall silent too the others
         // have not all been tried yet, and what looks like a majority may be none
-        let time = if self.settings.lifeguard { time.max(least) * f64::from(self.health + 1) } else { least };
-        if !self.settings.lifeguard {
-            return suspicion.since + time as Micros;
-        }
+        let worse = f64::from(self.health + 1);
+        let time = time.max(least) * worse;
         // once a majority stands again, those that can be heard again must have the time to say so
         let Some(stands) = self.stands else { return Micros::MAX };
         // where as many again would leave no majority, all must have been tried first. In a half of a split fleet a
@@ -179,11 +180,7 @@
         // suspicion, but for one in 5,000 of the splits
         let (sure, suspects) = (self.table.unsuspected(), self.table.suspects().len());
         let margin = 2 * sure.saturating_sub(suspects) > self.settings.configured as usize;
-        let calm = if margin {
-            0
-        } else {
-            self.unrest.max(stands) + 4 * (least * f64::from(self.health + 1)) as Micros
-        };
+        let calm = if margin { 0 } else { self.unrest.max(stands) + 4 * (least * worse) as Micros };
         (suspicion.since.max(stands) + time as Micros).max(suspicion.not_before).max(calm)
     }
 
--- a/membership/src/node/mod.rs
+++ b/membership/src/node/mod.rs
@@ -341,7 +341,7 @@
         match packet.message {
             Message::News => Ok(()),
             Message::Part { after, until } => self.take_part(now, &packet.from, after, until),
-            Message::Ack { number } => self.acked(now, &packet.from, number, output),
+            Message::Ack { number } => self.acked(&packet.from, number, output),
             Message::Nack { number } => self.nacked(&packet.from, number, output),
             _ if self.yielded => Ok(()),
             Message::Ping { number, to } => {
@@ -404,29 +404,34 @@
     ) {
         self.counter += 1;
         let compares = matches!(message, Message::Pull { .. } | Message::Part { .. });
-        let (view, holders) = (self.table.view().0, self.table.tell_holders(compares));
-        let mut packet = Packet {
+        let holders = self.table.tell_holders(compares);
+        let mut packet = self.packet(self.counter, holders, message, records);
+        // one byte more where there are more than 127 records
+        let mut room = self.room(&packet);
+        if !self.yielded {
+            self.add_news(name, &mut packet.records, &mut room);
+        }
+        let bytes = wire::encode(&packet, self.settings.key.as_deref());
+        self.counts.datagrams_out += 1;
+        self.counts.bytes_out += bytes.len() as u64;
+        output.datagrams.push((to, bytes));
+    }
+
+    /// A packet of this member, with this number.
+    fn packet(&self, counter: u64, holders: Vec<u8>, message: Message, records: Vec<Record>) -> Packet {
+        Packet {
             fleet: self.settings.fleet.clone(),
             from: self.settings.name.clone(),
             address: self.settings.advertise,
             incarnation: self.incarnation,
             instance: self.instance,
-            counter: self.counter,
+            counter,
             listener: self.yielded,
-            view,
+            view: self.table.view().0,
             holders,
             message,
             records,
-        };
-        // one byte more where there are more than 127 records
-        let mut room = self.room(&packet);
-        if !self.yielded {
-            self.add_news(name, &mut packet.records, &mut room);
         }
-        let bytes = wire::encode(&packet, self.settings.key.as_deref());
-        self.counts.datagrams_out += 1;
-        self.counts.bytes_out += bytes.len() as u64;
-        output.datagrams.push((to, bytes));
     }
 
     /// Bytes that a packet leaves for further records.
--- a/membership/src/node/probe.rs
+++ b/membership/src/node/probe.rs
@@ -184,9 +184,7 @@
     }
 
     /// The target answers, or a helper passes its answer on.
-    pub(super) fn acked(
-        &mut self, _now: Micros, from: &str, number: u32, output: &mut Output,
-    ) -> Result<(), Dropped> {
+    pub(super) fn acked(&mut self, from: &str, number: u32, output: &mut Output) -> Result<(), Dropped> {
         if let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number && !probe.acked) {
             if probe.target != from && !probe.helpers.iter().any(|helper| helper == from) {
                 return Err(Dropped::Unknown);
--- a/membership/src/node/sync.rs
+++ b/membership/src/node/sync.rs
@@ -6,7 +6,7 @@
 use crate::Micros;
 use crate::settings::NAME_MOST;
 use crate::table::State;
-use crate::wire::{self, Dropped, Message, Packet, Record};
+use crate::wire::{self, Dropped, Message, Record};
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use std::net::SocketAddr;
@@ -54,7 +54,7 @@
         let after = self.sync.after.clone();
         // as much as an answer could hold, were all of it different
         let (_, until) = self.part(&after, None, &[]);
-        let (_, digest) = self.table.between(&after, until.as_deref(), &name);
+        let digest = self.table.digest(&after, until.as_deref(), &name);
         self.send(address, &name, Message::Pull { after, until, digest }, Vec::new(), output);
         self.sync.asked = Some(name);
     }
@@ -112,25 +112,14 @@
     /// The records of the members after a name and up to another, as many as an answer has room for beside these, and
     /// the last one's name where there are more.
     fn part(&self, after: &str, until: Option<&str>, beside: &[Record]) -> (Vec<Record>, Option<String>) {
-        let (view, holders) = self.table.view();
-        let frame = Packet {
-            fleet: self.settings.fleet.clone(),
-            from: self.settings.name.clone(),
-            address: self.settings.advertise,
-            incarnation: self.incarnation,
-            instance: self.instance,
-            counter: u64::MAX,
-            listener: self.yielded,
-            view,
-            holders: holders.to_vec(),
-            message: Message::Part { after: after.to_string(), until: None },
-            records: beside.to_vec(),
-        };
+        let holders = self.table.view().1.to_vec();
+        let message = Message::Part { after: after.to_string(), until: None };
+        let frame = self.packet(u64::MAX, holders, message, beside.to_vec());
         // the answer names the last member of the part, which is not known yet
         let mut room = self.room(&frame).saturating_sub(NAME_MOST + 2);
         let mut records = Vec::new();
         let mut last = None;
-        for name in self.table.between(after, until, "").0 {
+        for (name, _) in self.table.between(after, until) {
             let Some(record) = self.table.record(name, None) else { continue };
             let size = wire::size(&record);
             if size > room {
@@ -153,7 +142,7 @@
         let accused = self.table.get(to).is_some_and(|peer| peer.state != State::Alive);
         let mut first: Vec<Record> =
             if accused { self.table.record(to, None).into_iter().collect() } else { Vec::new() };
-        let same = self.table.between(&after, until.as_deref(), to).1 == digest;
+        let same = self.table.digest(&after, until.as_deref(), to) == digest;
         let (records, until) =
             if same { (Vec::new(), until) } else { self.part(&after, until.as_deref(), &first) };
         first.extend(records.into_iter().filter(|record| !accused || record.name != to));
--- a/membership/src/table.rs
+++ b/membership/src/table.rs
@@ -294,23 +294,23 @@
         .filter(|record| (record.state == State::Suspect) == record.observer.is_some())
     }
 
-    /// The members after a name and up to another or to the end, and a digest of their records but for one's: neither
-    /// of two that compare holds itself.
-    pub fn between<'a>(
-        &'a self, after: &str, until: Option<&'a str>, without: &str,
-    ) -> (impl Iterator<Item = &'a String> + use<'a>, u64) {
+    /// The members after a name and up to another or to the end; an end before the begin is none.
+    pub fn between(&self, after: &str, until: Option<&str>) -> impl Iterator<Item = (&String, &Peer)> {
         use std::ops::Bound::{Excluded, Included, Unbounded};
-        // a range that ends before it begins is empty
         let until = until.filter(|until| *until >= after).map_or(Unbounded, Included);
-        let range = self.peers.range::<str, _>((Excluded(after), until));
+        self.peers.range::<str, _>((Excluded(after), until))
+    }
+
+    /// A digest of the records of these members but for one's: neither of two that compare holds itself.
+    pub fn digest(&self, after: &str, until: Option<&str>, without: &str) -> u64 {
         let mut hash = Xxh3::new();
-        for (name, peer) in range.clone().filter(|(name, _)| *name != without) {
+        for (name, peer) in self.between(after, until).filter(|(name, _)| *name != without) {
             hash.update(name.as_bytes());
             hash.update(&[peer.state as u8]);
             hash.update(&peer.incarnation.to_le_bytes());
             hash.update(&peer.instance.to_le_bytes());
         }
-        (range.map(|(name, _)| name), hash.digest())
+        hash.digest()
     }
 
     /// All members, for a report.
