Agreement: what the log keeps apart from the leader's leases, a majority's word checked

Cause: the versions are what a replicated log keeps, leases are what one leader knows; one type held both, so no replica could apply a change without a clock, and the model knew no log.

Change: Versions (log) and Leases (leader) apart; a holder tells why an answer does not count and takes none that its floor is not within.

--- a/agreement/src/holder.rs
+++ b/agreement/src/holder.rs
@@ -1,8 +1,9 @@
 //! The sender's side: what it may act on now.
 
 use crate::Micros;
-use crate::ledger::{Grant, Tag};
+use crate::leases::Grant;
 use crate::rules::Rules;
+use crate::versions::Tag;
 use serde::{Deserialize, Serialize};
 
 /// A question for the registry.
@@ -16,6 +17,21 @@
     pub acts_on: Option<Tag>,
 }
 
+/// What became of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// The lease is longer, the rules are as they were.
+    Renewed,
+    /// Other rules hold.
+    Changed,
+    /// It is the answer to a question that counts no more.
+    Late,
+    /// It is of a step below one that this sender has had: the registry has come back from an older folder.
+    Back,
+    /// The rules forbid what this sender does without a lease: its floor is not the registry's.
+    BelowFloor,
+}
+
 /// What a sender holds. It begins on the floor, whatever it knew in an earlier life.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Holder {
@@ -60,14 +76,22 @@
         Ask { life: self.life, number: self.number, acts_on: self.tag(now) }
     }
 
-    /// The answer to a question; false if it does not count. The lease counts from when the question was asked, for the
-    /// registry may have answered at once and the answer have been long under way.
-    pub fn granted(&mut self, to: Ask, grant: Grant) -> bool {
-        if (to.life, to.number) != (self.life, self.number) || grant.tag < self.highest {
-            return false;
+    /// The answer to a question. The lease counts from when the question was asked, for the registry may have answered at
+    /// once and the answer have been long under way.
+    pub fn granted(&mut self, to: Ask, grant: Grant, now: Micros) -> Taken {
+        if (to.life, to.number) != (self.life, self.number) {
+            return Taken::Late;
+        }
+        if grant.tag < self.highest {
+            return Taken::Back;
+        }
+        if !self.floor.within(&grant.rules) {
+            return Taken::BelowFloor;
         }
+        let before = self.tag(now);
         self.highest = grant.tag;
-        self.held = Some((grant.tag, grant.rules, self.asked + grant.lease));
-        true
+        let tag = grant.tag;
+        self.held = Some((tag, grant.rules, self.asked + grant.lease));
+        if before == Some(tag) { Taken::Renewed } else { Taken::Changed }
     }
 }
--- a/agreement/src/rules.rs
+++ b/agreement/src/rules.rs
@@ -60,6 +60,13 @@
 /// Attempts that a message may have.
 pub type Attempts = u32;
 
+/// What can be limited for each sender: calls that are out, and messages that are held.
+pub const LIMITS: [&str; 2] = ["calls", "messages"];
+/// Classes that a document may name.
+const CLASSES_MOST: usize = 256;
+/// Longest name of a class or of what keys mean.
+const NAME_MOST: usize = 128;
+
 /// The rules of one class.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -78,16 +85,6 @@
     pub gap_ms: u64,
 }
 
-/// Whether an endpoint takes messages.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Endpoint {
-    /// Nothing new goes there.
-    Out,
-    /// It takes messages.
-    In,
-}
-
 /// A document of rules.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -95,17 +92,13 @@
     /// By name; a class that is not named is not accepted, and nothing of it is sent.
     #[serde(default)]
     pub classes: BTreeMap<String, Class>,
-    /// By destination or `all`: calls that a sender may have out, messages that it may hold, whatever is counted. A
-    /// limit that is not named is none.
+    /// What one sender may have at once, by [`LIMITS`]. A limit that is not named is none.
     #[serde(default)]
     pub limits: BTreeMap<String, u64>,
-    /// By id; one that is not named is out.
-    #[serde(default)]
-    pub endpoints: BTreeMap<String, Endpoint>,
 }
 
 /// Why two documents have no meet.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[error("class {class} is kept in order by {one} in one and by {other} in the other")]
 pub struct NoMeet {
     /// The class.
@@ -116,6 +109,16 @@
     pub other: String,
 }
 
+/// Why a document is none that senders can act on.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{place}: {problem}")]
+pub struct Senseless {
+    /// Where.
+    pub place: String,
+    /// What is wrong.
+    pub problem: &'static str,
+}
+
 impl Class {
     fn within(&self, other: &Class) -> bool {
         self.accepted <= other.accepted
@@ -144,16 +147,42 @@
 }
 
 impl Rules {
+    /// Checks that the document makes sense.
+    ///
+    /// # Errors
+    /// Names the first place that does not.
+    pub fn validate(&self) -> Result<(), Senseless> {
+        let holds = |holds: bool, place: &str, problem| {
+            if holds { Ok(()) } else { Err(Senseless { place: place.to_string(), problem }) }
+        };
+        holds(self.classes.len() <= CLASSES_MOST, "classes", "more than 256")?;
+        for (name, class) in &self.classes {
+            let named = |text: &str| (1..=NAME_MOST).contains(&text.len());
+            let place = |key: &str| format!("classes.{name}.{key}");
+            holds(named(name), "classes", "a name is empty or longer than 128 bytes")?;
+            holds(class.attempts > 0, &place("attempts"), "must be above zero")?;
+            let keyed = !class.in_order || named(&class.keyed_by);
+            holds(keyed, &place("keyed_by"), "a class in order names what its keys mean")?;
+            let window = match class.effect {
+                Effect::DeduplicatedInZone { window_ms } | Effect::Deduplicated { window_ms } => window_ms,
+                Effect::AtMostOnce | Effect::Idempotent => 1,
+            };
+            holds(window > 0, &place("effect"), "its window must be above zero")?;
+        }
+        for (name, most) in &self.limits {
+            let place = format!("limits.{name}");
+            holds(LIMITS.contains(&name.as_str()), &place, "no such limit")?;
+            holds(*most > 0, &place, "must be above zero")?;
+        }
+        Ok(())
+    }
+
     /// Whether all that these rules allow is allowed by the others too.
     pub fn within(&self, other: &Rules) -> bool {
         self.classes
             .iter()
             .all(|(name, class)| other.classes.get(name).is_some_and(|other| class.within(other)))
             && other.limits.iter().all(|(name, most)| self.limits.get(name).is_some_and(|own| own <= most))
-            && self
-                .endpoints
-                .iter()
-                .all(|(id, state)| *state == Endpoint::Out || other.endpoints.get(id) == Some(&Endpoint::In))
     }
 
     /// Whether each allows what the other forbids.
@@ -176,11 +205,6 @@
             let least = meet.limits.entry(name.clone()).or_insert(*most);
             *least = (*least).min(*most);
         }
-        for (id, state) in &self.endpoints {
-            if let Some(other) = other.endpoints.get(id) {
-                meet.endpoints.insert(id.clone(), *state.min(other));
-            }
-        }
         Ok(meet)
     }
 }
@@ -218,10 +242,6 @@
             if random.random() {
                 rules.limits.insert(name.to_string(), random.random_range(1..4));
             }
-            if random.random() {
-                let state = if random.random() { Endpoint::In } else { Endpoint::Out };
-                rules.endpoints.insert(name.to_string(), state);
-            }
         }
         rules
     }
@@ -248,6 +268,23 @@
         assert!(freer > 50, "{freer} within both");
     }
 
+    #[test]
+    fn a_document_that_makes_no_sense_names_its_place() {
+        let good = r#"{"classes":{"c":{"accepted":true,"effect":{"deduplicated":{"window_ms":5}},"attempts":3,
+            "in_order":true,"keyed_by":"reader","gap_ms":0}},"limits":{"calls":4}}"#;
+        let read = |text: &str| serde_json::from_str::<Rules>(text).expect(text).validate();
+        assert_eq!(read(good), Ok(()));
+        for (from, to, place) in [
+            ("\"attempts\":3", "\"attempts\":0", "classes.c.attempts"),
+            ("\"reader\"", "\"\"", "classes.c.keyed_by"),
+            ("\"window_ms\":5", "\"window_ms\":0", "classes.c.effect"),
+            ("\"calls\":4", "\"calls\":0", "limits.calls"),
+            ("\"calls\":4", "\"cals\":4", "limits.cals"),
+        ] {
+            assert_eq!(read(&good.replace(from, to)).map_err(|error| error.place), Err(place.to_string()));
+        }
+    }
+
     #[test]
     fn each_key_has_its_strict_side() {
         let base = Class {
--- /dev/null
+++ b/agreement/src/versions.rs
@@ -0,0 +1,121 @@
+//! What the replicated log keeps: the versions, and the step of the change under way. No lease and no time is in it.
+
+use crate::rules::{NoMeet, Rules};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A version and the step on the way to it. Greater ones come later.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tag {
+    /// The version that holds, or is to hold.
+    pub version: u64,
+    /// False while the meet of it and the one before is in force.
+    pub whole: bool,
+}
+
+/// What is to be in force next.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Proposal {
+    /// The version that it was made from.
+    pub from: u64,
+    /// The rules.
+    pub rules: Rules,
+}
+
+/// Why a proposal is not taken.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
+pub enum Refusal {
+    /// It was made from a version that is not the last.
+    #[error("version {now} holds, the proposal was made from {from}")]
+    Stale {
+        /// The version that holds.
+        now: u64,
+        /// What it was made from.
+        from: u64,
+    },
+    /// Another change is under way.
+    #[error("version {0} may not be in force everywhere yet")]
+    UnderWay(u64),
+    /// A sender without a lease would act more freely than these rules allow.
+    #[error("the floor is not within the rules")]
+    BelowFloor,
+    /// No sender can keep both while the change goes through.
+    #[error(transparent)]
+    NoMeet(#[from] NoMeet),
+}
+
+/// The versions.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Versions {
+    floor: Rules,
+    tag: Tag,
+    new: Rules,
+    meet: Rules,
+}
+
+impl Versions {
+    /// Versions of which these rules are the first.
+    ///
+    /// # Errors
+    /// The floor is not within the rules.
+    pub fn new(floor: Rules, rules: Rules) -> Result<Self, Refusal> {
+        if !floor.within(&rules) {
+            return Err(Refusal::BelowFloor);
+        }
+        Ok(Versions { floor, tag: Tag { version: 1, whole: true }, meet: rules.clone(), new: rules })
+    }
+
+    /// The version and step in force.
+    pub fn tag(&self) -> Tag {
+        self.tag
+    }
+
+    /// The rules that are granted now.
+    pub fn rules(&self) -> &Rules {
+        if self.tag.whole { &self.new } else { &self.meet }
+    }
+
+    /// The rules that hold once the change under way is through.
+    pub fn new_rules(&self) -> &Rules {
+        &self.new
+    }
+
+    /// What is within every version.
+    pub fn floor(&self) -> &Rules {
+        &self.floor
+    }
+
+    /// Takes a change up: from now on the meet of both is granted. The same rules again make no version. It is for the
+    /// leader to see first that nobody can still act on the meet of the change before ([`crate::Leases::is_settled`]).
+    ///
+    /// # Errors
+    /// Says why it is not taken; nothing has changed then.
+    pub fn propose(&mut self, proposal: Proposal) -> Result<Tag, Refusal> {
+        if proposal.from != self.tag.version {
+            return Err(Refusal::Stale { now: self.tag.version, from: proposal.from });
+        }
+        if proposal.rules == self.new {
+            return Ok(self.tag);
+        }
+        if !self.tag.whole {
+            return Err(Refusal::UnderWay(self.tag.version));
+        }
+        if !self.floor.within(&proposal.rules) {
+            return Err(Refusal::BelowFloor);
+        }
+        let meet = self.new.meet(&proposal.rules)?;
+        self.new = proposal.rules;
+        self.meet = meet;
+        self.tag = Tag { version: self.tag.version + 1, whole: false };
+        Ok(self.tag)
+    }
+
+    /// Goes on from the meet of this version to its rules; whether it did. It is for the leader to see first that nobody
+    /// can still act on the rules before ([`crate::Leases::waits_for`]).
+    pub fn advance(&mut self, version: u64) -> bool {
+        let goes = self.tag == Tag { version, whole: false };
+        self.tag.whole |= goes;
+        goes
+    }
+}
