--- /dev/null
+++ b/registry/src/replica.rs
@@ -0,0 +1,548 @@
+//! One replica round the raft engine, without sockets or clock: questions and messages in, answers and messages out, the log
+//! in its store. It leads or follows as the engine says; leases are the leader's alone.
+
+mod leading;
+mod report;
+
+use crate::mirror::{Entry, Hard, Kind, Voters};
+use crate::state::{Applied, Changed, Command, Place, Refused, State};
+use crate::store::{Store, StoreError};
+use leading::Leading;
+pub use leading::Question;
+use milletturn_agreement::{Grant, Micros};
+use raft::eraftpb::{ConfChange, ConfChangeType, Message};
+use raft::{Config, RawNode, ReadState, StateRole};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// Between two ticks, and ticks without a leader after which a replica stands for election: so many to twice as many.
+pub const TICK: Micros = 100_000;
+const ELECTION_TICKS: usize = 10;
+const HEARTBEAT_TICKS: usize = 2;
+/// Ticks after which a question for a majority's word is asked again, and after which it is given up.
+const ASK_AGAIN: u64 = 3;
+const GIVE_UP: u64 = 15;
+/// Bytes of entries in one message, messages under way to one replica, bytes that may wait to be committed.
+const MESSAGE_MOST: u64 = 1 << 20;
+const UNDER_WAY: usize = 64;
+const UNCOMMITTED_MOST: u64 = 16 << 20;
+
+/// Who asked; the answer bears the same.
+pub type Ticket = u64;
+
+/// What comes of a question.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// It is in the log of a majority, and done.
+    Applied(Applied),
+    /// It is in the log, or would be, and did nothing.
+    Refused(Refused),
+    /// Another leads, or nobody that is known.
+    NotLeader(Option<u64>),
+    /// It may be done yet or not: this replica leads no more.
+    Unsure,
+    /// A lease.
+    Granted(Box<Grant>),
+    /// The asker's floor is not the one agreed.
+    OtherFloor,
+    /// Too many, or something of the kind is under way.
+    Busy(&'static str),
+    /// What is applied now is at least what was answered to anybody before the question came.
+    Fresh,
+}
+
+/// A replica that comes or goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaChange {
+    /// Which.
+    pub id: u64,
+    /// Where it is; none: it goes.
+    pub place: Option<Place>,
+    /// It votes from now on; else it only gets the log.
+    pub votes: bool,
+}
+
+/// What follows from a turn.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// For other replicas.
+    pub messages: Vec<Message>,
+    /// For those that asked.
+    pub answers: Vec<(Ticket, Answer)>,
+    /// Versions of the list, with what has changed.
+    pub changes: Vec<(u64, Vec<Changed>)>,
+    /// The list is another as a whole: a leader's snapshot came.
+    pub reset: bool,
+    /// For the log.
+    pub notes: Vec<String>,
+}
+
+/// Why a replica can't go on.
+#[derive(Debug, Error)]
+pub enum ReplicaError {
+    /// The log can't be kept.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The engine found a state that can't be.
+    #[error("the engine: {0}")]
+    Raft(#[from] raft::Error),
+    /// What was committed can't be read: a program of another version wrote it.
+    #[error("entry {index} can't be read: {error}")]
+    Entry {
+        /// Which.
+        index: u64,
+        /// Why.
+        error: postcard::Error,
+    },
+}
+
+/// Questions that wait for a majority's word together.
+#[derive(Debug, Default)]
+struct Batch {
+    number: u64,
+    reads: Vec<Ticket>,
+    asks: Vec<(Ticket, Question)>,
+    /// Ticks since it was first asked.
+    age: u64,
+    /// The log must be applied up to here; none: no word yet.
+    index: Option<u64>,
+}
+
+/// One replica.
+pub struct Replica {
+    id: u64,
+    raw: RawNode<Store>,
+    state: State,
+    applied: u64,
+    /// Tells this process's proposals and questions from another's.
+    life: u64,
+    next: u64,
+    proposals: BTreeMap<u64, Ticket>,
+    collecting: Batch,
+    asked: Vec<Batch>,
+    leading: Option<Leading>,
+    /// The first rules, for a log that has none.
+    begin: Option<Command>,
+    leader: u64,
+}
+
+impl Replica {
+    /// A replica with what its store holds. `life` differs between any two processes; `begin` is proposed where the log
+    /// has no rules yet.
+    ///
+    /// # Errors
+    /// The store holds what can't be read.
+    pub fn new(id: u64, store: Store, life: u64, begin: Option<Command>) -> Result<Self, ReplicaError> {
+        let snapshot = store.snapshot();
+        let applied = snapshot.index;
+        let state = postcard::from_bytes(&snapshot.data)
+            .map_err(|error| ReplicaError::Entry { index: applied, error })?;
+        let config = Config {
+            id,
+            election_tick: ELECTION_TICKS,
+            heartbeat_tick: HEARTBEAT_TICKS,
+            applied,
+            max_size_per_msg: MESSAGE_MOST,
+            max_inflight_msgs: UNDER_WAY,
+            max_uncommitted_size: UNCOMMITTED_MOST,
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
+        };
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let raw = RawNode::new(&config, store, &logger)?;
+        let (proposals, collecting, asked) = Default::default();
+        let (next, leading, leader) = (0, None, 0);
+        Ok(Replica {
+            id,
+            raw,
+            state,
+            applied,
+            life,
+            next,
+            proposals,
+            collecting,
+            asked,
+            leading,
+            begin,
+            leader,
+        })
+    }
+
+    /// What is applied.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Who leads, as far as this one knows. A follower has heard of it within twice the election time; a leader has a
+    /// majority's word of that age.
+    pub fn leader(&self) -> Option<u64> {
+        Some(self.raw.raft.leader_id).filter(|id| *id != raft::INVALID_ID)
+    }
+
+    /// Whether this one leads.
+    pub fn leads(&self) -> bool {
+        self.raw.raft.state == StateRole::Leader
+    }
+
+    /// One of [`TICK`] has passed.
+    pub fn tick(&mut self, now: Micros, output: &mut Output) {
+        self.raw.tick();
+        if self.leads() {
+            self.look_for_steps(now, output);
+        }
+        let (mut given_up, mut again) = (Vec::new(), Vec::new());
+        for batch in &mut self.asked {
+            batch.age += 1;
+            if batch.age >= GIVE_UP {
+                given_up.append(&mut batch.reads);
+                given_up.extend(batch.asks.drain(..).map(|(ticket, _)| ticket));
+            } else if batch.index.is_none() && batch.age.is_multiple_of(ASK_AGAIN) {
+                again.push(batch.number);
+            }
+        }
+        self.asked.retain(|batch| !batch.reads.is_empty() || !batch.asks.is_empty());
+        // the engine drops such questions while it knows no leader or has not committed in its term
+        again.into_iter().for_each(|number| self.ask_majority(number));
+        let leader = self.leader().filter(|leader| *leader != self.id);
+        output.answers.extend(given_up.into_iter().map(|ticket| (ticket, Answer::NotLeader(leader))));
+    }
+
+    /// Takes a message of another replica in.
+    pub fn receive(&mut self, message: Message) {
+        // one that makes no sense now is as good as lost
+        let _ = self.raw.step(message);
+    }
+
+    /// A message could not be sent.
+    pub fn unreachable(&mut self, id: u64) {
+        self.raw.report_unreachable(id);
+    }
+
+    /// A snapshot was sent, or could not be.
+    pub fn snapshot_sent(&mut self, id: u64, sent: bool) {
+        let status = if sent { raft::SnapshotStatus::Finish } else { raft::SnapshotStatus::Failure };
+        self.raw.report_snapshot(id, status);
+    }
+
+    /// Proposes a command; the answer comes once a majority has it.
+    pub fn propose(&mut self, now: Micros, ticket: Ticket, command: Command, output: &mut Output) {
+        if !self.leads() {
+            return output.answers.push((ticket, Answer::NotLeader(self.leader())));
+        }
+        if let Some(answer) =
+            self.leading.as_ref().and_then(|leading| leading.judge(now, &command, &self.state))
+        {
+            return output.answers.push((ticket, answer));
+        }
+        match self.append(&command) {
+            Some(number) => drop(self.proposals.insert(number, ticket)),
+            None => output.answers.push((ticket, Answer::Busy("too much waits to be committed"))),
+        }
+    }
+
+    /// Appends a command, as leader; its number.
+    fn append(&mut self, command: &Command) -> Option<u64> {
+        self.next += 1;
+        let number = self.next;
+        let data = postcard::to_allocvec(command).ok()?;
+        self.raw.propose(self.mark(number), data).ok().map(|()| number)
+    }
+
+    fn mark(&self, number: u64) -> Vec<u8> {
+        [self.life.to_le_bytes(), number.to_le_bytes()].concat()
+    }
+
+    fn number_of(&self, mark: &[u8]) -> Option<u64> {
+        let (life, number) = mark.split_at_checked(8)?;
+        let read = |bytes: &[u8]| bytes.try_into().ok().map(u64::from_le_bytes);
+        (read(life)? == self.life).then(|| read(number))?
+    }
+
+    /// A life of a sender asks for a lease.
+    pub fn ask(&mut self, ticket: Ticket, question: Question, output: &mut Output) {
+        if self.leads() {
+            self.collecting.asks.push((ticket, question));
+        } else {
+            output.answers.push((ticket, Answer::NotLeader(self.leader())));
+        }
+    }
+
+    /// Asks for a majority's word that what is applied here is not behind what was answered before.
+    pub fn read(&mut self, ticket: Ticket) {
+        self.collecting.reads.push(ticket);
+    }
+
+    /// A heartbeat of an endpoint came in. It changes no version.
+    pub fn beat(&mut self, now: Micros, uid: &str) -> Answer {
+        let Some(leading) = &mut self.leading else { return Answer::NotLeader(self.leader()) };
+        let Some(target) = self.state.targets.get(uid) else {
+            return Answer::Refused(Refused::Unknown(uid.to_string()));
+        };
+        leading.beats.beat(now, uid, target);
+        Answer::Fresh
+    }
+
+    /// Has a replica come or go, one at a time. One that comes gets the log first and votes once it has it.
+    pub fn reconfigure(&mut self, ticket: Ticket, change: ReplicaChange, output: &mut Output) {
+        let answer = if !self.leads() {
+            Answer::NotLeader(self.leader())
+        } else if self.raw.raft.has_pending_conf() {
+            Answer::Busy("another change of replicas is under way")
+        } else if change.id == 0 {
+            Answer::Busy("a replica's id is above zero")
+        } else if change.place.is_none() && change.id == self.id {
+            Answer::Busy("it leads: ask again once another does")
+        } else {
+            match self.append_change(change) {
+                Some(number) => {
+                    self.proposals.insert(number, ticket);
+                    return;
+                }
+                None => Answer::Busy("too much waits to be committed"),
+            }
+        };
+        output.answers.push((ticket, answer));
+    }
+
+    fn append_change(&mut self, change: ReplicaChange) -> Option<u64> {
+        self.next += 1;
+        let number = self.next;
+        let context = postcard::to_allocvec(&(self.mark(number), change)).ok()?;
+        self.raw.propose_conf_change(context, change.engine()).ok().map(|()| number)
+    }
+
+    /// Hands the lead to the replica that has most of the log; false if there is none or this one does not lead.
+    pub fn transfer(&mut self) -> bool {
+        let id = self.id;
+        let others = self.raw.raft.prs().iter().filter(|(other, progress)| {
+            **other != id && progress.recent_active && self.raw.raft.prs().conf().voters().contains(**other)
+        });
+        let next = others.max_by_key(|(_, progress)| progress.matched).map(|(other, _)| *other);
+        let transfers = next.filter(|_| self.leads());
+        transfers.into_iter().for_each(|next| self.raw.transfer_leader(next));
+        transfers.is_some()
+    }
+
+    /// Carries out all that follows: writes, sends, applies, answers.
+    ///
+    /// # Errors
+    /// The log can't be kept or read: the process must end.
+    pub fn settle(&mut self, now: Micros, output: &mut Output) -> Result<(), ReplicaError> {
+        if !self.collecting.reads.is_empty() || !self.collecting.asks.is_empty() {
+            self.next += 1;
+            self.collecting.number = self.next;
+            self.asked.push(std::mem::take(&mut self.collecting));
+            self.ask_majority(self.next);
+        }
+        while self.raw.has_ready() {
+            let mut ready = self.raw.ready();
+            self.notice_role(now, output);
+            output.messages.extend(ready.take_messages());
+            let hard = ready.hs().map(Hard::from);
+            if !ready.snapshot().is_empty() {
+                let snapshot = ready.snapshot().into();
+                self.install(snapshot, hard, output)?;
+            }
+            let entries = ready.entries().iter().map(Entry::from).collect();
+            self.raw.mut_store().append(entries, hard, ready.must_sync())?;
+            self.apply(now, ready.take_committed_entries(), output)?;
+            output.messages.extend(ready.take_persisted_messages());
+            let states = ready.take_read_states();
+            let mut light = self.raw.advance(ready);
+            output.messages.extend(light.take_messages());
+            self.apply(now, light.take_committed_entries(), output)?;
+            self.raw.advance_apply();
+            self.confirm(states);
+        }
+        self.notice_role(now, output);
+        self.answer_confirmed(now, output);
+        if self.raw.store().is_long() {
+            self.compact()?;
+        }
+        Ok(())
+    }
+
+    /// Puts the state in place of the log.
+    ///
+    /// # Errors
+    /// It can't be written.
+    pub fn compact(&mut self) -> Result<(), ReplicaError> {
+        let data = postcard::to_allocvec(&self.state)
+            .map_err(|error| ReplicaError::Entry { index: self.applied, error })?;
+        Ok(self.raw.mut_store().compact(self.applied, data)?)
+    }
+
+    fn install(
+        &mut self, snapshot: crate::mirror::Snapshot, hard: Option<Hard>, output: &mut Output,
+    ) -> Result<(), ReplicaError> {
+        let index = snapshot.index;
+        self.state =
+            postcard::from_bytes(&snapshot.data).map_err(|error| ReplicaError::Entry { index, error })?;
+        self.applied = index;
+        self.raw.mut_store().install(snapshot, hard)?;
+        output.reset = true;
+        output.notes.push(format!("the state came as a snapshot at {index}"));
+        Ok(())
+    }
+
+    fn apply(
+        &mut self, now: Micros, entries: Vec<raft::eraftpb::Entry>, output: &mut Output,
+    ) -> Result<(), ReplicaError> {
+        for entry in entries {
+            let entry = Entry::from(&entry);
+            let index = entry.index;
+            self.applied = index;
+            let unread = |error| ReplicaError::Entry { index, error };
+            match entry.kind {
+                Kind::Normal if entry.data.is_empty() => {}
+                Kind::Normal => {
+                    let command: Command = postcard::from_bytes(&entry.data).map_err(unread)?;
+                    let number = self.number_of(&entry.context);
+                    let advances = matches!(command, Command::Advance(_));
+                    let applied = self.state.apply(command);
+                    self.follow(now, &applied, advances, output);
+                    let ticket = number.and_then(|number| self.proposals.remove(&number));
+                    let answer = applied.map_or_else(Answer::Refused, Answer::Applied);
+                    output.answers.extend(ticket.map(|ticket| (ticket, answer)));
+                }
+                Kind::Replicas => {
+                    let (mark, change): (Vec<u8>, ReplicaChange) =
+                        postcard::from_bytes(&entry.context).map_err(unread)?;
+                    let conf = self.raw.apply_conf_change(&change.engine())?;
+                    self.raw.mut_store().set_voters(Voters::from(&conf));
+                    match change.place {
+                        Some(place) => self.state.replicas.insert(change.id, place),
+                        None => self.state.replicas.remove(&change.id),
+                    };
+                    output.notes.push(format!("replicas are {:?}", conf.voters));
+                    let ticket = self.number_of(&mark).and_then(|number| self.proposals.remove(&number));
+                    let applied = Applied { rev: self.state.rev, tag: self.state.tag(), changed: vec![] };
+                    output.answers.extend(ticket.map(|ticket| (ticket, Answer::Applied(applied))));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// What a command did goes to watchers, and to the leader's own knowledge.
+    fn follow(
+        &mut self, now: Micros, applied: &Result<Applied, Refused>, advances: bool, output: &mut Output,
+    ) {
+        let Ok(applied) = applied else { return };
+        if !applied.changed.is_empty() {
+            output.changes.push((applied.rev, applied.changed.clone()));
+        }
+        if let Some(leading) = &mut self.leading {
+            leading.follow(now, applied, advances, &self.state);
+        }
+        if let Some(tag) = applied.tag.filter(|_| applied.changed.is_empty()) {
+            let step = if tag.whole { "in force" } else { "as the meet of it and the one before" };
+            output.notes.push(format!("rules: version {} {step}", tag.version));
+        }
+    }
+
+    fn ask_majority(&mut self, number: u64) {
+        let mark = self.mark(number);
+        self.raw.read_index(mark);
+    }
+
+    fn confirm(&mut self, states: Vec<ReadState>) {
+        for ReadState { index, request_ctx } in states {
+            let number = self.number_of(&request_ctx);
+            let batch = self.asked.iter_mut().find(|batch| Some(batch.number) == number);
+            if let Some(batch) = batch {
+                batch.index = batch.index.or(Some(index));
+            }
+        }
+    }
+
+    fn answer_confirmed(&mut self, now: Micros, output: &mut Output) {
+        let applied = self.applied;
+        let ready = |batch: &mut Batch| batch.index.is_some_and(|index| index <= applied);
+        for batch in self.asked.extract_if(.., ready) {
+            output.answers.extend(batch.reads.into_iter().map(|ticket| (ticket, Answer::Fresh)));
+            for (ticket, question) in batch.asks {
+                let answer = match &mut self.leading {
+                    Some(leading) => leading.grant(now, question, &self.state),
+                    None => Answer::NotLeader(None),
+                };
+                output.answers.push((ticket, answer));
+            }
+        }
+    }
+
+    /// Begins or ends to lead. What was proposed and is not committed yet may be, by the next leader.
+    fn notice_role(&mut self, now: Micros, output: &mut Output) {
+        let leader = self.raw.raft.leader_id;
+        if leader != self.leader {
+            self.leader = leader;
+            let term = self.raw.raft.term;
+            output.notes.push(match leader {
+                raft::INVALID_ID => format!("no leader is known, term {term}"),
+                leader => format!("replica {leader} leads in term {term}"),
+            });
+        }
+        let term = self.raw.raft.term;
+        let led = self.leading.as_ref().map(|leading| leading.term);
+        if led.is_some() && (!self.leads() || led != Some(term)) {
+            self.leading = None;
+            let unsure = std::mem::take(&mut self.proposals).into_values();
+            output.answers.extend(unsure.map(|ticket| (ticket, Answer::Unsure)));
+            let next = self.leader().filter(|leader| *leader != self.id);
+            for batch in &mut self.asked {
+                let asks = batch.asks.drain(..).map(|(ticket, _)| (ticket, Answer::NotLeader(next)));
+                output.answers.extend(asks);
+            }
+            self.asked.retain(|batch| !batch.reads.is_empty());
+        }
+        if self.leads() && self.leading.is_none() {
+            self.leading = Some(Leading::new(term, self.state.terms, now));
+        }
+    }
+
+    /// What the leader does by itself: begins the rules, goes on to a next step, drops what has run out, lets a replica
+    /// vote that has the log.
+    fn look_for_steps(&mut self, now: Micros, output: &mut Output) {
+        let Some(leading) = &mut self.leading else { return };
+        let (steps, kept) = leading.steps(now, &self.state, self.begin.as_ref());
+        if kept > 0 {
+            let why = "heartbeats of many are missing at once: the fault is likelier here";
+            output.notes.push(format!("{kept} endpoints are kept though they have run out: {why}"));
+        }
+        for command in steps {
+            // one that can't be appended now comes up again
+            if self.append(&command).is_none()
+                && let Some(leading) = &mut self.leading
+            {
+                leading.not_appended(&command);
+            }
+        }
+        if !self.raw.raft.has_pending_conf()
+            && let Some(change) = self.next_voter()
+        {
+            self.append_change(change);
+        }
+    }
+
+    fn next_voter(&self) -> Option<ReplicaChange> {
+        let prs = self.raw.raft.prs();
+        let committed = self.raw.raft.raft_log.committed;
+        let ready = |id: &&u64| prs.get(**id).is_some_and(|progress| progress.matched >= committed);
+        let id = *self.raw.store().voters().learners.iter().find(ready)?;
+        Some(ReplicaChange { id, place: self.state.replicas.get(&id).copied(), votes: true })
+    }
+}
+
+impl ReplicaChange {
+    fn engine(self) -> ConfChange {
+        let mut change = ConfChange { node_id: self.id, ..Default::default() };
+        change.set_change_type(match (self.place, self.votes) {
+            (None, _) => ConfChangeType::RemoveNode,
+            (Some(_), true) => ConfChangeType::AddNode,
+            (Some(_), false) => ConfChangeType::AddLearnerNode,
+        });
+        change
+    }
+}
--- /dev/null
+++ b/registry/src/replica/report.rs
@@ -0,0 +1,68 @@
+//! How a replica stands, for operators.
+
+use super::Replica;
+use crate::store::Store;
+use milletturn_agreement::Micros;
+use raft::Storage;
+use serde_json::{Value, json};
+
+impl Replica {
+    /// All that operators may want to know, as JSON; times are ms from now.
+    pub fn report(&self, now: Micros) -> Value {
+        let raft = &self.raw.raft;
+        let store: &Store = self.raw.store();
+        let (log_bytes, snapshot_index, snapshot_bytes) = store.sizes();
+        let voters = store.voters();
+        json!({
+            "id": self.id, "role": if self.leads() { "leader" } else { "follower" },
+            "leader": self.leader(), "term": raft.term, "applied": self.applied,
+            "committed": raft.raft_log.committed, "last": store.last_index().unwrap_or_default(),
+            "log_bytes": log_bytes, "snapshot_index": snapshot_index, "snapshot_bytes": snapshot_bytes,
+            "voters": voters.voters, "learners": voters.learners,
+            "rev": self.state.rev, "targets": self.state.targets.len(),
+            "proposals": self.proposals.len(), "questions": self.asked.len(),
+            "rules": self.rules_report(now), "kept_endpoints": self.kept(),
+        })
+    }
+
+    fn kept(&self) -> Vec<&String> {
+        self.leading.iter().flat_map(|leading| leading.beats.kept()).collect()
+    }
+
+    /// The rules' version and step, and who is waited for.
+    pub fn rules_report(&self, now: Micros) -> Value {
+        let Some(versions) = &self.state.versions else { return Value::Null };
+        let (tag, terms) = (versions.tag(), self.state.terms);
+        let mut report = json!({
+            "version": tag.version, "whole": tag.whole,
+            "lease_ms": terms.map(|terms| terms.lease / 1000),
+            "drift_ms": terms.map(|terms| terms.drift / 1000),
+            "kept": self.state.kept.keys().collect::<Vec<_>>(),
+        });
+        let Some((leading, leases)) =
+            self.leading.as_ref().and_then(|leading| Some((leading, leading.leases.as_ref()?)))
+        else {
+            return report;
+        };
+        let left = |until: Micros| until.saturating_sub(now) / 1000;
+        let name = |number: u64| leading.known.get(&number).map(|known| known.name.as_str());
+        let waits = leases.waits_for(now, tag);
+        report["settled"] = leases.is_settled(now, versions).into();
+        report["waits_ms"] = waits.map(|wait| left(wait.until)).into();
+        report["waits_for_leases_of_before"] = waits.is_some_and(|wait| wait.sender.is_none()).into();
+        let behind = leases
+            .behind(now, tag)
+            .map(|wait| json!({ "sender": wait.sender.and_then(name), "left_ms": left(wait.until) }));
+        report["not_acknowledged"] = behind.collect();
+        let held = leases.held().filter_map(|(number, acts_on, until)| {
+            let known = leading.known.get(&number)?;
+            Some(json!({
+                "sender": known.name, "life": known.life, "acts_on": acts_on, "rev": known.rev,
+                "left_ms": left(until)
+            }))
+        });
+        report["leases"] = held.collect();
+        report["lapsed"] = leading.lapsed.into();
+        report
+    }
+}
