Registry: the program, with watches, conditional writes, leases over HTTP and subcommands

Cause: the replicas of lists and rules had no clock, disk thread or sockets, so no sender could ask them.

Change: milletturn-registry: a thread that turns the replica and syncs before it answers, links between replicas, HTTP as docs/registry.md states, replicas that come and go, a lead handed over on SIGTERM, subcommands.

Measured: three replicas from deploy/registry started as docs/registry.md says, a list put and rules shown; five tests on real processes (leader killed during a change, a watcher that never reads, replicas that come and go, refusals, bad starts).

--- /dev/null
+++ b/registry/src/core.rs
@@ -0,0 +1,250 @@
+//! The thread that turns a replica: its clock, its writes to the disk, and the way to it. Nothing of it runs on the runtime,
+//! for every turn may wait for the disk.
+
+use crate::feed::Feed;
+use crate::peers::Peers;
+use crate::replica::{Answer, Output, Question, Replica, ReplicaChange, TICK, Ticket};
+use crate::state::{Command, Place};
+use milletturn_agreement::Micros;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, watch};
+
+/// Questions and messages that may wait for a turn, and that one turn takes in.
+const WAITING: usize = 4096;
+const AT_ONCE: usize = 1024;
+
+/// Looks at the replica as it stands.
+type Look = Box<dyn FnOnce(&mut Replica, Micros) + Send>;
+
+/// What the thread is told.
+pub enum Input {
+    /// Another replica's message.
+    Peer(raft::eraftpb::Message),
+    /// A message to this replica could not be sent.
+    Unreachable(u64),
+    /// A snapshot to this replica was sent, or was not.
+    SnapshotSent(u64, bool),
+    /// Somebody asks.
+    Asked(Asked, oneshot::Sender<Answer>),
+    /// Somebody looks.
+    Look(Look),
+}
+
+/// A question.
+pub enum Asked {
+    /// For a command to be done.
+    Change(Command),
+    /// For a lease.
+    Lease(Question),
+    /// For what is applied to be as late as the question.
+    Read,
+    /// An endpoint lives.
+    Beat(String),
+    /// A replica comes or goes.
+    Replicas(ReplicaChange),
+}
+
+/// What all may know without asking.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Seen {
+    /// The list's version.
+    pub rev: u64,
+    /// Who leads; none: this replica may be behind by any time.
+    pub leader: Option<u64>,
+    /// Where the replicas are.
+    pub places: Arc<BTreeMap<u64, Place>>,
+}
+
+/// The way to the thread.
+#[derive(Clone)]
+pub struct Core {
+    inputs: SyncSender<Input>,
+    /// The list and its changes.
+    pub feed: Arc<Mutex<Feed>>,
+    /// What all may know, and word of its changes.
+    pub seen: watch::Receiver<Seen>,
+}
+
+/// Nobody takes questions: too many wait, or the thread has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Overloaded;
+
+/// Locks what no holder leaves half-way.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Core {
+    /// Hands something to the thread.
+    ///
+    /// # Errors
+    /// It has too much to do, or has ended.
+    pub fn tell(&self, input: Input) -> Result<(), Overloaded> {
+        self.inputs.try_send(input).map_err(|_| Overloaded)
+    }
+
+    /// Asks, and waits for the answer.
+    ///
+    /// # Errors
+    /// The thread has too much to do, or has ended.
+    pub async fn ask(&self, asked: Asked) -> Result<Answer, Overloaded> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(Input::Asked(asked, reply))?;
+        answer.await.map_err(|_| Overloaded)
+    }
+
+    /// Looks at the replica as it stands.
+    ///
+    /// # Errors
+    /// The thread has too much to do, or has ended.
+    pub async fn look<T: Send + 'static>(
+        &self, look: impl FnOnce(&mut Replica, Micros) -> T + Send + 'static,
+    ) -> Result<T, Overloaded> {
+        let (reply, answer) = oneshot::channel();
+        let look = move |replica: &mut Replica, now| drop(reply.send(look(replica, now)));
+        self.tell(Input::Look(Box::new(look)))?;
+        answer.await.map_err(|_| Overloaded)
+    }
+}
+
+struct Turner {
+    replica: Replica,
+    peers: Peers,
+    begin: Instant,
+    waiting: HashMap<Ticket, oneshot::Sender<Answer>>,
+    next: Ticket,
+    feed: Arc<Mutex<Feed>>,
+    seen: watch::Sender<Seen>,
+    /// Replicas of the settings; what the log says of one comes before it.
+    places: BTreeMap<u64, Place>,
+}
+
+/// Starts the thread; it ends when nobody can ask any more, or when the log can't be kept, which `ended` is told.
+pub fn start(
+    replica: Replica, peers: Peers, places: BTreeMap<u64, Place>, ended: oneshot::Sender<String>,
+) -> std::io::Result<Core> {
+    let (inputs, received) = sync_channel(WAITING);
+    let (seen, seen_by_all) = watch::channel(Seen::default());
+    let feed = Arc::new(Mutex::new(Feed::default()));
+    let core = Core { inputs, feed: feed.clone(), seen: seen_by_all };
+    let own = core.inputs.clone();
+    let turner = move || {
+        let waiting = HashMap::new();
+        let mut turner =
+            Turner { replica, peers, begin: Instant::now(), waiting, next: 0, feed, seen, places };
+        turner.peers.attach(own);
+        turner.reset();
+        if let Err(error) = turner.run(&received) {
+            tracing::error!(%error, "the log can't be kept");
+            let _ = ended.send(error);
+        }
+    };
+    std::thread::Builder::new().name("replica".to_string()).spawn(turner)?;
+    Ok(core)
+}
+
+impl Turner {
+    fn now(&self) -> Micros {
+        self.begin.elapsed().as_micros() as Micros
+    }
+
+    fn run(&mut self, received: &Receiver<Input>) -> Result<(), String> {
+        let tick = Duration::from_micros(TICK);
+        let mut next = Instant::now() + tick;
+        loop {
+            let mut output = Output::default();
+            match received.recv_timeout(next.saturating_duration_since(Instant::now())) {
+                Ok(input) => {
+                    self.take(input, &mut output);
+                    for input in received.try_iter().take(AT_ONCE) {
+                        self.take(input, &mut output);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            if Instant::now() >= next {
+                self.replica.tick(self.now(), &mut output);
+                // ticks that a pause swallowed are not made up for: others have seen the time pass
+                next = (next + tick).max(Instant::now());
+            }
+            let now = self.now();
+            self.replica.settle(now, &mut output).map_err(|error| error.to_string())?;
+            self.carry_out(output);
+        }
+    }
+
+    fn take(&mut self, input: Input, output: &mut Output) {
+        let now = self.now();
+        match input {
+            Input::Peer(message) => self.replica.receive(message),
+            Input::Unreachable(id) => self.replica.unreachable(id),
+            Input::SnapshotSent(id, sent) => self.replica.snapshot_sent(id, sent),
+            Input::Look(look) => look(&mut self.replica, now),
+            Input::Asked(asked, reply) => {
+                self.next += 1;
+                let ticket = self.next;
+                self.waiting.insert(ticket, reply);
+                match asked {
+                    Asked::Change(command) => self.replica.propose(now, ticket, command, output),
+                    Asked::Lease(question) => self.replica.ask(ticket, question, output),
+                    Asked::Read => self.replica.read(ticket),
+                    Asked::Beat(uid) => output.answers.push((ticket, self.replica.beat(now, &uid))),
+                    Asked::Replicas(change) => self.replica.reconfigure(ticket, change, output),
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        self.peers.send(output.messages);
+        if output.reset {
+            self.reset();
+        } else if !output.changes.is_empty() {
+            let mut feed = lock(&self.feed);
+            output.changes.iter().for_each(|(rev, changed)| feed.push(*rev, changed));
+        }
+        self.publish();
+        for (ticket, answer) in output.answers {
+            if let Some(reply) = self.waiting.remove(&ticket) {
+                // one that has gone asks again
+                let _ = reply.send(answer);
+            }
+        }
+        for note in output.notes {
+            tracing::info!("{note}");
+        }
+    }
+
+    fn reset(&mut self) {
+        let state = self.replica.state();
+        lock(&self.feed).reset(state.rev, &state.targets);
+    }
+
+    fn publish(&mut self) {
+        let state = self.replica.state();
+        let (rev, leader) = (state.rev, self.replica.leader());
+        let told = &state.replicas;
+        let seen = self.seen.borrow();
+        let known = |places: &BTreeMap<u64, Place>| {
+            told.iter().all(|(id, place)| places.get(id) == Some(place))
+                && places.keys().all(|id| told.contains_key(id) || self.places.contains_key(id))
+                && places.len() >= self.places.len()
+        };
+        let places = if known(&seen.places) {
+            seen.places.clone()
+        } else {
+            Arc::new(self.places.iter().chain(told).map(|(id, place)| (*id, *place)).collect())
+        };
+        let now = Seen { rev, leader, places };
+        let changed = *seen != now;
+        drop(seen);
+        if changed {
+            self.peers.know(&now.places);
+            self.seen.send_replace(now);
+        }
+    }
+}
--- a/registry/src/frames.rs
+++ b/registry/src/frames.rs
@@ -4,7 +4,8 @@
 use thiserror::Error;
 
 const MARK: [u8; 4] = *b"MTR1";
-const HEAD: usize = 12;
+/// Bytes before those of the record.
+pub const HEAD: usize = 12;
 /// Longest record: a snapshot of the largest state.
 pub const LONGEST: usize = 64 << 20;
 
@@ -26,14 +27,16 @@
     to.extend_from_slice(bytes);
 }
 
+/// The length and the checksum that a head tells; none if it is no head.
+pub fn read_head(head: &[u8; HEAD]) -> Option<(usize, u32)> {
+    let number = |from: usize| head[from..from + 4].try_into().ok().map(u32::from_le_bytes);
+    let length = number(4)? as usize;
+    (head[..4] == MARK && length <= LONGEST).then_some((length, number(8)?))
+}
+
 /// The record that begins at `at`, and where it ends; none if there is no sound one.
 fn read_one(file: &[u8], at: usize) -> Option<(&[u8], usize)> {
-    let head = file.get(at..at + HEAD)?;
-    let number = |from: usize| head.get(from..from + 4)?.try_into().ok().map(u32::from_le_bytes);
-    let (length, sum) = (number(4)? as usize, number(8)?);
-    if head[..4] != MARK || length > LONGEST {
-        return None;
-    }
+    let (length, sum) = read_head(file.get(at..at + HEAD)?.try_into().ok()?)?;
     let bytes = file.get(at + HEAD..at + HEAD + length)?;
     (crc32fast::hash(bytes) == sum).then_some((bytes, at + HEAD + length))
 }
--- a/registry/src/mirror.rs
+++ b/registry/src/mirror.rs
@@ -158,7 +158,12 @@
 
 impl From<&eraftpb::ConfState> for Voters {
     fn from(conf: &eraftpb::ConfState) -> Self {
-        Voters { voters: conf.voters.clone(), learners: conf.learners.clone() }
+        let sorted = |ids: &Vec<u64>| {
+            let mut ids = ids.clone();
+            ids.sort_unstable();
+            ids
+        };
+        Voters { voters: sorted(&conf.voters), learners: sorted(&conf.learners) }
     }
 }
 
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -125,6 +125,8 @@
     /// The first rules, for a log that has none.
     begin: Option<Command>,
     leader: u64,
+    /// Other replicas take part than the snapshot says: one that comes would not take it.
+    reshaped: bool,
 }
 
 impl Replica {
@@ -150,10 +152,10 @@
             pre_vote: true,
             ..Config::default()
         };
-        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let logger = slog::Logger::root(EngineLog, slog::o!());
         let raw = RawNode::new(&config, store, &logger)?;
         let (proposals, collecting, asked) = Default::default();
-        let (next, leading, leader) = (0, None, 0);
+        let (next, leading, leader, reshaped) = (0, None, 0, false);
         Ok(Replica {
             id,
             raw,
@@ -167,6 +169,7 @@
             leading,
             begin,
             leader,
+            reshaped,
         })
     }
 
@@ -358,7 +361,7 @@
         }
         self.notice_role(now, output);
         self.answer_confirmed(now, output);
-        if self.raw.store().is_long() {
+        if self.raw.store().is_long() || std::mem::take(&mut self.reshaped) {
             self.compact()?;
         }
         Ok(())
@@ -412,6 +415,7 @@
                         postcard::from_bytes(&entry.context).map_err(unread)?;
                     let conf = self.raw.apply_conf_change(&change.engine())?;
                     self.raw.mut_store().set_voters(Voters::from(&conf));
+                    self.reshaped = true;
                     match change.place {
                         Some(place) => self.state.replicas.insert(change.id, place),
                         None => self.state.replicas.remove(&change.id),
@@ -535,6 +539,23 @@
     }
 }
 
+/// The engine's lines go where this program's do.
+struct EngineLog;
+
+impl slog::Drain for EngineLog {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        match record.level() {
+            slog::Level::Critical | slog::Level::Error => tracing::error!(target: "raft", "{}", record.msg()),
+            slog::Level::Warning => tracing::warn!(target: "raft", "{}", record.msg()),
+            _ => tracing::debug!(target: "raft", "{}", record.msg()),
+        }
+        Ok(())
+    }
+}
+
 impl ReplicaChange {
     fn engine(self) -> ConfChange {
         let mut change = ConfChange { node_id: self.id, ..Default::default() };
--- /dev/null
+++ b/registry/tests/processes.rs
@@ -0,0 +1,378 @@
+//! The program itself: replicas on loopback that are asked, killed, started again, replaced.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_milletturn-registry");
+/// Longer than any election, start or lease here takes on a machine that is busy.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+static CLUSTERS: AtomicU8 = AtomicU8::new(0);
+
+/// Replicas at addresses of their own, 127.B.C.n with a B and C that no other test has.
+struct Cluster {
+    folder: TempDir,
+    ip: [u8; 3],
+    _claim: TcpListener,
+    replicas: Vec<Option<Child>>,
+}
+
+impl Cluster {
+    fn new(replicas: usize, more: &str) -> Self {
+        let number = CLUSTERS.fetch_add(1, Ordering::SeqCst);
+        let (mut b, c) = (130 + (std::process::id() % 100) as u8, number);
+        let claim = loop {
+            match TcpListener::bind((Ipv4Addr::new(127, b, c, 250), 7999)) {
+                Ok(claim) => break claim,
+                Err(_) => b = 130 + (b - 129) % 120,
+            }
+        };
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut cluster = Cluster { folder, ip: [127, b, c], _claim: claim, replicas: Vec::new() };
+        cluster.write("floor.json", "{}");
+        cluster.write("rules.json", r#"{"limits":{"calls":40}}"#.replace("40", "50").as_str());
+        cluster.write("floor.json", r#"{"limits":{"calls":5}}"#);
+        for number in 0..replicas {
+            cluster.write_settings(number, replicas, false, more);
+            cluster.replicas.push(None);
+            cluster.start(number);
+        }
+        cluster
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.folder.path().join(name);
+        std::fs::write(&path, text).expect("written");
+        path
+    }
+
+    fn clients(&self, number: usize) -> SocketAddr {
+        let [a, b, c] = self.ip;
+        SocketAddr::from(([a, b, c, number as u8 + 1], 8500))
+    }
+
+    fn peers(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.clients(number).ip(), 8600)
+    }
+
+    fn write_settings(&self, number: usize, replicas: usize, join: bool, more: &str) {
+        let others: String = (0..replicas)
+            .map(|other| {
+                let (peers, clients) = (self.peers(other), self.clients(other));
+                format!("[[replica]]\nid = {}\npeers = \"{peers}\"\nclients = \"{clients}\"\n", other + 1)
+            })
+            .collect();
+        let (listen, peers, id) = (self.clients(number), self.peers(number), number + 1);
+        self.write(
+            &format!("r{number}.toml"),
+            &format!(
+                "cluster = \"test\"\nid = {id}\njoin = {join}\nlisten = \"{listen}\"\npeers = \"{peers}\"\n\
+                 folder = \"r{number}\"\n{others}[agreement]\nlease_ms = 500\nfloor = \"floor.json\"\n\
+                 rules = \"rules.json\"\n{more}"
+            ),
+        );
+    }
+
+    fn start(&mut self, number: usize) {
+        let log = self.folder.path().join(format!("r{number}.log"));
+        let log = std::fs::File::options().create(true).append(true).open(log).expect("a log");
+        let settings = self.folder.path().join(format!("r{number}.toml"));
+        let mut command = Command::new(PROGRAM);
+        command.args(["run", "--config"]).arg(settings).stderr(log).stdout(Stdio::null());
+        self.replicas[number] = Some(command.spawn().expect("started"));
+    }
+
+    fn kill(&mut self, number: usize) {
+        let mut child = self.replicas[number].take().expect("it runs");
+        child.kill().and_then(|()| child.wait()).expect("killed");
+    }
+
+    fn ask(&self, number: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        call(self.clients(number), method, path, "", body)
+    }
+
+    /// What a replica answers once it answers with success.
+    fn until(&self, number: usize, method: &str, path: &str, body: &str) -> Value {
+        let begin = Instant::now();
+        loop {
+            let answer = self.ask(number, method, path, body);
+            if let Some((200..=299, text)) = &answer {
+                return serde_json::from_str(text).unwrap_or_default();
+            }
+            assert!(begin.elapsed() < PATIENCE, "{method} {path}: {answer:?}");
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    }
+
+    fn leader(&self) -> usize {
+        let running = self.replicas.iter().position(Option::is_some).expect("one runs");
+        let begin = Instant::now();
+        loop {
+            let leader = self.until(running, "GET", "/v1/status", "")["leader"].as_u64();
+            if let Some(leader) = leader.filter(|leader| self.replicas[*leader as usize - 1].is_some()) {
+                return leader as usize - 1;
+            }
+            assert!(begin.elapsed() < PATIENCE, "nobody leads");
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    }
+
+    fn run(&self, arguments: &[&str]) -> Output {
+        let registries = (0..self.replicas.len())
+            .flat_map(|number| ["--registry".to_string(), self.clients(number).to_string()]);
+        Command::new(PROGRAM).args(arguments).args(registries).output().expect("it runs")
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for child in self.replicas.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn request(address: SocketAddr, method: &str, path: &str, head: &str, body: &str) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    let length = body.len();
+    let text = format!("{method} {path} HTTP/1.1\r\nhost: r\r\n{head}content-length: {length}\r\n\r\n{body}");
+    stream.write_all(text.as_bytes()).ok()?;
+    Some(stream)
+}
+
+fn call(address: SocketAddr, method: &str, path: &str, head: &str, body: &str) -> Option<(u16, String)> {
+    let head = format!("{head}connection: close\r\n");
+    let mut text = String::new();
+    request(address, method, path, &head, body)?.read_to_string(&mut text).ok()?;
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    Some((status, text.split_once("\r\n\r\n")?.1.to_string()))
+}
+
+fn target(port: u16) -> String {
+    json!({ "endpoint": format!("10.0.0.1:{port}"), "pod_group": 3 }).to_string()
+}
+
+/// The objects of a watch, as they come.
+struct Watch(BufReader<TcpStream>);
+
+impl Watch {
+    fn begin(address: SocketAddr, from: u64) -> Self {
+        let path = format!("/v1/endpoints?watch=1&from={from}");
+        Watch(BufReader::new(request(address, "GET", &path, "", "").expect("connected")))
+    }
+
+    fn next(&mut self) -> Option<Value> {
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            if line.starts_with('{') {
+                return serde_json::from_str(&line).ok();
+            }
+        }
+    }
+}
+
+#[test]
+fn a_change_goes_through_while_the_leader_is_killed_and_every_watcher_hears_of_it() {
+    let mut cluster = Cluster::new(3, "");
+    let first = cluster.leader();
+    let follower = (first + 1) % 3;
+    // through a follower, which passes it on
+    cluster.until(follower, "PUT", "/v1/endpoints/a", &target(1));
+    let mut watch = Watch::begin(cluster.clients(follower), 0);
+    assert_eq!(watch.next().expect("the list")["targets"][0]["uid"], "a");
+    let answered = cluster.until(follower, "PUT", "/v1/endpoints/b", &target(2));
+    let heard = watch.next().expect("the change");
+    assert_eq!((&heard["rev"], &heard["all"]), (&answered["rev"], &json!(false)));
+    cluster.until(follower, "GET", "/v1/rules", "");
+    // leases of before the start may last: the change waits, whoever leads
+    let begin = Instant::now();
+    loop {
+        let answer = cluster.ask(follower, "PUT", "/v1/rules", r#"{"limits":{"calls":9}}"#);
+        match &answer {
+            Some((200, _)) => break,
+            Some((409 | 503, _)) | None => std::thread::sleep(Duration::from_millis(30)),
+            other => panic!("{other:?}"),
+        }
+        assert!(begin.elapsed() < PATIENCE, "{answer:?}");
+    }
+    let leader = cluster.leader();
+    cluster.kill(leader);
+    let other = (leader + 1) % 3;
+    let begin = Instant::now();
+    loop {
+        let rules = cluster.until(other, "GET", "/v1/rules", "");
+        if rules["version"] == 2 && rules["settled"] == true {
+            break;
+        }
+        assert!(begin.elapsed() < PATIENCE, "{rules}");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    // what was answered is there, on the one that was killed too
+    cluster.start(leader);
+    let list = cluster.until(leader, "GET", "/v1/endpoints", "");
+    assert_eq!((&list["rev"], list["targets"].as_array().map(Vec::len)), (&answered["rev"], Some(2)));
+    let shown = cluster.run(&["compare", "1", "2"]);
+    let text = String::from_utf8_lossy(&shown.stdout);
+    assert!(text.contains("limits.calls: 50 -> 9"), "{text}");
+    let undone = cluster.run(&["undo", "1"]);
+    assert!(undone.status.success(), "{undone:?}");
+    let waited = cluster.run(&["wait", "3"]);
+    assert!(waited.status.success(), "{waited:?}");
+}
+
+#[test]
+fn what_makes_no_sense_is_refused_with_its_reason_and_changes_nothing() {
+    let cluster = Cluster::new(1, "[limits]\nclients = 6\nwatchers = 2\n");
+    cluster.until(0, "PUT", "/v1/endpoints/a", &target(1));
+    cluster.until(0, "GET", "/v1/rules", "");
+    let at = cluster.clients(0);
+    for (method, path, head, body, status, told) in [
+        ("PUT", "/v1/endpoints/a", "", "{", 400, "EOF"),
+        (
+            "PUT",
+            "/v1/endpoints/a",
+            "",
+            r#"{"endpoint":"0.0.0.0:1","pod_group":1}"#,
+            400,
+            "a: endpoint is not",
+        ),
+        ("PUT", "/v1/endpoints/a", "", r#"{"endpoint":"1.1.1.1:1","pod":1}"#, 400, "unknown field `pod`"),
+        ("PUT", "/v1/endpoints/b", "if-match: \"7\"\r\n", &target(2), 412, "version 1, not 7"),
+        ("PUT", "/v1/endpoints/b", "if-match: x\r\n", &target(2), 400, "If-Match"),
+        ("POST", "/v1/endpoints/b/drain", "", "", 404, "b: no such endpoint"),
+        ("DELETE", "/v1/endpoints/b", "", "", 404, "b: no such endpoint"),
+        (
+            "POST",
+            "/v1/endpoints",
+            "",
+            r#"{"changes":[{"drain":{"uid":"a"}},{"remove":{"uid":"z"}}]}"#,
+            404,
+            "z:",
+        ),
+        ("PUT", "/v1/rules", "", r#"{"limits":{"calls":0}}"#, 400, "limits.calls"),
+        ("PUT", "/v1/rules", "", r#"{"limits":{"calls":4}}"#, 409, ""),
+        ("PUT", "/v1/rules", "if-match: 4\r\n", r#"{"limits":{"calls":8}}"#, 412, "version 1 holds"),
+        ("POST", "/v1/outcomes", "", "{\"id\":\"a\",\"state\":\"failed\"}\n{\"id\":\"b\"}\n", 400, "line 2"),
+        ("POST", "/v1/lease", "", "{}", 400, "missing field"),
+        ("GET", "/v1/endpoints?watch=2", "", "", 400, "watch"),
+        ("PATCH", "/v1/endpoints", "", "", 405, ""),
+        ("GET", "/v2/endpoints", "", "", 404, ""),
+        ("PUT", "/v1/rules", "", &"x".repeat(70_000), 413, "over 65536"),
+    ] {
+        let answer = call(at, method, path, head, body);
+        let (code, text) = answer.unwrap_or_else(|| panic!("{method} {path}: no answer"));
+        assert_eq!((code, text.contains(told)), (status, true), "{method} {path}: {text}");
+        assert!(code != 400 || text.lines().count() == 1, "{text}");
+    }
+    assert_eq!(cluster.until(0, "GET", "/v1/endpoints", "")["rev"], 1);
+    let taken =
+        call(at, "POST", "/v1/outcomes", "", "{\"id\":\"a\",\"state\":\"returned\",\"after_ms\":5}\n");
+    assert_eq!(taken.map(|(status, _)| status), Some(204));
+    assert_eq!(cluster.until(0, "GET", "/v1/status", "")["notices"], json!({ "failed": 0, "returned": 1 }));
+    // places for watches, then for clients
+    let mut watches: Vec<Watch> = (0..2).map(|_| Watch::begin(at, 0)).collect();
+    assert!(watches.iter_mut().all(|watch| watch.next().is_some()));
+    let (status, _) = call(at, "GET", "/v1/endpoints?watch=1&from=0", "", "").expect("an answer");
+    assert_eq!(status, 503);
+    let idle: Vec<TcpStream> = (0..4).filter_map(|_| TcpStream::connect(at).ok()).collect();
+    let begin = Instant::now();
+    while call(at, "GET", "/v1/status", "", "").is_none_or(|(status, _)| status != 503) {
+        assert!(begin.elapsed() < PATIENCE, "no place is left for a client");
+    }
+    drop(idle);
+    cluster.until(0, "GET", "/v1/status", "");
+}
+
+#[test]
+fn a_watcher_that_never_reads_is_cut_and_the_others_hear_all() {
+    let cluster = Cluster::new(1, "[limits]\nstalled_ms = 300\n");
+    let name = |number: usize| format!("{}-{number}", "x".repeat(100));
+    let batch = |port: u16| {
+        let put = |number| {
+            json!({ "put": { "uid": name(number), "target":
+            serde_json::from_str::<Value>(&target(port)).expect("JSON") } })
+        };
+        json!({ "changes": (0..2000).map(put).collect::<Vec<_>>() }).to_string()
+    };
+    cluster.until(0, "POST", "/v1/endpoints", &batch(1));
+    let _deaf = Watch::begin(cluster.clients(0), 0);
+    let mut good = Watch::begin(cluster.clients(0), 0);
+    let mut rev = 0;
+    let begin = Instant::now();
+    for port in 2.. {
+        cluster.until(0, "POST", "/v1/endpoints", &batch(port));
+        rev = good.next().expect("the list, then changes")["rev"].as_u64().expect("a version").max(rev);
+        let status = cluster.until(0, "GET", "/v1/status", "");
+        if status["watchers_cut"] == 1 && status["watchers"] == 1 {
+            break;
+        }
+        assert!(begin.elapsed() < PATIENCE, "{status}");
+    }
+    assert!(rev > 0);
+}
+
+#[test]
+fn a_leader_that_ends_hands_over_and_a_replica_comes_and_goes() {
+    let mut cluster = Cluster::new(3, "");
+    let first = cluster.leader();
+    cluster.until(first, "PUT", "/v1/endpoints/a", &target(1));
+    let child = cluster.replicas[first].take().expect("it runs");
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().is_ok_and(|status| status.success()));
+    let ended = child.wait_with_output().expect("ended");
+    assert!(ended.status.success(), "{ended:?}");
+    let log = std::fs::read_to_string(cluster.folder.path().join(format!("r{first}.log"))).expect("its log");
+    assert!(log.contains(r#""handed":true"#), "{log}");
+    // a fourth comes in its place and the first one goes
+    cluster.write_settings(3, 3, true, "");
+    cluster.replicas.push(None);
+    cluster.start(3);
+    let leader = cluster.leader();
+    let place = json!({ "peers": cluster.peers(3), "clients": cluster.clients(3) }).to_string();
+    cluster.until(leader, "PUT", "/v1/replicas/4", &place);
+    let begin = Instant::now();
+    while cluster.until(leader, "GET", "/v1/status", "")["voters"] != json!([1, 2, 3, 4]) {
+        assert!(begin.elapsed() < PATIENCE, "it votes once it has the log");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    cluster.until(leader, "DELETE", &format!("/v1/replicas/{}", first + 1), "");
+    cluster.until(3, "PUT", "/v1/endpoints/b", &target(2));
+    assert_eq!(cluster.until(3, "GET", "/v1/endpoints", "")["rev"], 2);
+}
+
+#[test]
+fn a_start_that_cannot_be_right_ends_with_a_line_and_exit_code_2() {
+    let mut cluster = Cluster::new(1, "");
+    cluster.until(0, "PUT", "/v1/endpoints/a", &target(1));
+    let run = |path: &Path| {
+        let output = Command::new(PROGRAM).args(["run", "--config"]).arg(path).output().expect("it runs");
+        let lines = String::from_utf8_lossy(&output.stderr).to_string();
+        (output.status.code(), lines)
+    };
+    let settings = cluster.folder.path().join("r0.toml");
+    let (code, line) = run(&settings);
+    assert!(code == Some(2) && line.contains("another process uses this folder"), "{code:?} {line}");
+    let bad = cluster.write("bad.toml", "cluster = \"a\"\nids = 3\n");
+    let (code, line) = run(&bad);
+    assert!(code == Some(2) && line.contains("ids"), "{code:?} {line}");
+    cluster.kill(0);
+    // damage before a sound record is no torn end
+    let log = cluster.folder.path().join("r0/log");
+    let mut bytes = std::fs::read(&log).expect("the log");
+    bytes[13] ^= 1;
+    std::fs::write(&log, &bytes).expect("damaged");
+    let (code, line) = run(&settings);
+    assert!(code == Some(2) && line.contains("damaged from byte 0 on"), "{code:?} {line}");
+    assert_eq!(Command::new(PROGRAM).arg("--no-such").output().expect("it runs").status.code(), Some(2));
+}
