Senders agree on rules: leases from the registry bind what is sent, the floor without one

Cause: nothing in the sender kept two of them from acting on rules that contradict each other.

Change: an agreement object in the configuration; the part that asks for leases, and what agreed rules allow in the module, which looks at the lease's end by its own passed-in time before each send. Off without the object. Operators' reports are asked for by one piece.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -139,6 +139,7 @@
     counted: u32,
     fleet: Option<FleetView>,
     fleet_since: Micros,
+    agreed: Option<Box<Agreed>>,
     /// Messages for which an endpoint was looked for in the last turn.
     #[serde(skip)]
     weighed: usize,
@@ -157,6 +158,7 @@
             counted: settings.senders,
             fleet: None,
             fleet_since: 0,
+            agreed: None,
             settings,
             random: Pcg32::seed_from_u64(seed),
             now: 0,
@@ -211,6 +213,7 @@
 
     fn learn(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
+            Event::Agreed(agreed) => self.agreed = agreed.clone(),
             Event::Fleet(view) => {
                 // who holds a view may grow; what is seen must stand
                 let seen = |view: FleetView| FleetView { holders: 0, ..view };
@@ -227,7 +230,9 @@
             }
             Event::Accepted(message) => {
                 let held = self.messages.values().filter(|message| message.open).count();
-                if held < self.settings.max_held {
+                if held < self.most(|bounds| bounds.messages, self.settings.max_held)
+                    && self.bound(message.class).is_none_or(|bound| bound.accepted)
+                {
                     self.accept(message);
                 } else {
                     actions.push(Action::Refuse { message: message.id, wait: self.client_wait() });
@@ -381,7 +386,8 @@
             *tokens -= f64::from(u8::from(within));
             worth *= if within { 1.0 } else { self.settings.over_share_worth };
         }
-        let key = new.key.filter(|_| ordered);
+        let bound = self.bound(new.class);
+        let key = new.key.filter(|_| ordered || bound.is_some_and(|bound| bound.ordered));
         if let Some(key) = key {
             self.keys.entry(key).or_default().turn.push_back(new.id);
             if self.keys.len() > 2 * self.settings.max_held {
@@ -399,6 +405,7 @@
     /// key must count from the first.
     fn resume(&mut self, message: &NewMessage, attempts: &[PastAttempt]) {
         self.accept(message);
+        let rest_until = self.now + self.key_rest(message.class);
         let Some(held) = self.messages.get_mut(&message.id) else { return };
         held.attempts.extend(attempts.iter().map(|past| Attempt {
             endpoint: past.endpoint,
@@ -409,7 +416,6 @@
             overlapped: true,
             cancelled: false,
         }));
-        let rest_until = self.now + self.settings.safety.key_rest;
         let unsure = attempts.iter().any(|past| past.may_have_run);
         if let Some(line) = held.key.filter(|_| unsure).and_then(|key| self.keys.get_mut(&key)) {
             line.rest_until = line.rest_until.max(rest_until);
@@ -420,12 +426,13 @@
         &mut self, id: MessageId, index: usize, outcome: Outcome, latency: Micros, report: &[f64],
         actions: &mut Vec<Action>,
     ) {
+        let class = self.messages.get(&id).map_or(usize::MAX, |message| message.class);
+        let key_rest = self.key_rest(class);
         let Some(message) = self.messages.get_mut(&id) else { return };
         let Some(attempt) = message.attempts.get_mut(index).filter(|attempt| attempt.out) else { return };
         attempt.out = false;
         attempt.may_have_run = !outcome.never_ran();
         let (call_id, endpoint_id, sent) = (attempt.call, attempt.endpoint, attempt.sent);
-        let class = message.class;
         // what the host could not send rests too, or a lasting fault there would use up all attempts at once
         if !matches!(outcome, Outcome::Success | Outcome::Unsent { no_slot: true }) {
             let rest = message.retry_rest;
@@ -435,7 +442,7 @@
         }
         let rests = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         if let Some(line) = message.key.filter(|_| rests).and_then(|key| self.keys.get_mut(&key)) {
-            line.rest_until = line.rest_until.max(self.now + self.settings.safety.key_rest);
+            line.rest_until = line.rest_until.max(self.now + key_rest);
         }
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         let (unit_id, first, copy) = (call.unit, call.left == call.size, call.copy);
@@ -680,11 +687,12 @@
             return false;
         };
         let settings = &self.settings;
+        let allowed = self.bound(message.class).map_or(usize::MAX, |bound| bound.attempts);
         let out = message.attempts.iter().filter(|attempt| attempt.out).count();
         if !message.open
             || !target.is_open()
             || target.destination != message.destination
-            || message.attempts.len() >= message.most_attempts
+            || message.attempts.len() >= message.most_attempts.min(allowed)
             || self.now + MARGIN >= message.deadline
             || (out > 0 && !settings.second_copies)
         {
@@ -708,7 +716,7 @@
             self.units.range((message.destination, None)..=(message.destination, Some(EndpointId(u32::MAX))));
         let in_flight: usize = here.map(|(_, unit)| unit.in_flight).sum();
         let slots = joins
-            || (self.calls.len() < settings.call_slots
+            || (self.calls.len() < self.most(|bounds| bounds.calls, settings.call_slots)
                 && in_flight < share_of(settings.call_slots, WINDOW_MOST));
         repeatable && turn && !waits && slots
     }
@@ -772,7 +780,8 @@
     /// True if no later send can be legal: it may have run and cannot be repeated, or no attempt is left.
     fn is_spent(&self, message: &Held) -> bool {
         let mut risky = message.at_risk();
-        let closed = match self.effect(message.class) {
+        // what rules forbid for now they may allow again
+        let closed = match self.own_effect(message.class) {
             Effect::Repeatable => false,
             Effect::Unsafe => risky.next().is_some(),
             Effect::Keyed { window, .. } => risky.any(|attempt| self.now + MARGIN >= attempt.sent + window),
@@ -1032,7 +1041,31 @@
 
     // ---- small lookups -----------------------------------------------------------------------
 
+    /// What a repeat does, and no more than agreed rules allow.
     fn effect(&self, class: usize) -> Effect {
+        let own = self.own_effect(class);
+        self.bound(class).map_or(own, |bound| own.meet(bound.effect))
+    }
+
+    /// What agreed rules allow a class now, if there are any. Guards against senders that contradict each
+    /// other; could starve a class that the rules do not name.
+    fn bound(&self, class: usize) -> Option<ClassBound> {
+        let bounds = self.agreed.as_ref()?.at(self.now);
+        let name = self.settings.classes.get(class).map_or("", |class| &class.name);
+        Some(bounds.classes.get(name).copied().unwrap_or(ClassBound::NOTHING))
+    }
+
+    /// A limit of the settings, or a lower one of agreed rules.
+    fn most(&self, limit: impl Fn(&Bounds) -> Option<usize>, own: usize) -> usize {
+        let agreed = self.agreed.as_ref().and_then(|agreed| limit(agreed.at(self.now)));
+        agreed.map_or(own, |most| most.min(own))
+    }
+
+    fn key_rest(&self, class: usize) -> Micros {
+        self.settings.safety.key_rest.max(self.bound(class).map_or(0, |bound| bound.key_rest))
+    }
+
+    fn own_effect(&self, class: usize) -> Effect {
         self.settings.classes.get(class).map_or(Effect::Unsafe, |class| class.effect)
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 mod net;
 
 use milletturn::Sender;
+use net::agreement::settings::Agreement;
 use net::calls::Calls;
 use net::config::Config;
 use net::control::Control;
@@ -14,7 +15,7 @@
 use net::pool::{Connections, Means, limits};
 use net::server::{Classes, Server, serve};
 use net::upgrade::{self, Frame, Lock, Taken};
-use net::{control, discovery, journal, membership};
+use net::{agreement, control, discovery, journal, membership};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -67,7 +68,9 @@
     let (handed, handed_seen) = watch::channel(false);
     let (moved, agent) = watch::channel(config.discovery);
     let (member, membership) = watch::channel(config.membership);
+    let (agrees, agreement) = watch::channel(config.agreement);
     let (stop, stopping) = watch::channel(false);
+    let (rules, rules_asked) = mpsc::channel(ORDERS);
     let (members, queries) = mpsc::channel(ORDERS);
     // nothing is taken before the messages are this process's own
     let draining = Rc::new(Cell::new(true));
@@ -75,6 +78,7 @@
         let control = Control {
             orders: orders.clone(),
             members,
+            agreement: rules,
             ready: ready_seen.clone(),
             draining: draining.clone(),
         };
@@ -120,6 +124,8 @@
         closing,
     };
     let counted = Rc::new(Cell::new(senders));
+    let listed = Rc::new(Cell::new(0));
+    let floor = agreement.borrow().as_ref().map(|agreement| agreement::bounds(&agreement.floor));
     let shared = Shared {
         clock,
         inputs: inputs.clone(),
@@ -130,6 +136,7 @@
         draining: draining.clone(),
         handed,
         counted: counted.clone(),
+        listed: listed.clone(),
     };
     let known = config.known;
     let mut driver = Driver::new(
@@ -144,6 +151,7 @@
         ready,
         shared,
         handover,
+        floor,
     );
     if let Some(mut link) = link {
         // an old process that is gone leaves all to this one just the same
@@ -157,6 +165,16 @@
     let backoff = Backoff::new(senders, config.seed);
     let watch = discovery::watch(agent.clone(), driver.list_version(), backoff, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(watch) as Task));
+    let holds = agreement::Means {
+        clock,
+        name: config.name.clone(),
+        inputs: inputs.clone(),
+        agent: agent.clone(),
+        listed,
+        backoff: Backoff::new(senders, !config.seed),
+    };
+    let holds = agreement::hold(holds, agreement, rules_asked, stopping.clone());
+    tokio::task::spawn_local(until_handed(Box::pin(holds)));
     let post = discovery::post_notices(agent, queue, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(post)));
     tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(
@@ -172,7 +190,7 @@
     };
     let part = membership::take_part(means, membership, queries, stopping);
     tokio::task::spawn_local(until_handed(Box::pin(part)));
-    tokio::task::spawn_local(reread(hangup, config.text, moved, member, inputs.clone()));
+    tokio::task::spawn_local(reread(hangup, config.text, moved, (member, agrees), inputs.clone()));
     draining.set(false);
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let driver = tokio::task::spawn_local(driver.run(received, ordered, successors));
@@ -204,7 +222,8 @@
 /// Rereads the configuration on each SIGHUP: settings and discovery come from a file that is whole, or neither.
 async fn reread(
     mut hangup: Signal, mut text: Vec<u8>, moved: watch::Sender<SocketAddr>,
-    member: watch::Sender<Option<Membership>>, inputs: mpsc::UnboundedSender<Input>,
+    (member, agrees): (watch::Sender<Option<Membership>>, watch::Sender<Option<Agreement>>),
+    inputs: mpsc::UnboundedSender<Input>,
 ) {
     while hangup.recv().await.is_some() {
         let before = text.clone();
@@ -217,18 +236,24 @@
                 net::log(format_args!("SIGHUP: classes {names}; discovery at {}", new.discovery));
                 text = new.text;
                 let _ = inputs.send(Input::Retuned(Box::new((new.settings, new.names, new.pool))));
-                member.send_if_modified(|old| {
-                    let changed = *old != new.membership;
-                    *old = new.membership;
-                    changed
-                });
-                moved.send_if_modified(|old| std::mem::replace(old, new.discovery) != new.discovery);
+                replace(&member, new.membership);
+                replace(&agrees, new.agreement);
+                replace(&moved, new.discovery);
             }
             Err(error) => net::log(format_args!("SIGHUP: configuration left as it was: {error}")),
         }
     }
 }
 
+/// Tells a part of other settings, if they are others.
+fn replace<T: PartialEq>(part: &watch::Sender<T>, new: T) {
+    part.send_if_modified(|old| {
+        let changed = *old != new;
+        *old = new;
+        changed
+    });
+}
+
 fn log_recovery(name: &str, journal: &Journal, recovery: &journal::Recovery) {
     let journal::Recovery { records, torn, damaged } = recovery;
     if *records + *torn + *damaged > 0 {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,8 @@
 //! Reads `RELAY_CONFIG`. The nested settings are flattened into the reader of the simulator's wire, so that
 //! their names live in one place.
 
+use super::agreement;
+use super::agreement::settings::{Agreement, AgreementError};
 use super::discovery::parse_list;
 use super::events::ListUpdate;
 use super::membership;
@@ -21,7 +23,7 @@
 /// Keys of a class that may be absent by the rules of the settings.
 const MAY_LACK: [&str; 2] = ["aimStretch", "oneAtATime"];
 /// Objects that may come and go.
-const PARTS: [&str; 2] = ["pool", "membership"];
+const PARTS: [&str; 3] = ["pool", "membership", "agreement"];
 
 /// Why the sender cannot start.
 #[derive(Debug, Error)]
@@ -42,6 +44,8 @@
     Settings(#[from] SettingsError),
     #[error(transparent)]
     Membership(#[from] MembershipError),
+    #[error(transparent)]
+    Agreement(#[from] AgreementError),
 }
 
 /// All that the sender is told at its start.
@@ -68,6 +72,8 @@
     pub pool: PoolSettings,
     /// How this sender takes part in membership, if it does.
     pub membership: Option<Membership>,
+    /// How this sender agrees on rules with the others, if it does.
+    pub agreement: Option<Agreement>,
 }
 
 /// Reads the `pool` object; the process may hold so many descriptors.
@@ -141,6 +147,8 @@
     pool: Value,
     #[serde(default)]
     membership: Value,
+    #[serde(default)]
+    agreement: Value,
     settings: Value,
 }
 
@@ -241,6 +249,7 @@
         settings.ends_by_notice = true;
         settings.validate()?;
         let membership = membership::settings::read(&file.membership, &name, settings.senders)?;
+        let agreement = agreement::settings::read(&file.agreement)?;
         let remembered = if membership.is_some() { membership::DISK } else { 0 };
         Ok(Config {
             name,
@@ -259,6 +268,7 @@
             names,
             pool,
             membership,
+            agreement,
         })
     }
 }
@@ -282,7 +292,7 @@
     let lacks = |what: &str| Err(ConfigError::Incomplete(format!("{path}{what}")));
     match (before, new) {
         // for the start alone, or with defaults for all that is not set
-        _ if ["/known", "/control", "/seed", "/pool", "/membership"].contains(&path) => Ok(()),
+        _ if ["/known", "/control", "/seed", "/pool", "/membership", "/agreement"].contains(&path) => Ok(()),
         (Value::Object(before), Value::Object(new)) => {
             before.iter().try_for_each(|(name, value)| match new.get(name) {
                 Some(new) => complete(&format!("{path}/{name}"), value, new),
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,7 +1,7 @@
 //! The operators' address: one call a connection, answered beside whatever else goes on.
 
+use super::events::Query;
 use super::events::{Order, Verdict};
-use super::membership::Query;
 use super::server::{Seat, accept};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -35,6 +35,7 @@
 pub struct Control {
     pub orders: mpsc::Sender<Order>,
     pub members: mpsc::Sender<Query>,
+    pub agreement: mpsc::Sender<Query>,
     pub ready: watch::Receiver<bool>,
     /// Set once the process takes nothing new.
     pub draining: Rc<Cell<bool>>,
@@ -105,20 +106,22 @@
         }
         ("/pools", &Method::GET) => {
             seat.set_idle(false);
-            let (reply, report) = oneshot::channel();
-            ask(control, Order::Pools { reply })?;
             let ending = (StatusCode::SERVICE_UNAVAILABLE, "ending");
-            return report.await.map(Cow::from).map_err(|_| ending);
+            return report(&control.orders, |reply| Order::Pools { reply }, ending).await;
         }
         ("/members", &Method::GET) => {
             seat.set_idle(false);
-            let (reply, report) = oneshot::channel();
-            let busy = (StatusCode::SERVICE_UNAVAILABLE, "no order is taken now");
-            control.members.try_send(reply).map_err(|_| busy)?;
-            let off = (StatusCode::NOT_FOUND, "membership is off");
-            return report.await.map(Cow::from).map_err(|_| off);
+            return report(&control.members, |reply| reply, (StatusCode::NOT_FOUND, "membership is off"))
+                .await;
+        }
+        ("/agreement", &Method::GET) => {
+            seat.set_idle(false);
+            return report(&control.agreement, |reply| reply, (StatusCode::NOT_FOUND, "agreement is off"))
+                .await;
+        }
+        ("/ready" | "/pools" | "/members" | "/agreement", _) => {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET));
         }
-        ("/ready" | "/pools" | "/members", _) => return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET)),
         ("/endpoints/disable", &Method::POST) => true,
         ("/endpoints/enable", &Method::POST) => false,
         ("/endpoints/disable" | "/endpoints/enable", _) => {
@@ -134,7 +137,7 @@
         .map_err(|_| (StatusCode::BAD_REQUEST, "the body is not {\"target\":\"ID\"}"))?;
     seat.set_idle(false);
     let (reply, verdict) = oneshot::channel();
-    ask(control, Order::SetOut { uid, out, reply })?;
+    ask(&control.orders, Order::SetOut { uid, out, reply })?;
     match verdict.await {
         Ok(Verdict::Done) => Ok("done".into()),
         Ok(Verdict::Unknown) => Err((StatusCode::NOT_FOUND, "no such endpoint")),
@@ -143,8 +146,17 @@
     }
 }
 
-/// Hands an order to the driver, if it has room for one.
-fn ask(control: &Control, order: Order) -> Result<(), No> {
+/// Hands an order to a part, if it has room for one.
+fn ask<T>(part: &mpsc::Sender<T>, order: T) -> Result<(), No> {
     let busy = (StatusCode::SERVICE_UNAVAILABLE, "no order is taken now");
-    control.orders.try_send(order).map_err(|_| busy)
+    part.try_send(order).map_err(|_| busy)
+}
+
+/// A part's report; `none` is the answer where the part drops the question.
+async fn report<T>(
+    part: &mpsc::Sender<T>, order: impl FnOnce(Query) -> T, none: No,
+) -> Result<Cow<'static, str>, No> {
+    let (reply, report) = oneshot::channel();
+    ask(part, order(reply))?;
+    report.await.map(Cow::from).map_err(|_| none)
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -79,7 +79,7 @@
 }
 
 #[derive(Debug, Error)]
-enum CallError {
+pub enum CallError {
     #[error("no connection: {0}")]
     Io(#[from] std::io::Error),
     #[error("{0}")]
@@ -152,9 +152,8 @@
         if version != before {
             (backoff.rest, told) = (backoff.first, String::new());
         }
-        let next = (backoff.rest * 2).min(backoff.most);
         let moved = rest_or_move(backoff.spread(), &mut agent).await;
-        backoff.rest = if moved { backoff.first } else { next };
+        backoff.advance(!moved);
     }
 }
 
@@ -176,17 +175,22 @@
         Backoff { random: Pcg32::seed_from_u64(seed), first, most, rest: first }
     }
 
+    /// Longer rests from now on, or again the first.
+    pub fn advance(&mut self, failed: bool) {
+        self.rest = if failed { (self.rest * 2).min(self.most) } else { self.first };
+    }
+
     /// The rest before the first try; none for the few senders that can't crowd discovery.
     fn start(&mut self) -> Duration {
         if self.first > RETRY_MOST { self.first.mul_f64(2.0 * self.part()) } else { Duration::ZERO }
     }
 
     /// The next rest: from half to one and a half times as long as is due.
-    fn spread(&mut self) -> Duration {
+    pub fn spread(&mut self) -> Duration {
         self.rest.mul_f64(0.5 + self.part())
     }
 
-    fn part(&mut self) -> f64 {
+    pub fn part(&mut self) -> f64 {
         f64::from(self.random.next_u32()) / f64::from(u32::MAX)
     }
 }
@@ -324,7 +328,7 @@
 }
 
 /// One request on a connection of its own: the agent is near, and its connections may have gone silent.
-async fn call<B>(
+pub async fn call<B>(
     agent: SocketAddr, request: Request<B>, within: Duration,
 ) -> Result<Response<hyper::body::Incoming>, CallError>
 where
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -17,7 +17,9 @@
 use hyper::header::HeaderValue;
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
-use milletturn::{Action, EndpointId, Event, MILLISECOND, MessageId, Micros, Sender, Settings};
+use milletturn::{
+    Action, Agreed, Bounds, EndpointId, Event, MILLISECOND, MessageId, Micros, Sender, Settings,
+};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -93,6 +95,8 @@
     pub handed: watch::Sender<bool>,
     /// The number of senders that the decisions scale by.
     pub counted: Rc<Cell<u32>>,
+    /// The version of the list that they go by.
+    pub listed: Rc<Cell<u64>>,
 }
 
 /// What follows once a next process has asked.
@@ -131,6 +135,13 @@
     alarm: Option<Micros>,
     journal_fault: Seldom,
     list_version: u64,
+    /// Senders agree on rules, and the list is the registry's: no lower version than this is taken.
+    agreed: bool,
+    /// A lower version came: what changes of it tell rests on another list.
+    behind: bool,
+    behind_fault: Seldom,
+    /// Those that wait until agreed rules bind.
+    binding: Vec<oneshot::Sender<()>>,
     shared: Shared,
     /// The old process, while it has calls out or clients connected, and the places that its clients hold.
     predecessor: Option<(mpsc::UnboundedSender<Word>, usize)>,
@@ -142,7 +153,7 @@
     pub fn new(
         sender: Sender, settings: Settings, names: Names, pool: PoolSettings, known: Option<ListUpdate>,
         journal: Journal, calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>,
-        shared: Shared, handover: Option<Handover>,
+        shared: Shared, handover: Option<Handover>, floor: Option<Bounds>,
     ) -> Self {
         let mut driver = Driver {
             settings: sender.settings().clone(),
@@ -169,6 +180,10 @@
             alarm: None,
             journal_fault: Seldom::default(),
             list_version: 0,
+            agreed: floor.is_some(),
+            behind: false,
+            behind_fault: Seldom::default(),
+            binding: Vec::new(),
             shared,
             predecessor: None,
         };
@@ -180,6 +195,11 @@
             // what the old process saw of the others is its own affair
             driver.events.push(Event::Fleet(None));
         }
+        // a start begins on the floor: what an old process was granted is its own
+        let agreed = floor.map(|floor| Box::new(Agreed { leased: None, floor }));
+        if taken_over || agreed.is_some() {
+            driver.events.push(Event::Agreed(agreed));
+        }
         driver.retune(settings, names);
         if let Some(known) = known.filter(|_| !taken_over) {
             driver.list(known, true);
@@ -266,6 +286,11 @@
             }
             Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
             Input::Ended(ended) => self.ended(ended),
+            Input::Agreed(agreed, binds) => {
+                self.agreed = agreed.is_some();
+                self.events.push(Event::Agreed(agreed));
+                self.binding.push(binds);
+            }
             Input::Fleet(view) => self.events.push(Event::Fleet(view)),
             Input::Listed(update) => self.list(update, false),
             Input::Retuned(new) => {
@@ -293,6 +318,10 @@
         let events = std::mem::take(&mut self.events);
         let mut actions = Vec::new();
         self.sender.handle(now, &events, &mut actions);
+        for binds in self.binding.drain(..) {
+            // the part that waits lives as long as the process
+            let _ = binds.send(());
+        }
         let counted = self.sender.senders();
         let before = self.shared.counted.replace(counted);
         if counted != before && events.iter().any(|event| matches!(event, Event::Fleet(_) | Event::Alarm)) {
--- a/src/net/driver/routes.rs
+++ b/src/net/driver/routes.rs
@@ -10,9 +10,13 @@
 
 impl Driver {
     pub(super) fn list(&mut self, update: ListUpdate, old: bool) {
+        if self.is_behind(&update, old) {
+            return;
+        }
         // a list as known that is empty is none: the first watch is to tell all
         if !(old && update.targets.is_empty()) {
             self.list_version = update.version;
+            self.shared.listed.set(update.version);
         }
         if update.full {
             self.routes.values_mut().for_each(|route| (route.listed, route.up) = (false, false));
@@ -57,6 +61,23 @@
         self.events.push(Event::Listed { listing, entries });
     }
 
+    /// Whether a list is of a version below the one that is in force: a registry that came back from an older folder. What
+    /// it tells is taken again once a whole list is no older.
+    fn is_behind(&mut self, update: &ListUpdate, old: bool) -> bool {
+        if !self.agreed || old {
+            return false;
+        }
+        if update.version < self.list_version || self.behind && !update.full {
+            self.behind = true;
+            let (found, known) = (update.version, self.list_version);
+            self.behind_fault
+                .log(format_args!("discovery: version {found} is not taken, {known} is in force"));
+            return true;
+        }
+        self.behind = false;
+        false
+    }
+
     /// The module's number for an endpoint.
     pub(super) fn endpoint_of(&mut self, uid: &str) -> EndpointId {
         if let Some(&endpoint) = self.by_uid.get(uid) {
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -4,7 +4,7 @@
 use hyper::header::HeaderValue;
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
-use milletturn::{FleetView, Micros, Outcome, Settings, Status};
+use milletturn::{Agreed, FleetView, Micros, Outcome, Settings, Status};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -25,6 +25,8 @@
     Listed(ListUpdate),
     /// Notices that the platform has taken, by number of message.
     Noticed(Vec<u64>),
+    /// Rules on which the senders agree, and who is to be told once they bind all that is sent.
+    Agreed(Option<Box<Agreed>>, oneshot::Sender<()>),
     /// What is seen of the other senders; none where nothing is.
     Fleet(Option<FleetView>),
     /// New settings, checked.
@@ -34,13 +36,16 @@
     LinkLost,
 }
 
+/// Asks a part for its report, as JSON.
+pub type Query = oneshot::Sender<String>;
+
 /// What operators order; it overtakes all that waits.
 #[derive(Debug)]
 pub enum Order {
     /// Take an endpoint out, or put it back.
     SetOut { uid: String, out: bool, reply: oneshot::Sender<Verdict> },
     /// Tell how the connections to endpoints stand, as JSON.
-    Pools { reply: oneshot::Sender<String> },
+    Pools { reply: Query },
 }
 
 /// What came of an order.
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -101,6 +101,7 @@
             Input::LinkLost => Err(LinkError::Unexpected),
             // the new one reads lists and settings itself, and posts notices
             Input::Retuned(_)
+            | Input::Agreed(..)
             | Input::Fleet(_)
             | Input::Linked(_)
             | Input::Listed(_)
--- a/src/net/membership/mod.rs
+++ b/src/net/membership/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod settings;
 
-use super::events::{Clock, Input};
+use super::events::{Clock, Input, Query};
 use super::{Seldom, log};
 use milletturn::FleetView;
 use milletturn_membership::{Change, LONGEST, Listed, Node, Output, Remembered, State, View};
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// What is remembered, in the lasting folder, and the most that it takes there, twice while it is replaced.
@@ -42,9 +42,6 @@
     pub counted: Rc<Cell<u32>>,
 }
 
-/// Asks for a report, as JSON.
-pub type Query = oneshot::Sender<String>;
-
 /// Takes part for as long as the settings want it, until the process stops. Ends by being dropped at a hand-over: the
 /// next process is the same member.
 pub async fn take_part(
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The real sender round the decision module: sockets in, calls out, one job a file.
 
+pub mod agreement;
 pub mod calls;
 pub mod config;
 pub mod control;
