Lab: replicas of the registry with faults, and a check that no two senders contradict

Cause: agreement on rules was proven in passed-in time and by single tests, not on many processes under faults.

Change: a [registry] in scenarios, links between senders and replicas and among replicas, faults on replicas and on the one that leads, rules that contradict one another taken up in turn, a check over what the senders say that they act on, with histories that break it. Programs are started by one piece.

--- /dev/null
+++ b/lab/src/agreement.rs
@@ -0,0 +1,235 @@
+//! What the senders said that they act on: no two on rules that contradict each other, and none back to an earlier version.
+
+use crate::check::Breach;
+use crate::history::{Event, Record};
+use milletturn_agreement::{Rules, Tag};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a sender said.
+#[derive(Debug, Deserialize)]
+struct Report {
+    acts_on: Option<Tag>,
+    rules: Rules,
+}
+
+/// A sender surely acted on these rules from one time to another: it said so at both and nothing else between.
+#[derive(Debug)]
+struct Span {
+    sender: usize,
+    from_us: u64,
+    until_us: u64,
+    /// By number in the list of all rules that were seen.
+    rules: usize,
+}
+
+/// What was counted.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Agreed {
+    /// Changes that were answered, and the median and the longest time until all acted on one, s.
+    pub changes: usize,
+    pub median_s: Option<f64>,
+    pub longest_s: Option<f64>,
+    /// The longest time for which two surely acted on rules that contradict each other, s.
+    pub contradiction_s: f64,
+    /// Reports of a sender on the floor, of all reports.
+    pub on_floor: usize,
+    pub reports: usize,
+}
+
+fn reports(records: &[Record]) -> impl Iterator<Item = (u64, usize, Report)> {
+    records.iter().filter_map(|record| match &record.event {
+        Event::Rules { sender, report } => {
+            Some((record.at_us, *sender, serde_json::from_value(report.clone()).ok()?))
+        }
+        _ => None,
+    })
+}
+
+fn spans(records: &[Record]) -> (Vec<Span>, Vec<Rules>) {
+    let (mut all, mut known): (Vec<Span>, Vec<Rules>) = Default::default();
+    let mut last: BTreeMap<usize, (Option<Tag>, usize)> = BTreeMap::new();
+    for (at, sender, report) in reports(records) {
+        let rules = known.iter().position(|rules| *rules == report.rules).unwrap_or_else(|| {
+            known.push(report.rules.clone());
+            known.len() - 1
+        });
+        let before = last.get(&sender).copied();
+        match before {
+            Some((tag, at_span)) if tag == report.acts_on && all[at_span].rules == rules => {
+                all[at_span].until_us = at;
+            }
+            _ => {
+                all.push(Span { sender, from_us: at, until_us: at, rules });
+                last.insert(sender, (report.acts_on, all.len() - 1));
+            }
+        }
+    }
+    (all, known)
+}
+
+/// The longest overlap of two that contradict each other: its length, its end, and the senders.
+fn longest_contradiction(records: &[Record]) -> Option<(u64, u64, usize, usize)> {
+    let (spans, known) = spans(records);
+    let mut worst = None;
+    for (at, one) in spans.iter().enumerate() {
+        for other in &spans[at + 1..] {
+            let (from, until) = (one.from_us.max(other.from_us), one.until_us.min(other.until_us));
+            if one.sender != other.sender && until > from && known[one.rules].contradicts(&known[other.rules])
+            {
+                worst = worst.max(Some((until - from, until, one.sender, other.sender)));
+            }
+        }
+    }
+    worst
+}
+
+/// No two contradict each other, none goes back within a life, no answered version is lost.
+pub fn check(records: &[Record]) -> Vec<Breach> {
+    let breach = |at_us, what| Breach { rule: "agreement", at_us, what };
+    let mut breaches: Vec<Breach> = longest_contradiction(records)
+        .into_iter()
+        .map(|(lasts, at, one, other)| {
+            breach(at, format!("n{one} and n{other} contradicted each other for {} ms", lasts / 1000))
+        })
+        .collect();
+    let mut highest: BTreeMap<usize, Tag> = BTreeMap::new();
+    let mut answered = 0;
+    let mut seen = 0;
+    for record in records {
+        match &record.event {
+            Event::Ended { sender, .. } | Event::Ready { sender } => drop(highest.remove(sender)),
+            Event::Proposed { version } if *version <= answered => {
+                breaches
+                    .push(breach(record.at_us, format!("version {version} was answered after {answered}")));
+            }
+            Event::Proposed { version } => answered = *version,
+            Event::Rules { sender, report } => {
+                let Ok(Report { acts_on: Some(tag), .. }) = serde_json::from_value(report.clone()) else {
+                    continue;
+                };
+                seen = tag.version.max(seen);
+                let before = highest.entry(*sender).or_insert(tag);
+                if tag < *before {
+                    let what = format!("n{sender} went back from {before:?} to {tag:?}");
+                    breaches.push(breach(record.at_us, what));
+                }
+                *before = tag.max(*before);
+            }
+            _ => {}
+        }
+    }
+    if answered > 0 && seen < answered.saturating_sub(1) {
+        breaches.push(breach(
+            u64::MAX,
+            format!("version {answered} was answered, none acts on more than {seen}"),
+        ));
+    }
+    breaches
+}
+
+/// How soon each change was in force with all, and the rest.
+pub fn figures(records: &[Record]) -> Agreed {
+    let mut agreed = Agreed::default();
+    let mut times = Vec::new();
+    let mut waiting: Option<(u64, u64)> = None;
+    let mut acts: BTreeMap<usize, Option<Tag>> = BTreeMap::new();
+    let mut told: BTreeSet<usize> = BTreeSet::new();
+    for record in records {
+        match &record.event {
+            Event::Proposed { version } => {
+                agreed.changes += 1;
+                waiting = Some((record.at_us, *version));
+                told.clear();
+            }
+            Event::Ended { sender, .. } => drop(acts.remove(sender)),
+            Event::Rules { sender, report } => {
+                let Ok(report) = serde_json::from_value::<Report>(report.clone()) else { continue };
+                agreed.reports += 1;
+                agreed.on_floor += usize::from(report.acts_on.is_none());
+                acts.insert(*sender, report.acts_on);
+                told.insert(*sender);
+                let Some((since, version)) = waiting else { continue };
+                let whole = Tag { version, whole: true };
+                if acts.iter().all(|(sender, tag)| told.contains(sender) && *tag >= Some(whole)) {
+                    times.push((record.at_us - since) as f64 / 1e6);
+                    waiting = None;
+                }
+            }
+            _ => {}
+        }
+    }
+    times.sort_by(f64::total_cmp);
+    agreed.median_s = times.get(times.len() / 2).copied();
+    agreed.longest_s = times.last().copied();
+    agreed.contradiction_s = longest_contradiction(records).map_or(0.0, |(lasts, ..)| lasts as f64 / 1e6);
+    agreed
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn said(at_ms: u64, sender: usize, version: u64, whole: bool, limits: [u64; 2]) -> Record {
+        let report = json!({ "acts_on": { "version": version, "whole": whole },
+            "rules": { "limits": { "calls": limits[0], "messages": limits[1] } }, "left_ms": 5 });
+        Record { at_us: at_ms * 1000, event: Event::Rules { sender, report } }
+    }
+
+    const OLD: [u64; 2] = [4, 3];
+    const NEW: [u64; 2] = [3, 4];
+    const MEET: [u64; 2] = [3, 3];
+
+    fn proposed(at_ms: u64, version: u64) -> Record {
+        Record { at_us: at_ms * 1000, event: Event::Proposed { version } }
+    }
+
+    #[test]
+    fn a_change_by_way_of_the_meet_breaks_nothing_and_is_timed() {
+        let records = [
+            said(0, 0, 1, true, OLD),
+            said(0, 1, 1, true, OLD),
+            proposed(100, 2),
+            said(150, 0, 2, false, MEET),
+            said(200, 1, 1, true, OLD),
+            said(250, 1, 2, false, MEET),
+            said(300, 0, 2, true, NEW),
+            said(320, 1, 2, false, MEET),
+            said(400, 1, 2, true, NEW),
+        ];
+        assert_eq!(check(&records), []);
+        let figures = figures(&records);
+        assert_eq!((figures.changes, figures.longest_s, figures.contradiction_s), (1, Some(0.3), 0.0));
+    }
+
+    #[test]
+    fn contradictions_steps_back_and_lost_versions_are_found() {
+        let beside = [
+            said(0, 0, 1, true, OLD),
+            said(10, 1, 2, true, NEW),
+            said(60, 0, 1, true, OLD),
+            said(90, 1, 2, true, NEW),
+        ];
+        assert_eq!(
+            check(&beside)[0].what,
+            "n1 and n0 contradicted each other for 50 ms".replace("n1 and n0", "n0 and n1")
+        );
+        let back = [said(0, 0, 2, true, NEW), said(50, 0, 2, false, MEET)];
+        assert!(check(&back)[0].what.contains("went back"));
+        let restarted = [
+            said(0, 0, 2, true, NEW),
+            Record { at_us: 10_000, event: Event::Ready { sender: 0 } },
+            said(50, 0, 2, false, MEET),
+        ];
+        assert_eq!(check(&restarted), []);
+        assert!(
+            check(&[proposed(0, 5), said(9, 0, 2, true, NEW)])[0].what.contains("none acts on more than 2")
+        );
+        assert!(
+            check(&[proposed(0, 5), proposed(9, 5), said(9, 0, 5, true, NEW)])[0]
+                .what
+                .contains("answered after")
+        );
+    }
+}
--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -1,5 +1,6 @@
 //! Rules, checked over a history. Each says what it saw break, with the time and the id.
 
+use crate::agreement;
 use crate::history::{Event, Head, Record};
 use crate::members;
 use crate::plan::CLASSES;
@@ -25,8 +26,10 @@
     let over = records.iter().position(|record| record.event == Event::Over {});
     let records = over.map_or(records, |over| &records[..=over]);
     let members = members::check(head, records);
+    let agreement = agreement::check(records);
     let mut breaches =
-        [ends(records), effects(records), uninvited(records), processes(records), members].concat();
+        [ends(records), effects(records), uninvited(records), processes(records), members, agreement]
+            .concat();
     breaches.sort_by_key(|breach| breach.at_us);
     breaches
 }
@@ -160,6 +163,10 @@
 /// No process ends but by the lab.
 fn processes(records: &[Record]) -> Vec<Breach> {
     let ended = |record: &Record| match &record.event {
+        Event::ReplicaEnded { replica, meant: false, status, .. } => {
+            let what = format!("r{replica} ended by itself: {status}");
+            Some(Breach { rule: "processes", at_us: record.at_us, what })
+        }
         Event::Ended { sender, meant: false, status, .. } => {
             let what = format!("n{sender} ended by itself: {status}");
             Some(Breach { rule: "processes", at_us: record.at_us, what })
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -158,12 +158,22 @@
 
 /// One GET on a connection of its own; the status and body.
 pub async fn get(address: SocketAddr, path: &str, patience: Duration) -> Option<(StatusCode, Bytes)> {
+    ask(address, Method::GET, path, None, String::new(), patience).await
+}
+
+/// One request on a connection of its own, on a version if one is named; the status and body.
+pub async fn ask(
+    address: SocketAddr, method: Method, path: &str, version: Option<u64>, body: String, patience: Duration,
+) -> Option<(StatusCode, Bytes)> {
     let ask = async {
         let stream = TcpStream::connect(address).await.ok()?;
         let (mut link, connection) = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(connection);
-        let request = Request::get(path).header("host", "lab").body(Full::default()).ok()?;
-        let response = link.send_request(request).await.ok()?;
+        let mut request = Request::builder().method(method).uri(path).header("host", "lab");
+        if let Some(version) = version {
+            request = request.header("if-match", version);
+        }
+        let response = link.send_request(request.body(Full::from(body)).ok()?).await.ok()?;
         let status = response.status();
         Some((status, response.into_body().collect().await.ok()?.to_bytes()))
     };
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -11,13 +11,14 @@
 use anyhow::{Context, bail};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
+use std::ffi::OsString;
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use tokio::process::{Child, Command};
+use tokio::process::Command;
 
 /// Ports on a sender's own address, and that of the lab's socket which stands for it.
 const CLIENTS: u16 = 8000;
@@ -74,6 +75,21 @@
         (self.own(sender), MEMBERS).into()
     }
 
+    /// Where a replica of the registry listens itself, for other replicas or for clients.
+    pub fn replica(&self, replica: usize, peers: bool) -> SocketAddr {
+        (self.ip(200, replica), if peers { 8600 } else { 8500 }).into()
+    }
+
+    /// Where one replica finds another.
+    pub fn between(&self, from: usize, to: usize, peers: bool) -> SocketAddr {
+        (self.ip(210 + from as u8, to), if peers { 8600 } else { 8500 }).into()
+    }
+
+    /// Where a sender finds a replica.
+    pub fn registry_of(&self, sender: usize, replica: usize) -> SocketAddr {
+        (self.lab(sender), 8500 + replica as u16).into()
+    }
+
     /// The address by which the others know its membership socket.
     pub fn stands(&self, sender: usize) -> SocketAddr {
         (self.lab(sender), STANDS).into()
@@ -85,22 +101,24 @@
 pub struct Fleet {
     program: PathBuf,
     folder: PathBuf,
-    addresses: Addresses,
+    addresses: Arc<Addresses>,
     history: Arc<History>,
     /// Where each sender finds discovery.
     discovery: Vec<SocketAddr>,
     scenario: Scenario,
     seed: u64,
     processes: Vec<Option<Process>>,
+    /// Where each one's last process answers operators.
+    controls: Vec<Option<SocketAddr>>,
     /// The control port of each one's last process.
     ports: Vec<u16>,
     starts: u64,
 }
 
+/// A process that the lab started.
 #[derive(Debug, Clone)]
-struct Process {
+pub struct Process {
     pid: Pid,
-    control: SocketAddr,
     /// The lab wants it to end, and it has ended.
     meant: Arc<AtomicBool>,
     ended: Arc<AtomicBool>,
@@ -108,21 +126,34 @@
 
 impl Fleet {
     pub fn new(
-        program: PathBuf, folder: PathBuf, addresses: Addresses, history: Arc<History>,
+        program: PathBuf, folder: PathBuf, addresses: Arc<Addresses>, history: Arc<History>,
         discovery: Vec<SocketAddr>, scenario: Scenario, seed: u64,
     ) -> Self {
         let processes = discovery.iter().map(|_| None).collect();
-        let ports = vec![CONTROL_NEXT; discovery.len()];
-        Fleet { program, folder, addresses, history, discovery, scenario, seed, processes, ports, starts: 0 }
+        let (ports, controls) = (vec![CONTROL_NEXT; discovery.len()], vec![None; discovery.len()]);
+        let starts = 0;
+        Fleet {
+            program,
+            folder,
+            addresses,
+            history,
+            discovery,
+            scenario,
+            seed,
+            processes,
+            controls,
+            ports,
+            starts,
+        }
     }
 
-    pub fn addresses(&self) -> &Addresses {
+    pub fn addresses(&self) -> &Arc<Addresses> {
         &self.addresses
     }
 
     /// Where a sender answers operators, while it runs.
     pub fn control(&self, sender: usize) -> Option<SocketAddr> {
-        self.processes[sender].as_ref().map(|process| process.control)
+        self.processes[sender].as_ref().and(self.controls[sender])
     }
 
     fn config(&self, sender: usize, control: SocketAddr) -> Value {
@@ -175,6 +206,13 @@
             }
             config["membership"] = membership;
         }
+        if let Some(registry) = &self.scenario.registry {
+            // the lab's own discovery grants no lease: all replicas are asked in turn
+            let others: Vec<_> = (0..registry.replicas)
+                .map(|step| self.addresses.registry_of(sender, (sender + step) % registry.replicas))
+                .collect();
+            config["agreement"] = json!({ "floor": crate::registry::floor(), "others": others });
+        }
         config
     }
 
@@ -202,24 +240,18 @@
         std::fs::create_dir_all(home.join("state")).and_then(|()| std::fs::create_dir_all(&temporary))?;
         let config = home.join("config.json");
         std::fs::write(&config, serde_json::to_vec(&self.config(sender, control))?)?;
-        let log = File::options().create(true).append(true).open(home.join("log"))?;
-        let mut command = Command::new(std::env::current_exe()?);
-        command
-            .args(["exec", &std::process::id().to_string()])
-            .arg(&self.program)
-            .env("RELAY_CONFIG", &config)
-            .env("RELAY_STATE", home.join("state"))
-            .env("TMPDIR", &temporary)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log);
-        let child = command.spawn().with_context(|| format!("n{sender} can't be started"))?;
-        let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).context("it has no id")?;
-        let (meant, ended) = <(Arc<AtomicBool>, Arc<AtomicBool>)>::default();
-        self.history.tell(Event::Started { sender, pid: pid.as_raw_nonzero().get() as u32 });
-        let process = Process { pid, control, meant, ended };
-        tokio::spawn(wait(child, sender, process.clone(), self.history.clone()));
+        let variables = [
+            ("RELAY_CONFIG", config.into_os_string()),
+            ("RELAY_STATE", home.join("state").into_os_string()),
+            ("TMPDIR", temporary.into_os_string()),
+        ];
+        let history = self.history.clone();
+        let process = spawn(&self.program, &[], &variables, &home.join("log"), move |pid, meant, status| {
+            history.tell(Event::Ended { sender, pid, meant, status });
+        })?;
+        self.history.tell(Event::Started { sender, pid: process.pid.as_raw_nonzero().get() as u32 });
         self.processes[sender] = Some(process);
+        self.controls[sender] = Some(control);
         Ok(())
     }
 
@@ -256,7 +288,8 @@
 }
 
 impl Process {
-    fn signal(&self, signal: Signal, ends: bool) {
+    /// Signals it; `ends`: the lab wants it to end.
+    pub fn signal(&self, signal: Signal, ends: bool) {
         if ends {
             self.meant.store(true, Ordering::SeqCst);
         }
@@ -265,23 +298,46 @@
     }
 }
 
-async fn wait(mut child: Child, sender: usize, process: Process, history: Arc<History>) {
-    let status = child.wait().await.map_or_else(|error| error.to_string(), |status| status.to_string());
-    process.ended.store(true, Ordering::SeqCst);
-    let (pid, meant) = (process.pid.as_raw_nonzero().get() as u32, process.meant.load(Ordering::SeqCst));
-    history.tell(Event::Ended { sender, pid, meant, status });
+/// Starts a program that dies with the lab, its lines appended to a log; `ended` is told its id, whether the lab ended
+/// it, and how it ended.
+///
+/// # Errors
+/// It can't be started.
+pub fn spawn(
+    program: &Path, arguments: &[OsString], variables: &[(&str, OsString)], log: &Path,
+    ended: impl FnOnce(u32, bool, String) + Send + 'static,
+) -> anyhow::Result<Process> {
+    let log = File::options().create(true).append(true).open(log)?;
+    let mut command = Command::new(std::env::current_exe()?);
+    command.args(["exec", &std::process::id().to_string()]).arg(program).arg("--").args(arguments);
+    command.envs(variables.iter().map(|(name, value)| (name, value)));
+    let mut child = command
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .with_context(|| format!("{} can't be started", program.display()))?;
+    let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).context("it has no id")?;
+    let (meant, has_ended) = <(Arc<AtomicBool>, Arc<AtomicBool>)>::default();
+    let process = Process { pid, meant: meant.clone(), ended: has_ended.clone() };
+    tokio::spawn(async move {
+        let status = child.wait().await.map_or_else(|error| error.to_string(), |status| status.to_string());
+        has_ended.store(true, Ordering::SeqCst);
+        ended(pid.as_raw_nonzero().get() as u32, meant.load(Ordering::SeqCst), status);
+    });
+    Ok(process)
 }
 
 /// Becomes the program, which dies with the process `parent`.
 ///
 /// # Errors
 /// The kernel refuses, the parent is gone, or the program can't be started. Does not return otherwise.
-pub fn exec(parent: u32, program: &Path) -> anyhow::Result<()> {
+pub fn exec(parent: u32, program: &Path, arguments: &[OsString]) -> anyhow::Result<()> {
     use std::os::unix::process::CommandExt;
     rustix::process::set_parent_process_death_signal(Some(Signal::KILL))?;
     let now = rustix::process::getppid().map(|pid| pid.as_raw_nonzero().get() as u32);
     if now != Some(parent) {
         bail!("the lab is gone");
     }
-    Err(std::process::Command::new(program).exec()).context(program.display().to_string())
+    Err(std::process::Command::new(program).args(arguments).exec()).context(program.display().to_string())
 }
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -1,6 +1,6 @@
 //! What happened, one JSON object a line, in the order in which the lab saw it. The first line names the run.
 
-use crate::plan::Act;
+use crate::plan::{Act, ReplicaAct};
 use crate::relay::lock;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -99,6 +99,26 @@
         sender: usize,
         view: serde_json::Value,
     },
+    /// What one sender said that it acts on.
+    Rules {
+        sender: usize,
+        report: serde_json::Value,
+    },
+    /// A version of the rules was answered as taken up.
+    Proposed {
+        version: u64,
+    },
+    /// Something is done to a replica of the registry.
+    Replica {
+        replica: usize,
+        what: ReplicaAct,
+    },
+    ReplicaEnded {
+        replica: usize,
+        pid: u32,
+        meant: bool,
+        status: String,
+    },
     /// The run is over: what comes after is the lab's own ending of the processes.
     Over {},
     /// The lab itself ran late.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `milletturn-lab`: plays fleets of real senders on loopback, puts faults between them, and checks the rules.
 
+mod agreement;
 mod check;
 mod clients;
 mod figures;
@@ -8,6 +9,7 @@
 mod links;
 mod members;
 mod plan;
+mod registry;
 mod relay;
 mod run;
 mod scenario;
@@ -16,6 +18,7 @@
 mod world;
 
 use clap::{Parser, Subcommand};
+use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
@@ -44,6 +47,9 @@
         /// The sender's program.
         #[arg(long, default_value = "target/release/milletturn")]
         program: PathBuf,
+        /// The registry's program, where the scenario has one.
+        #[arg(long, default_value = "target/release/milletturn-registry")]
+        registry: PathBuf,
         /// Seed of all that is drawn, in place of the scenario's.
         #[arg(long)]
         seed: Option<u64>,
@@ -61,7 +67,12 @@
     },
     /// Becomes a program that ends with its parent; for the lab's own use.
     #[command(hide = true)]
-    Exec { parent: u32, program: PathBuf },
+    Exec {
+        parent: u32,
+        program: PathBuf,
+        #[arg(last = true)]
+        arguments: Vec<OsString>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -78,11 +89,11 @@
 
 fn carry_out(command: Command) -> anyhow::Result<ExitCode> {
     match command {
-        Command::Run { scenario, program, seed, senders, out } => {
+        Command::Run { scenario, program, registry, seed, senders, out } => {
             let mut scenario = run::read_scenario(&scenario)?;
             scenario.senders = senders.unwrap_or(scenario.senders);
             let seed = seed.unwrap_or(scenario.seed);
-            let order = run::Order { scenario, seed, program, out };
+            let order = run::Order { scenario, seed, program, registry, out };
             let runtime =
                 tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
             let outcome = runtime.block_on(run::bounded(&order))?;
@@ -96,7 +107,9 @@
             let breaches = check::check(&head, &records);
             Ok(verdict(&breaches, None))
         }
-        Command::Exec { parent, program } => fleet::exec(parent, &program).map(|()| ExitCode::SUCCESS),
+        Command::Exec { parent, program, arguments } => {
+            fleet::exec(parent, &program, &arguments).map(|()| ExitCode::SUCCESS)
+        }
     }
 }
 
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -80,6 +80,7 @@
 pub enum Party {
     Sender(usize),
     Endpoint(usize),
+    Registry(usize),
     Discovery,
     Clients,
 }
@@ -95,17 +96,61 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Act {
-    Impair { fault: usize, from: Vec<Party>, to: Vec<Party>, how: Impairment },
-    Heal { fault: usize },
-    Reset { from: Vec<Party>, to: Vec<Party> },
-    Kill { sender: usize },
-    Term { sender: usize },
-    Start { sender: usize, folder_lost: bool },
-    Stop { sender: usize },
-    Continue { sender: usize },
-    Upgrade { sender: usize },
-    Shut { endpoint: usize, shut: bool },
-    Discovery { up: bool },
+    Impair {
+        fault: usize,
+        from: Vec<Party>,
+        to: Vec<Party>,
+        how: Impairment,
+    },
+    Heal {
+        fault: usize,
+    },
+    Reset {
+        from: Vec<Party>,
+        to: Vec<Party>,
+    },
+    Kill {
+        sender: usize,
+    },
+    Term {
+        sender: usize,
+    },
+    Start {
+        sender: usize,
+        folder_lost: bool,
+    },
+    Stop {
+        sender: usize,
+    },
+    Continue {
+        sender: usize,
+    },
+    Upgrade {
+        sender: usize,
+    },
+    Shut {
+        endpoint: usize,
+        shut: bool,
+    },
+    Discovery {
+        up: bool,
+    },
+    /// None: the one that leads.
+    Replica {
+        replica: Option<usize>,
+        what: ReplicaAct,
+    },
+}
+
+/// What is done to a replica of the registry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplicaAct {
+    Kill,
+    Term,
+    Start,
+    Stop,
+    Continue,
 }
 
 /// What a link suffers, in the direction named.
@@ -209,6 +254,10 @@
             }
             Group::Endpoint(endpoint) => vec![Party::Endpoint(endpoint)],
             Group::Endpoints => (0..scenario.endpoints()).map(Party::Endpoint).collect(),
+            Group::Replica(replica) => vec![Party::Registry(replica)],
+            // which replica that is shows when the time has come
+            Group::Leader => vec![Party::Registry(usize::MAX)],
+            Group::Registry => (0..scenario.replicas()).map(Party::Registry).collect(),
             Group::Discovery => vec![Party::Discovery],
             Group::Clients => vec![Party::Clients],
         })
@@ -268,6 +317,15 @@
             (Act::Term { sender }, Some(Act::Start { sender, folder_lost: false }))
         }
         (What::Stop { .. }, Party::Sender(sender)) => (Act::Stop { sender }, Some(Act::Continue { sender })),
+        (What::Kill { .. } | What::Term { .. } | What::Stop { .. }, Party::Registry(replica)) => {
+            let (first, last) = match what {
+                What::Kill { .. } => (ReplicaAct::Kill, ReplicaAct::Start),
+                What::Term { .. } => (ReplicaAct::Term, ReplicaAct::Start),
+                _ => (ReplicaAct::Stop, ReplicaAct::Continue),
+            };
+            let replica = Some(replica).filter(|replica| *replica != usize::MAX);
+            (Act::Replica { replica, what: first }, Some(Act::Replica { replica, what: last }))
+        }
         (What::Upgrade { .. }, Party::Sender(sender)) => (Act::Upgrade { sender }, None),
         (_, Party::Endpoint(endpoint)) => {
             (Act::Shut { endpoint, shut: true }, Some(Act::Shut { endpoint, shut: false }))
--- /dev/null
+++ b/lab/src/registry.rs
@@ -0,0 +1,221 @@
+//! The registry's replicas, of its own program, and what the lab has them agree on: rules that contradict one another in
+//! turn, every so often.
+
+use crate::clients;
+use crate::fleet::{Addresses, Process, spawn};
+use crate::history::{Event, History};
+use crate::plan::{CLASSES, Party, ReplicaAct, WINDOW_S};
+use crate::relay::{Net, lock};
+use crate::scenario::{Registry as Settings, Scenario};
+use anyhow::Context;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long the replicas may take until one leads.
+const LEADS_WITHIN: Duration = Duration::from_secs(20);
+/// Between two tries to have other rules taken up.
+const AGAIN: Duration = Duration::from_millis(50);
+
+/// The replicas of a run.
+#[derive(Debug)]
+pub struct Replicas {
+    program: PathBuf,
+    folder: PathBuf,
+    addresses: Arc<Addresses>,
+    history: Arc<History>,
+    processes: Vec<Option<Process>>,
+    /// Leaders that were stopped or ended, the last one last.
+    led: Vec<usize>,
+}
+
+/// Rules: none is freer in `calls` and in `messages` than the other.
+fn rules(version: u64) -> Value {
+    let (calls, messages) = if version % 2 == 1 { (400, 300) } else { (300, 400) };
+    document(calls, messages)
+}
+
+/// What a sender does without a lease.
+pub fn floor() -> Value {
+    document(200, 200)
+}
+
+fn document(calls: u64, messages: u64) -> Value {
+    let classes = CLASSES.iter().map(|class| {
+        let effect = match class.effect {
+            "deduplicated" => json!({ "deduplicated": { "window_ms": WINDOW_S * 1e3 } }),
+            other => json!(other),
+        };
+        let class_rules = json!({ "accepted": true, "effect": effect, "attempts": 12, "in_order": class.in_order,
+            "keyed_by": "reader", "gap_ms": 0 });
+        (class.name.to_string(), class_rules)
+    });
+    let classes: serde_json::Map<String, Value> = classes.collect();
+    // windows are whole ms
+    let text = json!({ "classes": classes, "limits": { "calls": calls, "messages": messages } }).to_string();
+    serde_json::from_str(&text.replace(".0}", "}")).unwrap_or_default()
+}
+
+impl Replicas {
+    /// Writes the settings, carries what goes between replicas and from senders to them, and starts all.
+    ///
+    /// # Errors
+    /// Something is not to be had.
+    pub async fn start_all(
+        scenario: &Scenario, settings: &Settings, program: PathBuf, folder: &Path, addresses: Arc<Addresses>,
+        net: &Arc<Net>,
+    ) -> anyhow::Result<Self> {
+        let program = program.canonicalize().with_context(|| program.display().to_string())?;
+        let folder = folder.join("registry");
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("floor.json"), floor().to_string())?;
+        std::fs::write(folder.join("rules.json"), rules(1).to_string())?;
+        let count = settings.replicas;
+        for from in 0..count {
+            let mut text = format!(
+                "cluster = \"lab\"\nid = {}\nlisten = \"{}\"\npeers = \"{}\"\nfolder = \"r{from}\"\n",
+                from + 1,
+                addresses.replica(from, false),
+                addresses.replica(from, true)
+            );
+            for to in 0..count {
+                let place = |peers| {
+                    if from == to { addresses.replica(to, peers) } else { addresses.between(from, to, peers) }
+                };
+                text += &format!(
+                    "[[replica]]\nid = {}\npeers = \"{}\"\nclients = \"{}\"\n",
+                    to + 1,
+                    place(true),
+                    place(false)
+                );
+                for peers in [true, false].into_iter().filter(|_| from != to) {
+                    let (one, other) = (Party::Registry(from), Party::Registry(to));
+                    net.forward(addresses.between(from, to, peers), one, other, addresses.replica(to, peers))
+                        .await?;
+                }
+            }
+            text += &format!(
+                "[agreement]\nlease_ms = {}\nfloor = \"floor.json\"\nrules = \"rules.json\"\n",
+                settings.lease_ms
+            );
+            std::fs::write(folder.join(format!("r{from}.toml")), text)?;
+            for sender in 0..scenario.senders {
+                let (one, other) = (Party::Sender(sender), Party::Registry(from));
+                net.forward(addresses.registry_of(sender, from), one, other, addresses.replica(from, false))
+                    .await?;
+            }
+        }
+        let processes = (0..count).map(|_| None).collect();
+        let history = net.history.clone();
+        let mut replicas = Replicas { program, folder, addresses, history, processes, led: Vec::new() };
+        (0..count).try_for_each(|replica| replicas.start(replica))?;
+        let begin = Instant::now();
+        while replicas.leader().await.is_none() {
+            anyhow::ensure!(begin.elapsed() < LEADS_WITHIN, "no replica of the registry leads: see its log");
+            sleep(AGAIN).await;
+        }
+        Ok(replicas)
+    }
+
+    fn start(&mut self, replica: usize) -> anyhow::Result<()> {
+        let mut arguments = vec!["run".into(), "--config".into()];
+        arguments.push(self.folder.join(format!("r{replica}.toml")).into_os_string());
+        let log = self.folder.join(format!("r{replica}.log"));
+        let history = self.history.clone();
+        let process = spawn(&self.program, &arguments, &[], &log, move |pid, meant, status| {
+            history.tell(Event::ReplicaEnded { replica, pid, meant, status });
+        })?;
+        self.processes[replica] = Some(process);
+        Ok(())
+    }
+
+    async fn leader(&self) -> Option<usize> {
+        for replica in (0..self.processes.len()).filter(|replica| self.processes[*replica].is_some()) {
+            let address = self.addresses.replica(replica, false);
+            let answer = clients::get(address, "/v1/status", Duration::from_millis(300)).await;
+            let report: Option<Value> = answer.and_then(|(_, body)| serde_json::from_slice(&body).ok());
+            if report.is_some_and(|report| report["role"] == "leader") {
+                return Some(replica);
+            }
+        }
+        None
+    }
+
+    /// Does something to a replica, or to the one that leads.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub async fn act(&mut self, replica: Option<usize>, what: ReplicaAct) -> anyhow::Result<()> {
+        let begins = !matches!(what, ReplicaAct::Start | ReplicaAct::Continue);
+        let replica = match replica {
+            Some(replica) => replica,
+            None if begins => {
+                let leader = self.leader().await.unwrap_or(0);
+                self.led.push(leader);
+                leader
+            }
+            None => self.led.pop().unwrap_or(0),
+        };
+        self.history.tell(Event::Replica { replica, what });
+        let signal = match what {
+            ReplicaAct::Start => return self.start(replica),
+            ReplicaAct::Kill => Signal::KILL,
+            ReplicaAct::Term => Signal::TERM,
+            ReplicaAct::Stop => Signal::STOP,
+            ReplicaAct::Continue => Signal::CONT,
+        };
+        let ends = matches!(what, ReplicaAct::Kill | ReplicaAct::Term);
+        let process = if ends { self.processes[replica].take() } else { self.processes[replica].clone() };
+        if let Some(process) = process {
+            process.signal(signal, ends);
+        }
+        Ok(())
+    }
+
+    /// Ends all, outright.
+    pub fn kill_all(&mut self) {
+        for process in self.processes.iter_mut().filter_map(Option::take) {
+            process.signal(Signal::KILL, true);
+        }
+    }
+}
+
+/// Has other rules taken up so often, by whichever replica answers, until the run ends.
+pub async fn change_rules(
+    addresses: Arc<Addresses>, replicas: usize, every: Duration, history: Arc<History>,
+) {
+    let turn = Mutex::new(0);
+    let ask = async |method: Method, version: Option<u64>, body: String| -> Option<(StatusCode, Bytes)> {
+        let replica = {
+            let mut turn = lock(&turn);
+            *turn += 1;
+            *turn % replicas
+        };
+        let address = addresses.replica(replica, false);
+        clients::ask(address, method, "/v1/rules", version, body, Duration::from_secs(3)).await
+    };
+    loop {
+        sleep(every).await;
+        loop {
+            sleep(AGAIN).await;
+            let Some((StatusCode::OK, body)) = ask(Method::GET, None, String::new()).await else { continue };
+            let Ok(report) = serde_json::from_slice::<Value>(&body) else { continue };
+            let (Some(version), true) = (report["version"].as_u64(), report["settled"] == true) else {
+                continue;
+            };
+            let next = rules(version + 1).to_string();
+            if let Some((StatusCode::OK, body)) = ask(Method::PUT, Some(version), next).await
+                && let Ok(tag) = serde_json::from_slice::<Value>(&body)
+                && let Some(version) = tag["version"].as_u64()
+            {
+                history.tell(Event::Proposed { version });
+                break;
+            }
+        }
+    }
+}
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream};
-use tokio::net::{TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -65,6 +65,34 @@
         })
     }
 
+    /// Listens at an address, and carries what comes from one party on to the other, which is found at `target`.
+    ///
+    /// # Errors
+    /// The address is not to be had.
+    pub async fn forward(
+        self: &Arc<Self>, at: SocketAddr, from: Party, to: Party, target: SocketAddr,
+    ) -> io::Result<()> {
+        let listener = TcpListener::bind(at).await?;
+        let net = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(10)).await; // no descriptor is free just now
+                    continue;
+                };
+                let net = net.clone();
+                tokio::spawn(async move {
+                    // one that is not there refuses, as far as the dialler can tell
+                    let Ok(mut inside) = TcpStream::connect(target).await else { return };
+                    let _ = inside.set_nodelay(true);
+                    let mut near = net.connect(stream, from, to);
+                    let _ = tokio::io::copy_bidirectional(&mut near, &mut inside).await;
+                });
+            }
+        });
+        Ok(())
+    }
+
     /// The other end of a connection between two parties, which passes what the links let pass. It ends when
     /// either side does or when it is reset.
     pub fn connect(self: &Arc<Self>, stream: TcpStream, outside: Party, inside: Party) -> DuplexStream {
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: starts the world and the fleet, plays the plan, waits for the last end, and checks.
 
+use crate::agreement;
 use crate::check::{Breach, check};
 use crate::clients::{self, Front};
 use crate::figures;
@@ -7,6 +8,7 @@
 use crate::history::{self, Event, Head, History};
 use crate::members;
 use crate::plan::{Act, CLASSES, Plan, Step, micros};
+use crate::registry::{self, Replicas};
 use crate::relay::{Datagrams, Net, watch_lateness};
 use crate::scenario::Scenario;
 use crate::serve::World;
@@ -27,6 +29,8 @@
 const SETTLE: Duration = Duration::from_millis(1500);
 /// How often each sender is asked for its members.
 const ASK_MEMBERS: Duration = Duration::from_millis(250);
+/// How often each sender is asked what rules it acts on.
+const ASK_RULES: Duration = Duration::from_millis(100);
 /// Between two lines that tell how far a run is, us.
 const PROGRESS_US: u64 = 5_000_000;
 /// Senders that are started together, so that starting them does not make the lab late.
@@ -38,6 +42,8 @@
     pub scenario: Scenario,
     pub seed: u64,
     pub program: PathBuf,
+    /// The registry's program.
+    pub registry: PathBuf,
     /// Gets the history, the plan and the senders' folders.
     pub out: PathBuf,
 }
@@ -71,6 +77,9 @@
     /// What the senders saw of one another's ends and of the ends of faults.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<members::Seen>,
+    /// How the senders agreed on rules.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub agreement: Option<agreement::Agreed>,
 }
 
 /// Plays a run.
@@ -78,7 +87,7 @@
 /// # Errors
 /// Something that the lab needs is not to be had, or a sender never got ready.
 pub async fn run(order: &Order) -> anyhow::Result<Outcome> {
-    let Order { scenario, seed, program, out } = order;
+    let Order { scenario, seed, program, registry, out } = order;
     let plan = Plan::draw(scenario, *seed).map_err(anyhow::Error::msg)?;
     check_means(scenario)?;
     let program = program.canonicalize().with_context(|| program.display().to_string())?;
@@ -98,7 +107,7 @@
     tokio::spawn(watch_lateness(history.clone()));
     let net = Net::new(*seed, history.clone());
     let world = World::new(scenario, *seed, net.clone());
-    let addresses = Addresses::claim()?;
+    let addresses = Arc::new(Addresses::claim()?);
     let all = 0..scenario.senders;
     let mut discovery = Vec::new();
     for sender in all.clone() {
@@ -107,14 +116,22 @@
     let (stands, own): (Vec<_>, Vec<_>) =
         all.clone().map(|sender| (addresses.stands(sender), addresses.members(sender))).unzip();
     Datagrams::start(net.clone(), &stands, &own).await?;
+    let replicas = match &scenario.registry {
+        Some(settings) => {
+            let program = registry.clone();
+            Some(Replicas::start_all(scenario, settings, program, &out, addresses.clone(), &net).await?)
+        }
+        None => None,
+    };
     let front = Front::new(net.clone(), all.clone().map(|sender| addresses.clients(sender)).collect());
     let fleet =
         Fleet::new(program, out.clone(), addresses, history.clone(), discovery, scenario.clone(), *seed);
-    let mut play = Play { net, world, front: front.clone(), fleet, history: history.clone() };
+    let mut play = Play { net, world, front: front.clone(), fleet, replicas, history: history.clone() };
     let played = play.play(&plan, scenario).await;
     history.tell(Event::Over {});
     let usage = play.fleet.usage();
     play.fleet.kill_all();
+    play.replicas.iter_mut().for_each(Replicas::kill_all);
     sleep(Duration::from_millis(50)).await;
     history.flush()?;
     played?;
@@ -123,6 +140,7 @@
     let members = if head.period_us.is_some() { members::figures(&head, &records) } else { Vec::new() };
     let figures = Figures {
         members,
+        agreement: scenario.registry.is_some().then(|| agreement::figures(&records)),
         usage,
         worth: figures::worth(&records),
         evenness: figures::evenness(&records, scenario.endpoints()),
@@ -138,7 +156,8 @@
 
 /// Descriptors: a listener for each sender and endpoint, and connections beside them.
 fn check_means(scenario: &Scenario) -> anyhow::Result<()> {
-    let needed = scenario.senders as u64 * (4 + 3 * scenario.endpoints() as u64) + 200;
+    let each = 4 + 3 * scenario.endpoints() as u64 + 4 * scenario.replicas() as u64;
+    let needed = scenario.senders as u64 * each + 200;
     let limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
     if limit < needed {
         bail!("descriptors are short: a run of this size needs {needed}, the limit is {limit} (ulimit -n)");
@@ -168,6 +187,7 @@
     world: Arc<World>,
     front: Arc<Front>,
     fleet: Fleet,
+    replicas: Option<Replicas>,
     history: Arc<History>,
 }
 
@@ -189,10 +209,17 @@
         }
         tracing::info!(senders = scenario.senders, "all are ready");
         let begin = self.history.now_us();
+        if let Some(settings) = &scenario.registry {
+            let every = Duration::from_secs_f64(settings.change_s);
+            let addresses = self.fleet.addresses().clone();
+            let changes = registry::change_rules(addresses, settings.replicas, every, self.history.clone());
+            tokio::spawn(changes);
+        }
         let mut handing = tokio::spawn(self.front.clone().play(plan.arrivals.clone(), begin));
         let (later, mut due) = mpsc::unbounded_channel();
         let asking = scenario.membership.is_some();
         let mut ask = tokio::time::interval(ASK_MEMBERS);
+        let mut ask_rules = tokio::time::interval(ASK_RULES);
         let mut steps = plan.steps.iter();
         let mut next = steps.next();
         let last_step = plan.steps.last().map_or(0, |step| step.at_us);
@@ -207,7 +234,7 @@
             tokio::select! {
                 () = async { sleep_until(at.unwrap_or_else(tokio::time::Instant::now)).await }, if at.is_some() => {
                     if let Some(Step { what, .. }) = next {
-                        self.act(what, &later)?;
+                        self.act(what, &later).await?;
                     }
                     next = steps.next();
                 }
@@ -219,7 +246,7 @@
                         tracing::info!(at_s = at / 1_000_000, owed = self.history.owed(), "running");
                     }
                     if asking {
-                        self.ask_members(&all);
+                        self.ask_all(&all, "/members", |sender, view| Event::Members { sender, view });
                     }
                     // nothing is handed in, done or owed any more, for long enough to hear of a second end
                     let quiet = ends.is_some() && next.is_none() && self.history.owed() == 0 && at > agreed_by;
@@ -228,6 +255,9 @@
                         return Ok(());
                     }
                 }
+                _ = ask_rules.tick(), if scenario.registry.is_some() => {
+                    self.ask_all(&all, "/agreement", |sender, report| Event::Rules { sender, report });
+                }
                 _ = &mut handing, if ends.is_none() => {
                     // until no message can be owed: its end may come with the last deadline
                     let left = last_step.max(agreed_by).saturating_sub(self.history.now_us() - begin);
@@ -241,7 +271,7 @@
         }
     }
 
-    fn act(&mut self, what: &Act, later: &mpsc::UnboundedSender<Later>) -> anyhow::Result<()> {
+    async fn act(&mut self, what: &Act, later: &mpsc::UnboundedSender<Later>) -> anyhow::Result<()> {
         self.history.step(what);
         match what {
             Act::Impair { fault, from, to, how } => {
@@ -274,6 +304,11 @@
             }
             Act::Shut { endpoint, shut } => self.world.shut(*endpoint, *shut),
             Act::Discovery { up } => self.world.set_discovery(*up),
+            Act::Replica { replica, what } => {
+                if let Some(replicas) = &mut self.replicas {
+                    replicas.act(*replica, *what).await?;
+                }
+            }
         }
         Ok(())
     }
@@ -302,16 +337,16 @@
         }
     }
 
-    /// Asks each sender what it holds of the members, beside all else.
-    fn ask_members(&self, all: &[usize]) {
+    /// Asks each sender for a report, beside all else.
+    fn ask_all(&self, all: &[usize], path: &'static str, event: fn(usize, serde_json::Value) -> Event) {
         for &sender in all {
             let Some(control) = self.fleet.control(sender) else { continue };
             let history = self.history.clone();
             tokio::spawn(async move {
-                let answer = clients::get(control, "/members", Duration::from_secs(1)).await;
-                let view = answer.and_then(|(_, body)| serde_json::from_slice(&body).ok());
-                if let Some(view) = view {
-                    history.tell(Event::Members { sender, view });
+                let answer = clients::get(control, path, Duration::from_secs(1)).await;
+                let report = answer.and_then(|(_, body)| serde_json::from_slice(&body).ok());
+                if let Some(report) = report {
+                    history.tell(event(sender, report));
                 }
             });
         }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -24,6 +24,8 @@
     pub destinations: Destinations,
     /// Handed to each sender's configuration as it stands, but for addresses and seeds.
     pub membership: Option<toml::Table>,
+    /// Replicas of the registry, by which the senders agree on rules.
+    pub registry: Option<Registry>,
     #[serde(default, rename = "fault")]
     pub faults: Vec<Spanned<Fault>>,
 }
@@ -32,6 +34,16 @@
     vec!["floor-1".to_string()]
 }
 
+/// The registry of a run.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Registry {
+    pub replicas: usize,
+    pub lease_ms: u64,
+    /// Other rules are taken up so long after the last were, s.
+    pub change_s: f64,
+}
+
 /// What clients hand in.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -109,7 +121,7 @@
 }
 
 /// Parties by name: `n3`, `senders`, `zone:NAME` (the senders of a zone), `share:0.2` (drawn senders), `e2`,
-/// `endpoints`, `discovery`, `clients`.
+/// `endpoints`, `r0` (a replica), `registry`, `leader`, `discovery`, `clients`.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Group {
     Sender(usize),
@@ -118,6 +130,10 @@
     Share(f64),
     Endpoint(usize),
     Endpoints,
+    Replica(usize),
+    Registry,
+    /// The replica that leads when the time comes.
+    Leader,
     Discovery,
     Clients,
 }
@@ -161,6 +177,11 @@
         key("endpoints", (1..=4).contains(&endpoints), "a number from 1 to 4")?;
         key("latency_ms", above(latency_ms), "a time above 0")?;
         key("capacity", above(capacity), "a rate above 0")?;
+        if let Some(Registry { replicas, lease_ms, change_s }) = self.registry {
+            key("replicas", (1..=7).contains(&replicas), "a number from 1 to 7")?;
+            key("lease_ms", (300..=600_000).contains(&lease_ms), "a time from 300 to 600000")?;
+            key("change_s", above(change_s), "a time above 0")?;
+        }
         self.faults.iter().try_for_each(|fault| {
             self.check_fault(fault.get_ref())
                 .map_err(|what| ScenarioError::Line { line: line_of(text, fault.span()), what })
@@ -183,7 +204,9 @@
         };
         match &fault.what {
             What::Cut { from, to, .. } | What::Reset { from, to } => {
-                self.group(from).and(self.group(to)).map(drop)
+                let (from, to) = (self.group(from)?, self.group(to)?);
+                let leader = from == Group::Leader || to == Group::Leader;
+                if leader { Err("leader names nobody before the run".to_string()) } else { Ok(()) }
             }
             What::Loss { from, to, share: part } | What::Duplicate { from, to, share: part } => {
                 self.group(from).and(self.group(to))?;
@@ -193,6 +216,11 @@
                 self.group(from).and(self.group(to))?;
                 time("ms", ms / 1e3).and(time("jitter_ms", jitter_ms / 1e3))
             }
+            What::Kill { who: name, .. } | What::Term { who: name } | What::Stop { who: name }
+                if matches!(self.group(name), Ok(Group::Replica(_) | Group::Registry | Group::Leader)) =>
+            {
+                Ok(())
+            }
             What::Kill { who: name, .. }
             | What::Term { who: name }
             | What::Stop { who: name }
@@ -218,6 +246,11 @@
         self.destinations.count * self.destinations.endpoints
     }
 
+    /// Replicas of the registry.
+    pub fn replicas(&self) -> usize {
+        self.registry.as_ref().map_or(0, |registry| registry.replicas)
+    }
+
     /// The zone of a sender or endpoint, by number.
     pub fn zone_of(&self, index: usize) -> usize {
         index % self.zones.len()
@@ -234,6 +267,8 @@
         let fixed = match name {
             "senders" => Some(Group::Senders),
             "endpoints" => Some(Group::Endpoints),
+            "registry" if self.registry.is_some() => Some(Group::Registry),
+            "leader" if self.registry.is_some() => Some(Group::Leader),
             "discovery" => Some(Group::Discovery),
             "clients" => Some(Group::Clients),
             _ => None,
@@ -241,6 +276,7 @@
         fixed
             .or_else(|| numbered('n', self.senders).map(Group::Sender))
             .or_else(|| numbered('e', self.endpoints()).map(Group::Endpoint))
+            .or_else(|| numbered('r', self.replicas()).map(Group::Replica))
             .or_else(|| {
                 let zone = name.strip_prefix("zone:")?;
                 self.zones.iter().position(|known| known == zone).map(Group::Zone)
--- a/lab/tests/fleets.rs
+++ b/lab/tests/fleets.rs
@@ -119,6 +119,49 @@
     assert!(last.contains(r#""living":5"#) && last.contains(r#""holders":5"#), "{last}");
 }
 
+#[test]
+fn senders_agree_while_the_leader_is_killed_a_sender_stands_still_and_one_is_cut_off() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let text = SMALL
+        .replace("seconds = 3", "seconds = 9")
+        .replace("[traffic]", "[registry]\nreplicas = 3\nlease_ms = 500\nchange_s = 0.1\n[traffic]");
+    let faults = r#"
+        [[fault]]
+        at = 1.5
+        seconds = 2
+        kind = "kill"
+        who = "leader"
+        [[fault]]
+        at = 4
+        seconds = 1.5
+        kind = "stop"
+        who = "n2"
+        [[fault]]
+        at = 5
+        seconds = 1.5
+        kind = "cut"
+        from = "n1"
+        to = "registry"
+        way = "back"
+        [[fault]]
+        at = 7
+        seconds = 0.5
+        kind = "kill"
+        who = "registry"
+    "#;
+    let scenario = scenario(&format!("{text}{faults}"), folder.path());
+    let mut command = lab();
+    command.arg("run").arg(scenario).arg("--program").arg(program()).arg("--registry");
+    command.arg(program().with_file_name("milletturn-registry"));
+    let output = command.arg("--out").arg(folder.path().join("out")).output().expect("the lab runs");
+    let said = said(&output);
+    assert!(said.contains("HELD") || said.contains("VOID"), "{said}");
+    assert!(said.contains(r#""contradiction_s":0.0"#), "{said}");
+    let history = std::fs::read_to_string(folder.path().join("out/history.jsonl")).expect("recorded");
+    let proposed = history.matches(r#""event":"proposed""#).count();
+    assert!(proposed >= 2, "{proposed} changes were taken up");
+}
+
 #[test]
 fn a_faulty_sender_is_caught_by_the_rule_that_it_breaks() {
     // examples are built with the tests
