--- a/registry/src/feed.rs
+++ b/registry/src/feed.rs
@@ -9,12 +9,20 @@
 /// Bytes of changes that are kept; a watcher from before them gets the whole list.
 const KEPT_MOST: usize = 1 << 20;
 
+/// A version's changes: each entry's line, and all as one.
+#[derive(Debug)]
+struct Recent {
+    rev: u64,
+    entries: Vec<(String, String)>,
+    line: Bytes,
+}
+
 /// The list and its last changes, as lines.
 #[derive(Debug, Default)]
 pub struct Feed {
     rev: u64,
     entries: BTreeMap<String, String>,
-    changes: VecDeque<(u64, Bytes)>,
+    changes: VecDeque<Recent>,
     bytes: usize,
     whole: Option<Bytes>,
 }
@@ -43,12 +51,13 @@
         }
         let encoded = line(rev, false, lines.iter());
         self.bytes += encoded.len();
-        self.changes.push_back((rev, encoded));
+        let entries = changed.iter().map(|(uid, ..)| uid.clone()).zip(lines).collect();
+        self.changes.push_back(Recent { rev, entries, line: encoded });
         (self.rev, self.whole) = (rev, None);
         while self.bytes > KEPT_MOST
-            && let Some((_, oldest)) = self.changes.pop_front()
+            && let Some(oldest) = self.changes.pop_front()
         {
-            self.bytes -= oldest.len();
+            self.bytes -= oldest.line.len();
         }
     }
 
@@ -63,20 +72,28 @@
         self.whole.insert(whole).clone()
     }
 
-    /// What one that knows version `from` lacks: the changes since, or the whole list where these are not known or the
-    /// version is ahead; none: nothing. With it the version that it then knows.
-    pub fn since(&mut self, from: u64) -> Option<(u64, Vec<Bytes>)> {
+    /// What one that knows version `from` lacks, as one line, and the version that it then knows: the changes since, or the
+    /// whole list where these are not known, the version is ahead or none; nothing, if it lacks nothing.
+    pub fn since(&mut self, from: u64) -> Option<(u64, Bytes)> {
         if from == self.rev {
             return None;
         }
-        let first = self.changes.front().map_or(u64::MAX, |(rev, _)| *rev);
-        let lines = if from < self.rev && first <= from + 1 {
-            let later = self.changes.iter().skip((from + 1 - first) as usize);
-            later.map(|(_, line)| line.clone()).collect()
-        } else {
-            vec![self.whole()]
+        let first = self.changes.front().map_or(u64::MAX, |change| change.rev);
+        if from == 0 || from > self.rev || first > from + 1 {
+            return Some((self.rev, self.whole()));
+        }
+        let mut lacked = self.changes.iter().skip((from + 1 - first) as usize);
+        let line = match (lacked.next(), lacked.next()) {
+            (Some(only), None) => only.line.clone(),
+            // each entry as it was last
+            _ => {
+                let lacked = self.changes.iter().skip((from + 1 - first) as usize);
+                let entries: BTreeMap<&String, &String> =
+                    lacked.flat_map(|change| &change.entries).map(|(uid, line)| (uid, line)).collect();
+                line(self.rev, false, entries.into_values())
+            }
         };
-        Some((self.rev, lines))
+        Some((self.rev, line))
     }
 }
 
@@ -142,16 +159,16 @@
             watchers.push(Watcher::default());
             for watcher in &mut watchers {
                 if random.random_range(0..20) == 0
-                    && let Some((rev, lines)) = feed.since(watcher.rev)
+                    && let Some((rev, line)) = feed.since(watcher.rev)
                 {
-                    lines.iter().for_each(|line| watcher.read(line));
+                    watcher.read(&line);
                     assert_eq!(watcher.rev, rev);
                 }
             }
         }
         for watcher in &mut watchers {
-            if let Some((_, lines)) = feed.since(watcher.rev) {
-                lines.iter().for_each(|line| watcher.read(line));
+            if let Some((_, line)) = feed.since(watcher.rev) {
+                watcher.read(&line);
             }
             let uids: Vec<&String> = watcher.list.keys().collect();
             assert_eq!(uids, state.targets.keys().collect::<Vec<_>>());
@@ -166,8 +183,8 @@
         let mut feed = Feed::default();
         feed.reset(7, &BTreeMap::new());
         for from in [0, 6, 8] {
-            let (rev, lines) = feed.since(from).expect("the list");
-            assert_eq!((rev, &lines[0][..]), (7, &b"{\"rev\":7,\"all\":true,\"targets\":[]}\n"[..]));
+            let (rev, line) = feed.since(from).expect("the list");
+            assert_eq!((rev, &line[..]), (7, &b"{\"rev\":7,\"all\":true,\"targets\":[]}\n"[..]));
         }
         assert!(feed.since(7).is_none());
     }
--- a/registry/src/server/watch.rs
+++ b/registry/src/server/watch.rs
@@ -79,7 +79,7 @@
             Some((rev, news)) => {
                 server.backlog.store(rev.saturating_sub(at), Ordering::Relaxed);
                 at = rev;
-                Bytes::from(news.concat())
+                news
             }
             None => tokio::select! {
                 changed = seen.changed() => if changed.is_err() { return Ok(()) } else { continue },
