Lab: lists by the registry, drains around its outage, and a check of drains

Cause: a drain through the registry was proven by no run: the lab's senders had the lab's own list, which never changes.

Change: with a registry senders watch its replicas, each told the endpoints at its own addresses; a drain fault; a check that no call comes 2 s after its sender was told, with histories that break it.

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -3,12 +3,14 @@
 use crate::agreement;
 use crate::history::{Event, Head, Record};
 use crate::members;
-use crate::plan::CLASSES;
+use crate::plan::{Act, CLASSES};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Slack of a message's end after its time is up, and after its sender is ready again.
 const END_SLACK_US: u64 = 300_000;
 const READY_SLACK_US: u64 = 1_500_000;
+/// Longest time in which new calls still go to an endpoint that drains or is gone.
+const DRAIN_US: u64 = 2_000_000;
 /// Slack of all time limits on sockets.
 const SLACK_US: u64 = 50_000;
 
@@ -27,8 +29,9 @@
     let records = over.map_or(records, |over| &records[..=over]);
     let members = members::check(head, records);
     let agreement = agreement::check(records);
+    let drains = drains(records);
     let mut breaches =
-        [ends(records), effects(records), uninvited(records), processes(records), members, agreement]
+        [ends(records), effects(records), uninvited(records), processes(records), members, agreement, drains]
             .concat();
     breaches.sort_by_key(|breach| breach.at_us);
     breaches
@@ -160,6 +163,49 @@
     breaches
 }
 
+/// Nothing new goes to an endpoint for longer than the drain's grace after the sender was told that it is not up. One that
+/// stood still is told when it goes on.
+fn drains(records: &[Record]) -> Vec<Breach> {
+    let mut down: HashMap<(usize, usize), u64> = HashMap::new();
+    let mut stopped: HashSet<usize> = HashSet::new();
+    let mut breaches = Vec::new();
+    for Record { at_us, event } in records {
+        match event {
+            Event::Told { sender, endpoint, up: true } => {
+                down.remove(&(*sender, *endpoint));
+            }
+            Event::Told { sender, endpoint, up: false } => {
+                down.entry((*sender, *endpoint)).or_insert(*at_us);
+            }
+            // another process is told again
+            Event::Ended { sender, .. } => down.retain(|(of, _), _| of != sender),
+            Event::Step { what } => match serde_json::from_str(what) {
+                Ok(Act::Stop { sender }) => {
+                    stopped.insert(sender);
+                }
+                Ok(Act::Continue { sender }) => {
+                    stopped.remove(&sender);
+                    let of = down.iter_mut().filter(|((of, _), _)| *of == sender);
+                    of.for_each(|(_, since)| *since = *at_us);
+                }
+                _ => {}
+            },
+            Event::Called { id, endpoint, sender, .. } => {
+                let since = down.get(&(*sender, *endpoint)).filter(|_| !stopped.contains(sender));
+                if let Some(late) = since.and_then(|since| at_us.checked_sub(since + DRAIN_US + SLACK_US)) {
+                    let what = format!(
+                        "{id} came to e{endpoint} from n{sender} {} ms after the grace of its drain",
+                        late / 1000
+                    );
+                    breaches.push(Breach { rule: "drains", at_us: *at_us, what });
+                }
+            }
+            _ => {}
+        }
+    }
+    breaches
+}
+
 /// No process ends but by the lab.
 fn processes(records: &[Record]) -> Vec<Breach> {
     let ended = |record: &Record| match &record.event {
@@ -201,6 +247,10 @@
         Event::Notice { id: id.to_string(), state: state.to_string() }
     }
 
+    fn told(up: bool) -> Event {
+        Event::Told { sender: 1, endpoint: 0, up }
+    }
+
     fn end() -> Event {
         Event::Over {}
     }
@@ -244,6 +294,15 @@
                 (9.0, notice("a", "failed")),
                 (12.0, end()),
             ],
+            // told to drain, within the grace; up again
+            vec![
+                (0.0, handed("a", 1)),
+                (0.0, told(false)),
+                (1.9, called("a")),
+                (2.0, told(true)),
+                (3.0, called("a")),
+                (3.1, replied("a", 200)),
+            ],
             // the run ended before it was due
             vec![(0.0, handed("a", 1)), (0.1, answered("a", 202)), (2.0, end())],
         ] {
@@ -261,6 +320,7 @@
             (vec![(2.0, notice("a", "failed")), (3.0, notice("a", "returned"))], "ends once"),
             (vec![(1.0, called("a")), (2.0, called("a")), (2.5, replied("a", 200))], "effects"),
             (vec![(1.0, called("b")), (1.5, replied("a", 200))], "calls"),
+            (vec![(1.0, told(false)), (3.2, called("a")), (3.5, replied("a", 200))], "drains"),
             (vec![(1.0, replied("a", 200)), (2.0, crash)], "processes"),
         ] {
             assert_eq!(broken([taken(), more.clone()].concat()), [rule], "{more:?}");
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -108,6 +108,12 @@
     Proposed {
         version: u64,
     },
+    /// A list that names an endpoint was passed on to a sender.
+    Told {
+        sender: usize,
+        endpoint: usize,
+        up: bool,
+    },
     /// Something is done to a replica of the registry.
     Replica {
         replica: usize,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod history;
 mod links;
+mod listing;
 mod members;
 mod plan;
 mod registry;
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -135,6 +135,10 @@
     Discovery {
         up: bool,
     },
+    List {
+        endpoint: usize,
+        up: bool,
+    },
     /// None: the one that leads.
     Replica {
         replica: Option<usize>,
@@ -294,6 +298,7 @@
         | What::Term { who }
         | What::Stop { who }
         | What::Upgrade { who }
+        | What::Drain { who }
         | What::Shut { who } => {
             for party in parties(who)? {
                 let (first, last) = acts_on(what, party);
@@ -327,6 +332,9 @@
             (Act::Replica { replica, what: first }, Some(Act::Replica { replica, what: last }))
         }
         (What::Upgrade { .. }, Party::Sender(sender)) => (Act::Upgrade { sender }, None),
+        (What::Drain { .. }, Party::Endpoint(endpoint)) => {
+            (Act::List { endpoint, up: false }, Some(Act::List { endpoint, up: true }))
+        }
         (_, Party::Endpoint(endpoint)) => {
             (Act::Shut { endpoint, shut: true }, Some(Act::Shut { endpoint, shut: false }))
         }
--- a/lab/src/registry.rs
+++ b/lab/src/registry.rs
@@ -185,6 +185,19 @@
     }
 }
 
+/// Writes by whichever replica answers, until one has done it.
+pub async fn write(addresses: &Addresses, replicas: usize, method: Method, path: &str, body: String) {
+    for turn in 0.. {
+        let address = addresses.replica(turn % replicas, false);
+        let patience = Duration::from_secs(3);
+        let answer = clients::ask(address, method.clone(), path, None, body.clone(), patience).await;
+        if answer.is_some_and(|(status, _)| status == StatusCode::OK) {
+            return;
+        }
+        sleep(AGAIN).await;
+    }
+}
+
 /// Has other rules taken up so often, by whichever replica answers, until the run ends.
 pub async fn change_rules(
     addresses: Arc<Addresses>, replicas: usize, every: Duration, history: Arc<History>,
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -164,7 +164,7 @@
     }
 
     /// Until something may pass: what a cut holds up comes when it heals, as over a real connection.
-    async fn uncut(&self, from: Party, to: Party) {
+    pub async fn uncut(&self, from: Party, to: Party) {
         let mut changes = self.changed.subscribe();
         while lock(&self.links).cut(from, to) {
             if changes.changed().await.is_err() {
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -14,6 +14,7 @@
 use crate::serve::World;
 use crate::usage;
 use anyhow::{Context, bail};
+use hyper::Method;
 use rustix::process::{Resource, Signal, getrlimit};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -106,8 +107,9 @@
     let history = Arc::new(History::create(&path, &head)?);
     tokio::spawn(watch_lateness(history.clone()));
     let net = Net::new(*seed, history.clone());
-    let world = World::new(scenario, *seed, net.clone());
     let addresses = Arc::new(Addresses::claim()?);
+    let places = (0..scenario.replicas()).map(|replica| addresses.replica(replica, false)).collect();
+    let world = World::new(scenario, *seed, net.clone(), places);
     let all = 0..scenario.senders;
     let mut discovery = Vec::new();
     for sender in all.clone() {
@@ -119,14 +121,26 @@
     let replicas = match &scenario.registry {
         Some(settings) => {
             let program = registry.clone();
-            Some(Replicas::start_all(scenario, settings, program, &out, addresses.clone(), &net).await?)
+            let replicas =
+                Replicas::start_all(scenario, settings, program, &out, addresses.clone(), &net).await?;
+            registry::write(&addresses, settings.replicas, Method::POST, "/v1/endpoints", world.batch())
+                .await;
+            Some(replicas)
         }
         None => None,
     };
     let front = Front::new(net.clone(), all.clone().map(|sender| addresses.clients(sender)).collect());
     let fleet =
         Fleet::new(program, out.clone(), addresses, history.clone(), discovery, scenario.clone(), *seed);
-    let mut play = Play { net, world, front: front.clone(), fleet, replicas, history: history.clone() };
+    let mut play = Play {
+        net,
+        world,
+        front: front.clone(),
+        fleet,
+        replicas,
+        replicas_count: scenario.replicas(),
+        history: history.clone(),
+    };
     let played = play.play(&plan, scenario).await;
     history.tell(Event::Over {});
     let usage = play.fleet.usage();
@@ -188,6 +202,7 @@
     front: Arc<Front>,
     fleet: Fleet,
     replicas: Option<Replicas>,
+    replicas_count: usize,
     history: Arc<History>,
 }
 
@@ -304,6 +319,20 @@
             }
             Act::Shut { endpoint, shut } => self.world.shut(*endpoint, *shut),
             Act::Discovery { up } => self.world.set_discovery(*up),
+            Act::List { endpoint, up } => {
+                let (addresses, target) = (self.fleet.addresses().clone(), self.world.target(*endpoint));
+                let (path, replicas) = (format!("/v1/endpoints/e{endpoint}"), self.replicas_count);
+                let up = *up;
+                // it is written once a replica can
+                tokio::spawn(async move {
+                    if up {
+                        registry::write(&addresses, replicas, Method::PUT, &path, target).await;
+                    } else {
+                        let path = format!("{path}/drain");
+                        registry::write(&addresses, replicas, Method::POST, &path, String::new()).await;
+                    }
+                });
+            }
             Act::Replica { replica, what } => {
                 if let Some(replicas) = &mut self.replicas {
                     replicas.act(*replica, *what).await?;
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -105,6 +105,8 @@
     Upgrade { who: String },
     /// Endpoints refuse all connections' calls with 503.
     Shut { who: String },
+    /// Endpoints drain by the registry's list; after `seconds` they are up again, as after a start.
+    Drain { who: String },
     /// Discovery answers 503 and ends its watches.
     DiscoveryDown {},
 }
@@ -225,7 +227,10 @@
             | What::Term { who: name }
             | What::Stop { who: name }
             | What::Upgrade { who: name } => who(name),
-            What::Shut { who: name } => match self.group(name)? {
+            What::Drain { .. } if self.registry.is_none() => {
+                Err("nothing drains without a registry".to_string())
+            }
+            What::Shut { who: name } | What::Drain { who: name } => match self.group(name)? {
                 Group::Endpoint(_) | Group::Endpoints => Ok(()),
                 _ => Err(format!("{name} names no endpoints")),
             },
--- a/lab/src/serve.rs
+++ b/lab/src/serve.rs
@@ -1,6 +1,7 @@
 //! Endpoints and discovery as the senders meet them: HTTP over connections that pass the links.
 
 use crate::history::Event;
+use crate::listing::Listing;
 use crate::plan::Party;
 use crate::relay::{Net, lock};
 use crate::scenario::Scenario;
@@ -41,10 +42,12 @@
     zones: Vec<String>,
     capacity: f64,
     discovery_up: watch::Sender<bool>,
+    /// Replicas of the registry that lists come from; none: the lab's own list.
+    replicas: Vec<SocketAddr>,
 }
 
 impl World {
-    pub fn new(scenario: &Scenario, seed: u64, net: Arc<Net>) -> Arc<Self> {
+    pub fn new(scenario: &Scenario, seed: u64, net: Arc<Net>, replicas: Vec<SocketAddr>) -> Arc<Self> {
         let each = scenario.destinations.endpoints;
         let destination = |index: usize| {
             let sizes = &scenario.destinations;
@@ -58,6 +61,7 @@
             zones: scenario.zones.clone(),
             capacity: scenario.destinations.capacity,
             discovery_up: watch::channel(true).0,
+            replicas,
         })
     }
 
@@ -81,30 +85,61 @@
         for endpoint in 0..self.destinations.len() * self.each {
             let listener = TcpListener::bind((ip, 0)).await?;
             endpoints.push(listener.local_addr()?);
-            tokio::spawn(self.clone().accept(listener, sender, Party::Endpoint(endpoint), String::new()));
+            let source = Source::Lab(String::new());
+            tokio::spawn(self.clone().accept(listener, sender, Party::Endpoint(endpoint), source));
         }
         let listener = TcpListener::bind((ip, 0)).await?;
         let discovery = listener.local_addr()?;
-        let list = self.list(&endpoints);
-        tokio::spawn(self.clone().accept(listener, sender, Party::Discovery, list));
+        let (party, source) = match self.replicas.len() {
+            0 => (Party::Discovery, Source::Lab(self.list(&endpoints))),
+            count => {
+                let replica = sender % count;
+                let place = self.replicas[replica];
+                let listing = Listing { sender, replica, place, endpoints };
+                (Party::Registry(replica), Source::Registry(Arc::new(listing)))
+            }
+        };
+        tokio::spawn(self.clone().accept(listener, sender, party, source));
         Ok(discovery)
     }
 
+    /// All endpoints as the registry is to list them; where they are is told to each sender apart.
+    pub fn batch(&self) -> String {
+        let endpoints = vec![SocketAddr::from(([127, 0, 0, 1], 1)); self.destinations.len() * self.each];
+        let entry = |(number, address)| {
+            let mut target = self.entry(number, address);
+            let uid = target.as_object_mut().and_then(|target| target.remove("uid"));
+            serde_json::json!({ "put": { "uid": uid, "target": target } })
+        };
+        let changes: Vec<_> = endpoints.iter().enumerate().map(entry).collect();
+        serde_json::json!({ "changes": changes }).to_string()
+    }
+
+    /// An endpoint as it is listed after another start of its, later than any before.
+    pub fn target(&self, number: usize) -> String {
+        let mut target = self.entry(number, &SocketAddr::from(([127, 0, 0, 1], 1)));
+        target["boot_ms"] = (1 + self.net.history.now_us() / 1000).into();
+        target.as_object_mut().map(|target| target.remove("uid"));
+        target.to_string()
+    }
+
+    fn entry(&self, number: usize, address: &SocketAddr) -> serde_json::Value {
+        serde_json::json!({
+            "uid": format!("e{number}"), "endpoint": address, "az": self.zones[number % self.zones.len()],
+            "model": "school-library", "pod_group": number / self.each, "state": "up",
+            "capacity_hint": self.capacity, "boot_ms": 0
+        })
+    }
+
     /// The whole list, with the addresses at which one sender finds the endpoints.
     fn list(&self, endpoints: &[SocketAddr]) -> String {
-        let entry = |(number, address): (usize, &SocketAddr)| {
-            serde_json::json!({
-                "uid": format!("e{number}"), "endpoint": address, "az": self.zones[number % self.zones.len()],
-                "model": "school-library", "pod_group": number / self.each, "state": "up",
-                "capacity_hint": self.capacity, "boot_ms": 0
-            })
-        };
+        let entry = |(number, address)| self.entry(number, address);
         let targets: Vec<_> = endpoints.iter().enumerate().map(entry).collect();
         serde_json::json!({ "rev": 1, "all": true, "targets": targets }).to_string()
     }
 
-    async fn accept(self: Arc<Self>, listener: TcpListener, sender: usize, party: Party, list: String) {
-        let list = Arc::new(list);
+    async fn accept(self: Arc<Self>, listener: TcpListener, sender: usize, party: Party, source: Source) {
+        let list = Arc::new(source);
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 sleep(Duration::from_millis(10)).await; // no descriptor is free just now
@@ -160,7 +195,9 @@
         Ok(plain(status, ""))
     }
 
-    async fn discover(&self, request: Request<Incoming>, list: &str) -> Result<Response<Body>, io::Error> {
+    async fn discover(
+        &self, request: Request<Incoming>, source: &Source,
+    ) -> Result<Response<Body>, io::Error> {
         let query = request.uri().query().unwrap_or_default().to_string();
         match (request.method(), request.uri().path()) {
             // notices are answered even while discovery is down
@@ -169,15 +206,23 @@
                 let body = body.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?.to_bytes();
                 Ok(self.noticed(&body))
             }
+            (&Method::GET, "/v1/endpoints") if let Source::Registry(listing) = source => {
+                let lines = listing.clone().ask(query, self.net.clone()).await;
+                Ok(lines.map_or_else(
+                    || plain(StatusCode::SERVICE_UNAVAILABLE, "no list"),
+                    |lines| Response::new(lines.boxed_unsync()),
+                ))
+            }
             _ if !*self.discovery_up.borrow() => Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "down")),
             (&Method::GET, "/v1/endpoints") if query.contains("watch=1") => {
+                let list = source.list();
                 // nothing changes after the list's only version
                 let first = (!query.ends_with("from=1")).then(|| format!("{list}\n"));
                 let mut ticks = interval(EMPTY_LINE);
                 ticks.reset();
                 Ok(Response::new(Watch { first, ticks }.boxed_unsync()))
             }
-            (&Method::GET, "/v1/endpoints") => Ok(plain(StatusCode::OK, list)),
+            (&Method::GET, "/v1/endpoints") => Ok(plain(StatusCode::OK, source.list())),
             _ => Ok(plain(StatusCode::NOT_FOUND, "")),
         }
     }
@@ -195,6 +240,23 @@
     }
 }
 
+/// Where a sender's list comes from.
+#[derive(Debug)]
+enum Source {
+    /// Always the same.
+    Lab(String),
+    Registry(Arc<Listing>),
+}
+
+impl Source {
+    fn list(&self) -> &str {
+        match self {
+            Source::Lab(list) => list,
+            Source::Registry(_) => "",
+        }
+    }
+}
+
 #[derive(serde::Deserialize)]
 struct Notice {
     id: String,
