Lab: many clients write the registry's list conditionally, held to be linearizable

Cause: that answered writes and reads are linearizable was shown in passed-in time alone.

Change: eight clients read the list's version (fresh=1, on a majority's word) and write upon it; a check that some order explains all, with histories that break it. Senders' questions for leases are counted in bins of 100 ms.

--- a/lab/src/agreement.rs
+++ b/lab/src/agreement.rs
@@ -32,6 +32,12 @@
     pub longest_s: Option<f64>,
     /// The longest time for which two surely acted on rules that contradict each other, s.
     pub contradiction_s: f64,
+    /// Most questions for leases in 100 ms, and how many come in 100 ms on average.
+    pub most_asked_100ms: usize,
+    pub mean_asked_100ms: f64,
+    /// Versions that the registry's clients made of the list, and reads of it.
+    pub writes: usize,
+    pub reads: usize,
     /// Reports of a sender on the floor, of all reports.
     pub on_floor: usize,
     pub reports: usize,
@@ -84,6 +90,39 @@
     worst
 }
 
+/// One operation on the list's version: when it was asked for and answered, the version, and whether it made it.
+type Operation = (u64, u64, u64, bool);
+
+/// Two operations that no order can explain. Each write makes the version after the one that it was conditional upon, so an
+/// order by versions is the only one there can be: it holds unless something that was asked for after an answer is behind it,
+/// or a version was made twice.
+fn not_linear(records: &[Record]) -> Option<(Operation, Operation)> {
+    let operation = |record: &Record| match record.event {
+        Event::Revised { asked_us, rev, wrote } => Some((asked_us, record.at_us, rev, wrote)),
+        _ => None,
+    };
+    let mut all: Vec<Operation> = records.iter().filter_map(operation).collect();
+    all.sort_by_key(|(_, answered, ..)| *answered);
+    let mut made: BTreeMap<u64, Operation> = BTreeMap::new();
+    for one in all.iter().filter(|(.., wrote)| *wrote) {
+        if let Some(other) = made.insert(one.2, *one) {
+            return Some((other, *one));
+        }
+    }
+    // of what was answered by a time, what had the greatest version
+    let mut greatest: Vec<Operation> = Vec::new();
+    for one in &all {
+        let before = greatest.last().copied().filter(|before| before.2 >= one.2);
+        greatest.push(before.unwrap_or(*one));
+    }
+    all.iter().find_map(|one| {
+        let (asked, _, rev, wrote) = *one;
+        let earlier = all.partition_point(|(_, answered, ..)| *answered < asked);
+        let before = *greatest.get(earlier.checked_sub(1)?)?;
+        (rev < before.2 || wrote && rev == before.2).then_some((before, *one))
+    })
+}
+
 /// No two contradict each other, none goes back within a life, no answered version is lost.
 pub fn check(records: &[Record]) -> Vec<Breach> {
     let breach = |at_us, what| Breach { rule: "agreement", at_us, what };
@@ -93,6 +132,10 @@
             breach(at, format!("n{one} and n{other} contradicted each other for {} ms", lasts / 1000))
         })
         .collect();
+    if let Some((one, other)) = not_linear(records) {
+        breaches
+            .push(breach(other.1, format!("no order explains {one:?} and {other:?} on the list's version")));
+    }
     let mut highest: BTreeMap<usize, Tag> = BTreeMap::new();
     let mut answered = 0;
     let mut seen = 0;
@@ -162,6 +205,18 @@
     times.sort_by(f64::total_cmp);
     agreed.median_s = times.get(times.len() / 2).copied();
     agreed.longest_s = times.last().copied();
+    let dialled = records.iter().filter(|record| matches!(record.event, Event::Dialled { .. }));
+    let mut bins: BTreeMap<u64, usize> = BTreeMap::new();
+    dialled.for_each(|record| *bins.entry(record.at_us / 100_000).or_default() += 1);
+    agreed.most_asked_100ms = bins.values().copied().max().unwrap_or_default();
+    if let (Some((first, _)), Some((last, _))) = (bins.first_key_value(), bins.last_key_value()) {
+        agreed.mean_asked_100ms = bins.values().sum::<usize>() as f64 / (last - first + 1) as f64;
+    }
+    for record in records {
+        if let Event::Revised { wrote, .. } = record.event {
+            *(if wrote { &mut agreed.writes } else { &mut agreed.reads }) += 1;
+        }
+    }
     agreed.contradiction_s = longest_contradiction(records).map_or(0.0, |(lasts, ..)| lasts as f64 / 1e6);
     agreed
 }
@@ -203,6 +258,30 @@
         assert_eq!((figures.changes, figures.longest_s, figures.contradiction_s), (1, Some(0.3), 0.0));
     }
 
+    #[test]
+    fn versions_that_no_order_explains_are_found() {
+        let done = |asked_us: u64, at_us: u64, rev: u64, wrote: bool| Record {
+            at_us,
+            event: Event::Revised { asked_us, rev, wrote },
+        };
+        let good = vec![
+            done(0, 10, 1, true),
+            done(5, 20, 2, true),
+            done(12, 18, 1, false),
+            done(15, 30, 2, false),
+            done(25, 40, 4, false),
+            done(21, 50, 3, true),
+            done(22, 60, 4, true),
+        ];
+        assert_eq!(check(&good), []);
+        for bad in [done(70, 80, 3, false), done(41, 80, 4, true), done(61, 80, 2, true), done(1, 3, 4, true)]
+        {
+            let broken = check(&[good.clone(), vec![bad.clone()]].concat());
+            assert!(broken.iter().any(|breach| breach.what.contains("no order")), "{bad:?}");
+        }
+        assert_eq!(figures(&good).writes, 4);
+    }
+
     #[test]
     fn contradictions_steps_back_and_lost_versions_are_found() {
         let beside = [
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -114,6 +114,16 @@
         endpoint: usize,
         up: bool,
     },
+    /// A client of the registry has read the list's version, or written conditionally upon one and made this one.
+    Revised {
+        asked_us: u64,
+        rev: u64,
+        wrote: bool,
+    },
+    /// A sender has dialled a replica, for a lease.
+    Dialled {
+        sender: usize,
+    },
     /// Something is done to a replica of the registry.
     Replica {
         replica: usize,
--- a/lab/src/listing.rs
+++ b/lab/src/listing.rs
@@ -46,7 +46,8 @@
         let mut list: Value = serde_json::from_slice(line).ok()?;
         let mut told = Vec::new();
         for target in list["targets"].as_array_mut()? {
-            let endpoint = number(&target["uid"])?;
+            // what the registry's other clients write is no endpoint of the lab
+            let Some(endpoint) = number(&target["uid"]) else { continue };
             told.push((endpoint, target["state"] == "up"));
             target["endpoint"] = self.endpoints.get(endpoint)?.to_string().into();
         }
--- a/lab/src/registry.rs
+++ b/lab/src/registry.rs
@@ -198,6 +198,32 @@
     }
 }
 
+/// One of many clients that read the list's version and write conditionally upon it, until the run ends.
+pub async fn write_conditionally(
+    addresses: Arc<Addresses>, replicas: usize, client: usize, history: Arc<History>,
+) {
+    let ask = async |turn: usize, method, path: &str, version, body| {
+        let address = addresses.replica(turn % replicas, false);
+        let answer = clients::ask(address, method, path, version, body, Duration::from_secs(3)).await;
+        let (_, body) = answer.filter(|(status, _)| *status == StatusCode::OK)?;
+        serde_json::from_slice::<Value>(&body).ok()?["rev"].as_u64()
+    };
+    for turn in client.. {
+        sleep(AGAIN * 4).await;
+        let asked_us = history.now_us();
+        let path = "/v1/endpoints?fresh=1";
+        let Some(rev) = ask(turn, Method::GET, path, None, String::new()).await else { continue };
+        history.tell(Event::Revised { asked_us, rev, wrote: false });
+        // a destination that no message has
+        let target = json!({ "endpoint": "127.0.0.1:1", "pod_group": 60_000, "capacity_hint": turn });
+        let asked_us = history.now_us();
+        let path = format!("/v1/endpoints/w{client}");
+        if let Some(rev) = ask(turn + 1, Method::PUT, &path, Some(rev), target.to_string()).await {
+            history.tell(Event::Revised { asked_us, rev, wrote: true });
+        }
+    }
+}
+
 /// Has other rules taken up so often, by whichever replica answers, until the run ends.
 pub async fn change_rules(
     addresses: Arc<Addresses>, replicas: usize, every: Duration, history: Arc<History>,
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -81,6 +81,9 @@
                     continue;
                 };
                 let net = net.clone();
+                if let Party::Sender(sender) = from {
+                    net.history.tell(Event::Dialled { sender });
+                }
                 tokio::spawn(async move {
                     // one that is not there refuses, as far as the dialler can tell
                     let Ok(mut inside) = TcpStream::connect(target).await else { return };
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -30,6 +30,8 @@
 const SETTLE: Duration = Duration::from_millis(1500);
 /// How often each sender is asked for its members.
 const ASK_MEMBERS: Duration = Duration::from_millis(250);
+/// Clients that write the registry's list conditionally, all upon the same versions.
+const WRITERS: usize = 8;
 /// How often each sender is asked what rules it acts on.
 const ASK_RULES: Duration = Duration::from_millis(100);
 /// Between two lines that tell how far a run is, us.
@@ -229,6 +231,10 @@
             let addresses = self.fleet.addresses().clone();
             let changes = registry::change_rules(addresses, settings.replicas, every, self.history.clone());
             tokio::spawn(changes);
+            for client in 0..WRITERS {
+                let (addresses, history) = (self.fleet.addresses().clone(), self.history.clone());
+                tokio::spawn(registry::write_conditionally(addresses, settings.replicas, client, history));
+            }
         }
         let mut handing = tokio::spawn(self.front.clone().play(plan.arrivals.clone(), begin));
         let (later, mut due) = mpsc::unbounded_channel();
--- a/registry/src/server/routes.rs
+++ b/registry/src/server/routes.rs
@@ -132,6 +132,15 @@
     };
     let from =
         pair("from").map(|from| from.parse().map_err(|_| No::bad("from is no version"))).transpose()?;
+    match pair("fresh").as_deref() {
+        None => {}
+        Some("1") => match server.core.ask(Question::Read).await? {
+            // the feed has what was applied before this was answered
+            Answer::Fresh => {}
+            other => return server.otherwise(asked, other).await,
+        },
+        Some(_) => return Err(No::bad("fresh is not 1")),
+    }
     match pair("watch").as_deref() {
         // a watcher that names no version knows none, and none is before the first
         Some("1") => watch::begin(server, from.unwrap_or(u64::MAX), cut).await,
