Agreement: tries for a lease do not crowd towards its end

Change: no try sooner than an eighth of the lease after the one before.

With it a lease of 6 s is tried for 6 times, which a test holds.

--- a/src/net/agreement/mod.rs
+++ b/src/net/agreement/mod.rs
@@ -24,8 +24,8 @@
 
 /// One question, its answer read whole, takes no longer.
 const ANSWER: Duration = Duration::from_secs(1);
-/// A lease is renewed after this part of it, and where that fails tried again after such a part, while it lasts: three
-/// questions may be lost.
+/// A lease is renewed after this part of it: three questions may be lost. Where that fails, tried again after such a part of
+/// what is left, and no sooner than after half of it: nearer to its end all senders together would ask ever more often.
 const RENEW: u32 = 4;
 
 /// What the part shares with the rest of the process.
@@ -58,6 +58,11 @@
     Back(Tag),
 }
 
+/// How long to rest after a question that failed, while a lease lasts.
+fn retry(left: Duration, lease: Duration) -> Duration {
+    (left / RENEW).max(lease / (2 * RENEW))
+}
+
 /// What rules allow, in the decisions' own terms.
 pub fn bounds(rules: &Rules) -> Bounds {
     let micros = |ms: u64| Micros::try_from(ms).unwrap_or(Micros::MAX).saturating_mul(MILLISECOND);
@@ -113,9 +118,9 @@
         means.bind(Some(Agreed { leased: None, floor: floor.clone() })).await;
         log(format_args!("agreement: on the floor until a lease is had"));
         let holder = Holder::new(agreement.floor.clone(), life);
-        let (told, lapsed, asked, granted, failed) = (None, true, 0, 0, 0);
+        let (lease, told, lapsed, asked, granted, failed) = (Duration::ZERO, None, true, 0, 0, 0);
         let mut part =
-            Part { means: &mut means, agreement, holder, floor, told, lapsed, asked, granted, failed };
+            Part { means: &mut means, agreement, holder, floor, lease, told, lapsed, asked, granted, failed };
         tokio::select! {
             () = part.run(&mut queries) => {}
             changed = wanted.changed() => if changed.is_err() { return },
@@ -145,6 +150,8 @@
     agreement: Agreement,
     holder: Holder,
     floor: Bounds,
+    /// How long the last lease was given for.
+    lease: Duration,
     /// The last fault that was logged.
     told: Option<String>,
     /// It was logged that no lease is held.
@@ -165,6 +172,7 @@
                     self.granted += 1;
                     self.told = None;
                     self.means.backoff.advance(false);
+                    self.lease = *lease;
                     Some(*lease)
                 }
                 Err(error) => {
@@ -180,7 +188,7 @@
             let rest = match (lease, left) {
                 (Some(lease), _) => (lease / RENEW).mul_f64(part),
                 // while a lease lasts it is worth asking; after that all that lost theirs would ask together
-                (None, Some(left)) => (Duration::from_micros(left) / RENEW).mul_f64(part),
+                (None, Some(left)) => retry(Duration::from_micros(left), self.lease).mul_f64(part),
                 (None, None) => {
                     let rest = self.means.backoff.spread();
                     self.means.backoff.advance(true);
@@ -285,3 +293,20 @@
         .to_string()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn tries_do_not_crowd_towards_the_end_of_a_lease() {
+        let lease = Duration::from_secs(6);
+        let (mut left, mut tries) = (lease, 0);
+        while tries < 50
+            && let Some(rest) = left.checked_sub(retry(left, lease))
+        {
+            (left, tries) = (rest, tries + 1);
+        }
+        assert_eq!(tries, 6);
+    }
+}
