Lab: an old process that an upgrade relieves may end by itself in good order

Cause: with 60 of 300 senders upgraded at once, old processes that had handed all over ended before the lab had seen the new ones ready, which it took for 37 crashes.

Change: one that is being relieved may end with status 0; any other end of it is a breach still.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -121,6 +121,8 @@
     pid: Pid,
     /// The lab wants it to end, and it has ended.
     meant: Arc<AtomicBool>,
+    /// It may end by itself, in good order: another process takes over from it.
+    relieved: Arc<AtomicBool>,
     ended: Arc<AtomicBool>,
 }
 
@@ -265,6 +267,7 @@
     /// The process of a sender, to be ended by an upgrade once its successor is ready.
     pub fn part_with(&mut self, sender: usize) -> Option<impl FnOnce() + Send + use<>> {
         let old = self.processes[sender].clone()?;
+        old.relieved.store(true, Ordering::SeqCst);
         Some(move || old.signal(Signal::TERM, true))
     }
 
@@ -318,12 +321,14 @@
         .spawn()
         .with_context(|| format!("{} can't be started", program.display()))?;
     let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).context("it has no id")?;
-    let (meant, has_ended) = <(Arc<AtomicBool>, Arc<AtomicBool>)>::default();
-    let process = Process { pid, meant: meant.clone(), ended: has_ended.clone() };
+    let (meant, relieved, has_ended) = <(Arc<AtomicBool>, Arc<AtomicBool>, Arc<AtomicBool>)>::default();
+    let process = Process { pid, meant: meant.clone(), relieved: relieved.clone(), ended: has_ended.clone() };
     tokio::spawn(async move {
-        let status = child.wait().await.map_or_else(|error| error.to_string(), |status| status.to_string());
+        let status = child.wait().await;
+        let left = status.as_ref().is_ok_and(|status| status.success()) && relieved.load(Ordering::SeqCst);
+        let status = status.map_or_else(|error| error.to_string(), |status| status.to_string());
         has_ended.store(true, Ordering::SeqCst);
-        ended(pid.as_raw_nonzero().get() as u32, meant.load(Ordering::SeqCst), status);
+        ended(pid.as_raw_nonzero().get() as u32, left || meant.load(Ordering::SeqCst), status);
     });
     Ok(process)
 }
