Lab and registry: one piece asks the replicas in turn, one exchanges a request

Cause: three functions of the lab asked replicas in turn, each with its own count and patience; the registry's client and its passing on of requests each opened a connection; places of replicas were compared entry by entry in every turn.

Change: Asker, exchange, clients::link; the number of replicas is derived, places are joined when the log's change. Behaviour as before.

--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -161,14 +161,20 @@
     ask(address, Method::GET, path, None, String::new(), patience).await
 }
 
+/// A connection of its own, past the links.
+pub async fn link(address: SocketAddr) -> Option<Link> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (link, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(link)
+}
+
 /// One request on a connection of its own, on a version if one is named; the status and body.
 pub async fn ask(
     address: SocketAddr, method: Method, path: &str, version: Option<u64>, body: String, patience: Duration,
 ) -> Option<(StatusCode, Bytes)> {
     let ask = async {
-        let stream = TcpStream::connect(address).await.ok()?;
-        let (mut link, connection) = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await.ok()?;
-        tokio::spawn(connection);
+        let mut link = link(address).await?;
         let mut request = Request::builder().method(method).uri(path).header("host", "lab");
         if let Some(version) = version {
             request = request.header("if-match", version);
--- a/lab/src/listing.rs
+++ b/lab/src/listing.rs
@@ -1,14 +1,13 @@
 //! Discovery by the registry's replicas: what a replica lists, with the addresses at which one sender finds the endpoints.
 
-use crate::history::{Event, History};
+use crate::clients;
+use crate::history::Event;
 use crate::plan::Party;
 use crate::relay::Net;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Frame;
-use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -16,7 +15,6 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -57,12 +55,9 @@
     /// Asks the replica, and passes its lines on as they come; none: it does not answer with a list.
     pub async fn ask(self: Arc<Self>, query: String, net: Arc<Net>) -> Option<Lines> {
         let begin = async {
-            let stream = TcpStream::connect(self.place).await.ok()?;
-            let (mut link, connection) =
-                http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await.ok()?;
-            tokio::spawn(connection);
+            let mut link = clients::link(self.place).await?;
             let path = format!("/v1/endpoints?{query}");
-            let request = Request::get(path).header("host", "lab").body(Empty::new()).ok()?;
+            let request = Request::get(path).header("host", "lab").body(Full::default()).ok()?;
             link.send_request(request).await.ok().filter(|response| response.status() == StatusCode::OK)
         };
         let mut body = timeout(PATIENCE, begin).await.ok()??.into_body();
@@ -81,7 +76,9 @@
                     if lines.send(line).await.is_err() {
                         return;
                     }
-                    tell(&net.history, self.sender, told);
+                    for (endpoint, up) in told {
+                        net.history.tell(Event::Told { sender: self.sender, endpoint, up });
+                    }
                 }
             }
         });
@@ -89,12 +86,6 @@
     }
 }
 
-fn tell(history: &History, sender: usize, told: Vec<(usize, bool)>) {
-    for (endpoint, up) in told {
-        history.tell(Event::Told { sender, endpoint, up });
-    }
-}
-
 /// What a replica tells one sender, as it comes.
 #[derive(Debug)]
 pub struct Lines(mpsc::Receiver<Bytes>);
--- a/lab/src/registry.rs
+++ b/lab/src/registry.rs
@@ -5,15 +5,14 @@
 use crate::fleet::{Addresses, Process, spawn};
 use crate::history::{Event, History};
 use crate::plan::{CLASSES, Party, ReplicaAct, WINDOW_S};
-use crate::relay::{Net, lock};
+use crate::relay::Net;
 use crate::scenario::{Registry as Settings, Scenario};
 use anyhow::Context;
-use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -21,6 +20,8 @@
 const LEADS_WITHIN: Duration = Duration::from_secs(20);
 /// Between two tries to have other rules taken up.
 const AGAIN: Duration = Duration::from_millis(50);
+/// How long a replica may take for an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
 
 /// The replicas of a run.
 #[derive(Debug)]
@@ -48,7 +49,7 @@
 fn document(calls: u64, messages: u64) -> Value {
     let classes = CLASSES.iter().map(|class| {
         let effect = match class.effect {
-            "deduplicated" => json!({ "deduplicated": { "window_ms": WINDOW_S * 1e3 } }),
+            "deduplicated" => json!({ "deduplicated": { "window_ms": (WINDOW_S * 1e3) as u64 } }),
             other => json!(other),
         };
         let class_rules = json!({ "accepted": true, "effect": effect, "attempts": 12, "in_order": class.in_order,
@@ -56,9 +57,7 @@
         (class.name.to_string(), class_rules)
     });
     let classes: serde_json::Map<String, Value> = classes.collect();
-    // windows are whole ms
-    let text = json!({ "classes": classes, "limits": { "calls": calls, "messages": messages } }).to_string();
-    serde_json::from_str(&text.replace(".0}", "}")).unwrap_or_default()
+    json!({ "classes": classes, "limits": { "calls": calls, "messages": messages } })
 }
 
 impl Replicas {
@@ -177,6 +176,11 @@
         Ok(())
     }
 
+    /// The way to ask them.
+    pub fn asker(&self) -> Asker {
+        Asker { addresses: self.addresses.clone(), replicas: self.processes.len() }
+    }
+
     /// Ends all, outright.
     pub fn kill_all(&mut self) {
         for process in self.processes.iter_mut().filter_map(Option::take) {
@@ -185,76 +189,74 @@
     }
 }
 
-/// Writes by whichever replica answers, until one has done it.
-pub async fn write(addresses: &Addresses, replicas: usize, method: Method, path: &str, body: String) {
-    for turn in 0.. {
-        let address = addresses.replica(turn % replicas, false);
-        let patience = Duration::from_secs(3);
-        let answer = clients::ask(address, method.clone(), path, None, body.clone(), patience).await;
-        if answer.is_some_and(|(status, _)| status == StatusCode::OK) {
-            return;
-        }
-        sleep(AGAIN).await;
-    }
+/// The replicas as their clients see them: asked in turn.
+#[derive(Debug, Clone)]
+pub struct Asker {
+    addresses: Arc<Addresses>,
+    replicas: usize,
 }
 
-/// One of many clients that read the list's version and write conditionally upon it, until the run ends.
-pub async fn write_conditionally(
-    addresses: Arc<Addresses>, replicas: usize, client: usize, history: Arc<History>,
-) {
-    let ask = async |turn: usize, method, path: &str, version, body| {
-        let address = addresses.replica(turn % replicas, false);
-        let answer = clients::ask(address, method, path, version, body, Duration::from_secs(3)).await;
+impl Asker {
+    /// What the replica whose turn it is answers, if it answers with success.
+    async fn ask(
+        &self, turn: usize, method: Method, path: &str, version: Option<u64>, body: String,
+    ) -> Option<Value> {
+        let address = self.addresses.replica(turn % self.replicas, false);
+        let answer = clients::ask(address, method, path, version, body, PATIENCE).await;
         let (_, body) = answer.filter(|(status, _)| *status == StatusCode::OK)?;
-        serde_json::from_slice::<Value>(&body).ok()?["rev"].as_u64()
-    };
-    for turn in client.. {
-        sleep(AGAIN * 4).await;
-        let asked_us = history.now_us();
-        let path = "/v1/endpoints?fresh=1";
-        let Some(rev) = ask(turn, Method::GET, path, None, String::new()).await else { continue };
-        history.tell(Event::Revised { asked_us, rev, wrote: false });
-        // a destination that no message has
-        let target = json!({ "endpoint": "127.0.0.1:1", "pod_group": 60_000, "capacity_hint": turn });
-        let asked_us = history.now_us();
-        let path = format!("/v1/endpoints/w{client}");
-        if let Some(rev) = ask(turn + 1, Method::PUT, &path, Some(rev), target.to_string()).await {
-            history.tell(Event::Revised { asked_us, rev, wrote: true });
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Writes by whichever replica answers, until one has done it.
+    pub async fn write(&self, method: Method, path: &str, body: String) {
+        let mut turn = 0;
+        while self.ask(turn, method.clone(), path, None, body.clone()).await.is_none() {
+            turn += 1;
+            sleep(AGAIN).await;
         }
     }
-}
 
-/// Has other rules taken up so often, by whichever replica answers, until the run ends.
-pub async fn change_rules(
-    addresses: Arc<Addresses>, replicas: usize, every: Duration, history: Arc<History>,
-) {
-    let turn = Mutex::new(0);
-    let ask = async |method: Method, version: Option<u64>, body: String| -> Option<(StatusCode, Bytes)> {
-        let replica = {
-            let mut turn = lock(&turn);
-            *turn += 1;
-            *turn % replicas
-        };
-        let address = addresses.replica(replica, false);
-        clients::ask(address, method, "/v1/rules", version, body, Duration::from_secs(3)).await
-    };
-    loop {
-        sleep(every).await;
+    /// One of many clients that read the list's version and write conditionally upon it, until the run ends.
+    pub async fn write_conditionally(self, client: usize, history: Arc<History>) {
+        let rev = |answer: Option<Value>| answer?["rev"].as_u64();
+        for turn in client.. {
+            sleep(AGAIN * 4).await;
+            let asked_us = history.now_us();
+            let read = self.ask(turn, Method::GET, "/v1/endpoints?fresh=1", None, String::new()).await;
+            let Some(known) = rev(read) else { continue };
+            history.tell(Event::Revised { asked_us, rev: known, wrote: false });
+            // a destination that no message has
+            let target = json!({ "endpoint": "127.0.0.1:1", "pod_group": 60_000, "capacity_hint": turn });
+            let asked_us = history.now_us();
+            let path = format!("/v1/endpoints/w{client}");
+            let wrote = self.ask(turn + 1, Method::PUT, &path, Some(known), target.to_string()).await;
+            if let Some(rev) = rev(wrote) {
+                history.tell(Event::Revised { asked_us, rev, wrote: true });
+            }
+        }
+    }
+
+    /// Has other rules taken up so often, by whichever replica answers, until the run ends.
+    pub async fn change_rules(self, every: Duration, history: Arc<History>) {
+        let mut turn = 0;
         loop {
-            sleep(AGAIN).await;
-            let Some((StatusCode::OK, body)) = ask(Method::GET, None, String::new()).await else { continue };
-            let Ok(report) = serde_json::from_slice::<Value>(&body) else { continue };
-            let (Some(version), true) = (report["version"].as_u64(), report["settled"] == true) else {
-                continue;
-            };
-            let next = rules(version + 1).to_string();
-            if let Some((StatusCode::OK, body)) = ask(Method::PUT, Some(version), next).await
-                && let Ok(tag) = serde_json::from_slice::<Value>(&body)
-                && let Some(version) = tag["version"].as_u64()
-            {
-                history.tell(Event::Proposed { version });
-                break;
+            sleep(every).await;
+            while !self.change_once(&mut turn, &history).await {
+                sleep(AGAIN).await;
             }
         }
     }
+
+    /// Has other rules taken up once the last ones are in force; false if they are not, or nobody answers.
+    async fn change_once(&self, turn: &mut usize, history: &History) -> bool {
+        *turn += 2;
+        let report = self.ask(*turn, Method::GET, "/v1/rules", None, String::new()).await;
+        let settled = report.filter(|report| report["settled"] == true);
+        let Some(version) = settled.and_then(|report| report["version"].as_u64()) else { return false };
+        let next = rules(version + 1).to_string();
+        let tag = self.ask(*turn + 1, Method::PUT, "/v1/rules", Some(version), next).await;
+        let Some(version) = tag.and_then(|tag| tag["version"].as_u64()) else { return false };
+        history.tell(Event::Proposed { version });
+        true
+    }
 }
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -8,7 +8,7 @@
 use crate::history::{self, Event, Head, History};
 use crate::members;
 use crate::plan::{Act, CLASSES, Plan, Step, micros};
-use crate::registry::{self, Replicas};
+use crate::registry::Replicas;
 use crate::relay::{Datagrams, Net, watch_lateness};
 use crate::scenario::Scenario;
 use crate::serve::World;
@@ -125,8 +125,7 @@
             let program = registry.clone();
             let replicas =
                 Replicas::start_all(scenario, settings, program, &out, addresses.clone(), &net).await?;
-            registry::write(&addresses, settings.replicas, Method::POST, "/v1/endpoints", world.batch())
-                .await;
+            replicas.asker().write(Method::POST, "/v1/endpoints", world.batch()).await;
             Some(replicas)
         }
         None => None,
@@ -134,15 +133,7 @@
     let front = Front::new(net.clone(), all.clone().map(|sender| addresses.clients(sender)).collect());
     let fleet =
         Fleet::new(program, out.clone(), addresses, history.clone(), discovery, scenario.clone(), *seed);
-    let mut play = Play {
-        net,
-        world,
-        front: front.clone(),
-        fleet,
-        replicas,
-        replicas_count: scenario.replicas(),
-        history: history.clone(),
-    };
+    let mut play = Play { net, world, front: front.clone(), fleet, replicas, history: history.clone() };
     let played = play.play(&plan, scenario).await;
     history.tell(Event::Over {});
     let usage = play.fleet.usage();
@@ -204,7 +195,6 @@
     front: Arc<Front>,
     fleet: Fleet,
     replicas: Option<Replicas>,
-    replicas_count: usize,
     history: Arc<History>,
 }
 
@@ -226,14 +216,11 @@
         }
         tracing::info!(senders = scenario.senders, "all are ready");
         let begin = self.history.now_us();
-        if let Some(settings) = &scenario.registry {
-            let every = Duration::from_secs_f64(settings.change_s);
-            let addresses = self.fleet.addresses().clone();
-            let changes = registry::change_rules(addresses, settings.replicas, every, self.history.clone());
-            tokio::spawn(changes);
+        if let (Some(settings), Some(replicas)) = (&scenario.registry, &self.replicas) {
+            let (asker, every) = (replicas.asker(), Duration::from_secs_f64(settings.change_s));
+            tokio::spawn(asker.clone().change_rules(every, self.history.clone()));
             for client in 0..WRITERS {
-                let (addresses, history) = (self.fleet.addresses().clone(), self.history.clone());
-                tokio::spawn(registry::write_conditionally(addresses, settings.replicas, client, history));
+                tokio::spawn(asker.clone().write_conditionally(client, self.history.clone()));
             }
         }
         let mut handing = tokio::spawn(self.front.clone().play(plan.arrivals.clone(), begin));
@@ -326,18 +313,15 @@
             Act::Shut { endpoint, shut } => self.world.shut(*endpoint, *shut),
             Act::Discovery { up } => self.world.set_discovery(*up),
             Act::List { endpoint, up } => {
-                let (addresses, target) = (self.fleet.addresses().clone(), self.world.target(*endpoint));
-                let (path, replicas) = (format!("/v1/endpoints/e{endpoint}"), self.replicas_count);
-                let up = *up;
-                // it is written once a replica can
-                tokio::spawn(async move {
-                    if up {
-                        registry::write(&addresses, replicas, Method::PUT, &path, target).await;
-                    } else {
-                        let path = format!("{path}/drain");
-                        registry::write(&addresses, replicas, Method::POST, &path, String::new()).await;
-                    }
-                });
+                let path = format!("/v1/endpoints/e{endpoint}");
+                let (method, path, body) = match up {
+                    true => (Method::PUT, path, self.world.target(*endpoint)),
+                    false => (Method::POST, format!("{path}/drain"), String::new()),
+                };
+                if let Some(asker) = self.replicas.as_ref().map(Replicas::asker) {
+                    // it is written once a replica can
+                    tokio::spawn(async move { asker.write(method, &path, body).await });
+                }
             }
             Act::Replica { replica, what } => {
                 if let Some(replicas) = &mut self.replicas {
--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -3,18 +3,15 @@
 use crate::Where;
 use bytes::Bytes;
 use clap::Subcommand;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
 use hyper::header::{HOST, IF_MATCH};
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use milletturn_agreement::Rules;
+use milletturn_registry::exchange::exchange;
 use milletturn_registry::settings::rules_of;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 /// How long one replica may take for an answer.
@@ -319,14 +316,10 @@
 async fn call(
     address: SocketAddr, method: Method, path: &str, if_match: Option<u64>, body: String,
 ) -> anyhow::Result<(StatusCode, Bytes)> {
-    let stream = TcpStream::connect(address).await?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(connection);
     let mut request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
     if let Some(version) = if_match {
         request = request.header(IF_MATCH, version);
     }
-    let response = sender.send_request(request.body(Full::<Bytes>::from(body))?).await?;
-    let status = response.status();
-    Ok((status, response.into_body().collect().await?.to_bytes()))
+    let (head, body) = exchange(address, request.body(body.into())?).await?.into_parts();
+    Ok((head.status, body))
 }
--- a/registry/src/core.rs
+++ b/registry/src/core.rs
@@ -120,6 +120,8 @@
     seen: watch::Sender<Seen>,
     /// Replicas of the settings; what the log says of one comes before it.
     places: BTreeMap<u64, Place>,
+    /// What the log said of them when that was last looked at.
+    told: Option<BTreeMap<u64, Place>>,
 }
 
 /// Starts the thread; it ends when nobody can ask any more, or when the log can't be kept, which `ended` is told.
@@ -133,8 +135,8 @@
     let own = core.inputs.clone();
     let turner = move || {
         let waiting = HashMap::new();
-        let mut turner =
-            Turner { replica, peers, begin: Instant::now(), waiting, next: 0, feed, seen, places };
+        let (begin, next, told) = (Instant::now(), 0, None);
+        let mut turner = Turner { replica, peers, begin, waiting, next, feed, seen, places, told };
         turner.peers.attach(own);
         turner.reset();
         if let Err(error) = turner.run(&received) {
@@ -228,21 +230,14 @@
         let state = self.replica.state();
         let (rev, leader) = (state.rev, self.replica.leader());
         let told = &state.replicas;
-        let seen = self.seen.borrow();
-        let known = |places: &BTreeMap<u64, Place>| {
-            told.iter().all(|(id, place)| places.get(id) == Some(place))
-                && places.keys().all(|id| told.contains_key(id) || self.places.contains_key(id))
-                && places.len() >= self.places.len()
-        };
-        let places = if known(&seen.places) {
-            seen.places.clone()
+        let places = if self.told.as_ref() == Some(told) {
+            self.seen.borrow().places.clone()
         } else {
+            self.told = Some(told.clone());
             Arc::new(self.places.iter().chain(told).map(|(id, place)| (*id, *place)).collect())
         };
         let now = Seen { rev, leader, places };
-        let changed = *seen != now;
-        drop(seen);
-        if changed {
+        if *self.seen.borrow() != now {
             self.peers.know(&now.places);
             self.seen.send_replace(now);
         }
--- a/registry/src/lib.rs
+++ b/registry/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod beats;
 pub mod core;
+pub mod exchange;
 pub mod feed;
 pub mod frames;
 pub mod mirror;
--- a/registry/src/server.rs
+++ b/registry/src/server.rs
@@ -5,11 +5,11 @@
 mod watch;
 
 use crate::core::Core;
+use crate::exchange::exchange;
 use crate::replica::Answer;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
-use hyper::client::conn::http1 as client;
 use hyper::header::{ALLOW, CONNECTION, CONTENT_TYPE, HeaderValue, IF_MATCH, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -262,22 +262,17 @@
         request = request.header(IF_MATCH, version);
     }
     let request = request.header(HOP, "1").body(Full::<Bytes>::from(asked.body.clone())).map_err(No::bad)?;
-    let exchange = async {
-        let stream = TcpStream::connect(place).await.ok()?;
-        let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await.ok()?;
-        tokio::spawn(connection);
-        let response = sender.send_request(request).await.ok()?;
-        let (head, body) = response.into_parts();
-        let mut answer = text(head.status, body.collect().await.ok()?.to_bytes());
-        for name in [CONTENT_TYPE, RETRY_AFTER] {
-            if let Some(value) = head.headers.get(&name) {
-                answer.headers_mut().insert(name, value.clone());
+    match timeout(PASSED_ON, exchange(place, request)).await {
+        Ok(Ok(response)) => {
+            let (head, body) = response.into_parts();
+            let mut answer = text(head.status, body);
+            for name in [CONTENT_TYPE, RETRY_AFTER] {
+                if let Some(value) = head.headers.get(&name) {
+                    answer.headers_mut().insert(name, value.clone());
+                }
             }
+            Ok(answer)
         }
-        Some(answer)
-    };
-    match timeout(PASSED_ON, exchange).await {
-        Ok(Some(answer)) => Ok(answer),
         // it may have come to the leader
         _ if asked.method != Method::GET => {
             Err(No::new(StatusCode::GATEWAY_TIMEOUT, "the leader did not answer: it may be done or not"))
