Ledger: limits dealt out in leased parts over floors, conserved by construction

Cause: each sender scales a destination's rate by the number of senders and sees nobody else's calls, so nothing bounds their sum. The crate `milletturn-ledger` (no sockets, no clock) is the part that deals: keys, limits with floors for those that hear nothing, the book that the log keeps (limits, ranges, who keeps each), the keeper's accounts, the sender's side. A part is at most what is left after all floors and all that others may still use; the fair level is counted in units worth a call in a lease.

--- /dev/null
+++ b/ledger/src/keys.rs
@@ -0,0 +1,174 @@
+//! What is limited: a destination, a returning destination, an endpoint's connections, a tenant. A key's place orders the
+//! ranges of the shards.
+
+use miette::Diagnostic;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// Longest name of a tenant or an endpoint, bytes.
+const NAME_MOST: usize = 128;
+
+/// What of it is limited, and in what units.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum What {
+    /// Calls a second to a destination, in thousandths.
+    Rate,
+    /// Calls out at once to a destination.
+    Out,
+    /// Calls a second to a destination that returns cold, in thousandths.
+    Cold,
+    /// Connections at one endpoint of a destination.
+    Connections(String),
+    /// Messages a second of a tenant, in thousandths.
+    Tenant(String),
+}
+
+/// One thing that all senders together are limited in.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Key {
+    /// The destination's number, or a tenant's place among them.
+    place: u64,
+    what: What,
+}
+
+impl Key {
+    /// Of a destination.
+    pub fn of(destination: u64, what: What) -> Self {
+        match what {
+            What::Tenant(name) => Key::tenant(&name),
+            what => Key { place: destination, what },
+        }
+    }
+
+    /// Of a tenant: it belongs to no destination, so its name says in which range it lies.
+    pub fn tenant(name: &str) -> Self {
+        Key { place: u64::from(crc32fast::hash(name.as_bytes())), what: What::Tenant(name.to_string()) }
+    }
+
+    /// What orders keys into ranges.
+    pub fn place(&self) -> u64 {
+        self.place
+    }
+
+    /// What is limited.
+    pub fn what(&self) -> &What {
+        &self.what
+    }
+
+    /// Whether it is limited by time, in thousandths of a call a second; else it is a number at once.
+    pub fn is_rate(&self) -> bool {
+        matches!(self.what, What::Rate | What::Cold | What::Tenant(_))
+    }
+
+    /// The name of its kind.
+    pub fn kind(&self) -> &'static str {
+        match self.what {
+            What::Rate => "rate",
+            What::Out => "out",
+            What::Cold => "cold",
+            What::Connections(_) => "connections",
+            What::Tenant(_) => "tenant",
+        }
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = self.kind();
+        match &self.what {
+            What::Rate | What::Out | What::Cold => write!(f, "{kind}/{}", self.place),
+            What::Connections(uid) => write!(f, "{kind}/{}/{uid}", self.place),
+            What::Tenant(name) => write!(f, "{kind}/{name}"),
+        }
+    }
+}
+
+/// A text that names no key.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
+#[error("'{0}' names nothing that can be limited")]
+#[diagnostic(
+    code(ledger::key),
+    help(
+        "write rate/DESTINATION, out/DESTINATION, cold/DESTINATION, connections/DESTINATION/ENDPOINT or tenant/NAME"
+    )
+)]
+pub struct BadKey(pub String);
+
+impl FromStr for Key {
+    type Err = BadKey;
+
+    fn from_str(text: &str) -> Result<Self, BadKey> {
+        let bad = || BadKey(text.chars().take(NAME_MOST).collect());
+        let named = |name: &str| (1..=NAME_MOST).contains(&name.len()).then(|| name.to_string());
+        let (kind, rest) = text.split_once('/').ok_or_else(bad)?;
+        let number = |text: &str| {
+            // one text for one key: no sign, no leading zero
+            let number: u64 = text.parse().map_err(|_| bad())?;
+            if number.to_string() == text { Ok(number) } else { Err(bad()) }
+        };
+        match kind {
+            "rate" => Ok(Key::of(number(rest)?, What::Rate)),
+            "out" => Ok(Key::of(number(rest)?, What::Out)),
+            "cold" => Ok(Key::of(number(rest)?, What::Cold)),
+            "connections" => {
+                let (destination, uid) = rest.split_once('/').ok_or_else(bad)?;
+                Ok(Key::of(number(destination)?, What::Connections(named(uid).ok_or_else(bad)?)))
+            }
+            "tenant" => Ok(Key::tenant(&named(rest).ok_or_else(bad)?)),
+            _ => Err(bad()),
+        }
+    }
+}
+
+impl TryFrom<String> for Key {
+    type Error = BadKey;
+
+    fn try_from(text: String) -> Result<Self, BadKey> {
+        text.parse()
+    }
+}
+
+impl From<Key> for String {
+    fn from(key: Key) -> String {
+        key.to_string()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn a_key_is_read_as_it_is_written(destination: u64, name in "[a-z/ -]{1,20}", kind in 0..5) {
+            let key = match kind {
+                0 => Key::of(destination, What::Rate),
+                1 => Key::of(destination, What::Out),
+                2 => Key::of(destination, What::Cold),
+                3 => Key::of(destination, What::Connections(name)),
+                _ => Key::tenant(&name),
+            };
+            prop_assert_eq!(key.to_string().parse(), Ok(key));
+        }
+
+        #[test]
+        fn no_text_makes_it_fall_and_one_that_is_read_is_written_the_same(text in ".{0,40}") {
+            if let Ok(key) = text.parse::<Key>() {
+                prop_assert_eq!(key.to_string(), text);
+            }
+        }
+    }
+
+    #[test]
+    fn what_names_nothing_is_refused() {
+        for text in
+            ["rate", "rate/", "rate/x", "rate/07", "rate/-1", "out/1/2", "connections/7", "tenant/", "x/1"]
+        {
+            assert_eq!(text.parse::<Key>(), Err(BadKey(text.to_string())));
+        }
+    }
+}
--- /dev/null
+++ b/ledger/src/lib.rs
@@ -0,0 +1,19 @@
+//! What a fleet of senders holds in common, without sockets or clock.
+//!
+//! A [`Limit`] binds all senders together. Each has a floor of it ([`Floors`]) that it may use without asking; the rest is
+//! dealt out by a [`Keeper`] in leased parts, which a [`Holder`] acts on for as long as its leases last. Floors and parts
+//! never add up to more than the limit: a part that may still be used is not dealt again. `docs/ledger.md` states the
+//! bound, and what is conserved when links, keepers and clocks fail.
+
+mod book;
+mod holder;
+mod keys;
+mod limits;
+mod parts;
+
+pub use book::{Book, BookError, Entry, Shard};
+pub use holder::{Holder, Wanted};
+pub use keys::{BadKey, Key, What};
+pub use limits::{BadLimit, Floors, Limit, LimitError, Limits};
+pub use milletturn_agreement::{Micros, Terms};
+pub use parts::{Dealt, Keeper, Want};
--- /dev/null
+++ b/ledger/src/parts.rs
@@ -0,0 +1,247 @@
+//! The keeper's side: who may still use which part of a limit, and what is dealt to one that asks.
+//!
+//! Parts are not replicated. One that becomes keeper knows none, and deals nothing until every lease that one before it
+//! may have given has surely lapsed. That nothing is dealt twice follows from one line: a part is at most what is left of
+//! the limit after all floors and all parts that others may still use.
+
+use crate::keys::Key;
+use crate::limits::{Floors, Limit};
+use milletturn_agreement::{Micros, Terms};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Grants of one key to one sender that are kept apart; more are kept as one that is at least each of them.
+const GRANTS_MOST: usize = 8;
+/// How long a computed level of fair parts is good. Wants that come meanwhile are dealt by it.
+const LEVEL_GOOD: Micros = 100_000;
+/// Part of what nobody wants that is dealt to those that ask: ahead of a clump, and yet some is left for one that
+/// did not ask before.
+const AHEAD: u64 = 2;
+
+/// A sender's wish for a part of one limit.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Want {
+    /// Of what.
+    pub key: Key,
+    /// How much it could use beyond its floor, in the key's units.
+    pub want: u64,
+    /// The question whose grant of this key it acts on; 0: none.
+    #[serde(default)]
+    pub acts_on: u64,
+}
+
+/// A part that a sender may use, beside its floor.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Dealt {
+    /// Of what.
+    pub key: Key,
+    /// How much, in the key's units; none: it has no limit now.
+    pub part: Option<u64>,
+    /// The whole limit, for all senders, if there is one.
+    pub total: Option<u64>,
+    /// How long a call under it may last, ms; 0 where that does not matter.
+    #[serde(default)]
+    pub linger_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Grant {
+    number: u64,
+    part: u64,
+    until: Micros,
+}
+
+/// What one sender may still use of one limit, and what it asked for last.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Held {
+    grants: Vec<Grant>,
+    want: u64,
+    /// Until when the want counts.
+    wants_until: Micros,
+}
+
+impl Held {
+    /// The most that it may still use.
+    fn most(&self) -> u64 {
+        self.grants.iter().map(|grant| grant.part).max().unwrap_or(0)
+    }
+
+    fn lapse(&mut self, now: Micros) {
+        self.grants.retain(|grant| grant.until > now);
+    }
+
+    /// It acts on this grant, and asks with a later number: the answers to all its other questions of before count for
+    /// nothing. What is younger than the question stays, for questions may overtake one another.
+    fn acknowledge(&mut self, acts_on: u64, number: u64) {
+        self.grants.retain(|grant| grant.number == acts_on || grant.number > number);
+    }
+
+    fn grant(&mut self, grant: Grant) {
+        self.grants.push(grant);
+        if self.grants.len() > GRANTS_MOST {
+            let (first, second) = (self.grants.remove(0), self.grants[0]);
+            // the second stands for both, until both have lapsed
+            let (part, until) = (first.part.max(second.part), first.until.max(second.until));
+            self.grants[0] = Grant { number: u64::MAX, part, until };
+        }
+    }
+}
+
+/// What of one limit is out.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Account {
+    held: BTreeMap<u64, Held>,
+    /// The sum of what all may still use, and when that was last looked at in whole.
+    out: u64,
+    looked: Option<Micros>,
+    /// The fair level in dealing units, and what every asker gets beyond its want.
+    level: u64,
+    spare: u64,
+    /// Senders with numbers that come first in this lease's turn get one unit more.
+    extra: u64,
+}
+
+/// Deals parts of the limits of one range.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Keeper {
+    terms: Terms,
+    /// Leases of a keeper before may last until then.
+    from: Micros,
+    accounts: BTreeMap<Key, Account>,
+}
+
+impl Keeper {
+    /// One that begins now, and does not know what one before it has dealt.
+    pub fn new(terms: Terms, now: Micros) -> Self {
+        Keeper { terms, from: now + terms.longest(), accounts: BTreeMap::new() }
+    }
+
+    /// When it begins to deal.
+    pub fn deals_from(&self) -> Micros {
+        self.from
+    }
+
+    /// A sender's life asks. To be called only once a majority has confirmed, after the question came in, that this is
+    /// still the keeper: the next one waits no longer than the leases that were asked for before it was named.
+    pub fn deal(
+        &mut self, now: Micros, sender: u64, number: u64, want: &Want, limit: Limit, floors: &Floors,
+    ) -> Dealt {
+        let Want { key, want, acts_on } = want;
+        let (terms, linger) = (self.terms, limit.linger_ms * 1000);
+        let pool = limit.total.saturating_sub(floors.sum(key));
+        let unit = unit(key, terms);
+        let account = self.accounts.entry(key.clone()).or_default();
+        let held = account.held.entry(sender).or_default();
+        held.acknowledge(*acts_on, number);
+        (held.want, held.wants_until) = (*want, now + terms.longest());
+        account.look(now, pool, unit, terms);
+        let held = account.held.get(&sender).map_or(0, Held::most);
+        let others = account.out - held;
+        let first_come = account.turn(now, sender, terms);
+        let fair = account.level.saturating_mul(unit) + if first_come < account.extra { unit } else { 0 };
+        let target = (*want).min(fair).saturating_add(if *want > 0 { account.spare } else { 0 });
+        // the one line: what others may still use is not dealt again
+        let left = if now < self.from { 0 } else { pool.saturating_sub(others) };
+        let part = target.min(left);
+        let until = now + terms.longest() + linger;
+        if let Some(held) = account.held.get_mut(&sender) {
+            held.grant(Grant { number, part, until });
+            account.out = others + held.most();
+        }
+        Dealt { key: key.clone(), part: Some(part), total: Some(limit.total), linger_ms: limit.linger_ms }
+    }
+
+    /// What senders may still use of a limit beside their floors.
+    pub fn out(&mut self, now: Micros, key: &Key) -> u64 {
+        let Some(account) = self.accounts.get_mut(key) else { return 0 };
+        account.lapse(now);
+        account.out
+    }
+
+    /// Takes over what another keeper of the same replica has dealt of these keys, whose range is this one's now.
+    pub fn take_over(&mut self, mut other: Keeper, theirs: impl Fn(&Key) -> bool) -> Keeper {
+        let all = std::mem::take(&mut other.accounts);
+        let (mine, rest): (BTreeMap<_, _>, _) = all.into_iter().partition(|(key, _)| theirs(key));
+        self.accounts.extend(mine);
+        // this one knows all that was dealt of its keys
+        self.from = other.from;
+        Keeper { accounts: rest, ..other }
+    }
+
+    /// Forgets what has lapsed.
+    pub fn forget(&mut self, now: Micros) {
+        self.accounts.values_mut().for_each(|account| account.lapse(now));
+        self.accounts.retain(|_, account| !account.held.is_empty());
+    }
+
+    /// Each key that was asked for, what is out of it, and how many hold or want some.
+    pub fn accounts(&self) -> impl Iterator<Item = (&Key, u64, usize)> {
+        self.accounts.iter().map(|(key, account)| (key, account.out, account.held.len()))
+    }
+
+    /// What one sender may still use of a key, and wants.
+    pub fn held(&self, key: &Key) -> impl Iterator<Item = (u64, u64, u64)> {
+        let held = self.accounts.get(key).into_iter().flat_map(|account| &account.held);
+        held.map(|(sender, held)| (*sender, held.most(), held.want))
+    }
+}
+
+/// The least that is worth dealing: one call in a lease, or one at once. A smaller part of a rate would be worth nothing
+/// within a message's time.
+fn unit(key: &Key, terms: Terms) -> u64 {
+    if key.is_rate() { (1_000_000_000 / terms.lease.max(1)).max(1) } else { 1 }
+}
+
+impl Account {
+    fn lapse(&mut self, now: Micros) {
+        self.held.values_mut().for_each(|held| held.lapse(now));
+        self.held.retain(|_, held| !held.grants.is_empty() || held.wants_until > now);
+        self.out = self.held.values().map(Held::most).sum();
+    }
+
+    /// Finds the level up to which all wants can be met at once, in whole units, when it was not found a short while ago.
+    fn look(&mut self, now: Micros, pool: u64, unit: u64, terms: Terms) {
+        self.lapse(now);
+        if self.looked.is_some_and(|looked| now < looked + LEVEL_GOOD.min(terms.lease / 4)) {
+            return;
+        }
+        self.looked = Some(now);
+        let mut wants: Vec<u64> = self
+            .held
+            .values()
+            .filter(|held| held.want > 0 && held.wants_until > now)
+            .map(|held| held.want.div_ceil(unit))
+            .collect();
+        wants.sort_unstable();
+        let (mut left, mut rest) = (pool / unit, wants.len() as u64);
+        let askers = rest;
+        (self.level, self.extra) = (u64::MAX / unit, 0);
+        for want in wants {
+            let even = left / rest;
+            if want > even {
+                (self.level, self.extra) = (even, left - even * rest);
+                left = 0;
+                break;
+            }
+            (left, rest) = (left - want, rest - 1);
+        }
+        self.spare = if askers > 0 { left * unit / (AHEAD * askers) } else { 0 };
+    }
+
+    /// How many senders with wants are before this one in this lease's turn.
+    fn turn(&self, now: Micros, sender: u64, terms: Terms) -> u64 {
+        if self.extra == 0 {
+            return 0;
+        }
+        let turn = now / terms.lease.max(1);
+        let place = |sender: u64| {
+            let bytes = [sender.to_le_bytes(), turn.to_le_bytes()].concat();
+            (crc32fast::hash(&bytes), sender)
+        };
+        let own = place(sender);
+        let before = self.held.iter().filter(|(_, held)| held.want > 0 && held.wants_until > now);
+        before.filter(|(other, _)| place(**other) < own).count() as u64
+    }
+}
