--- a/ledger/src/keys.rs
+++ b/ledger/src/keys.rs
@@ -10,6 +10,9 @@
 /// Longest name of a tenant or an endpoint, bytes.
 const NAME_MOST: usize = 128;
 
+/// The names of the kinds of keys.
+pub const KINDS: [&str; 5] = ["rate", "out", "cold", "connections", "tenant"];
+
 /// What of it is limited, and in what units.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum What {
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use book::{Book, BookError, Entry, Shard};
 pub use holder::{Holder, Wanted};
-pub use keys::{BadKey, Key, What};
+pub use keys::{BadKey, KINDS, Key, What};
 pub use limits::{BadLimit, Floors, Limit, LimitError, Limits};
 pub use milletturn_agreement::{Micros, Terms};
 pub use parts::{Dealt, Keeper, Want};
--- a/registry/src/core.rs
+++ b/registry/src/core.rs
@@ -3,7 +3,7 @@
 
 use crate::feed::Feed;
 use crate::peers::Peers;
-use crate::replica::{Answer, Output, Question, Replica, ReplicaChange, TICK, Ticket};
+use crate::replica::{Answer, Output, PartsQuestion, Question, Replica, ReplicaChange, TICK, Ticket};
 use crate::state::{Command, Place};
 use milletturn_agreement::Micros;
 use std::collections::{BTreeMap, HashMap};
@@ -39,6 +39,8 @@
     Change(Command),
     /// For a lease.
     Lease(Question),
+    /// For parts of limits.
+    Parts(PartsQuestion),
     /// For what is applied to be as late as the question.
     Read,
     /// An endpoint lives.
@@ -193,6 +195,7 @@
                 match asked {
                     Asked::Change(command) => self.replica.propose(now, ticket, command, output),
                     Asked::Lease(question) => self.replica.ask(ticket, question, output),
+                    Asked::Parts(question) => self.replica.ask_parts(ticket, question),
                     Asked::Read => self.replica.read(ticket),
                     Asked::Beat(uid) => output.answers.push((ticket, self.replica.beat(now, &uid))),
                     Asked::Replicas(change) => self.replica.reconfigure(ticket, change, output),
--- a/registry/src/main.rs
+++ b/registry/src/main.rs
@@ -107,6 +107,7 @@
     let store = Store::open(&settings.folder, purpose, &postcard::to_allocvec(&State::default())?)?;
     let torn = store.torn();
     let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+    let begin = begin.into_iter().chain(settings.begin_ledger());
     let replica = Replica::new(settings.id, store, life, begin)?;
     let listener = TcpListener::bind(settings.listen).await?;
     let peers = Peers::new(&settings.cluster, settings.id, Handle::current());
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -1,12 +1,15 @@
 //! One replica round the raft engine, without sockets or clock: questions and messages in, answers and messages out, the log
 //! in its store. It leads or follows as the engine says; leases are the leader's alone.
 
+mod keeping;
 mod leading;
 mod report;
 
 use crate::mirror::{Entry, Hard, Kind, Voters};
 use crate::state::{Applied, Changed, Command, Place, Refused, State};
 use crate::store::{Store, StoreError};
+use keeping::Keeping;
+pub use keeping::{PartsAnswer, PartsQuestion};
 use leading::Leading;
 pub use leading::Question;
 use milletturn_agreement::{Grant, Micros};
@@ -44,6 +47,8 @@
     Unsure,
     /// A lease.
     Granted(Box<Grant>),
+    /// Parts of limits.
+    Parts(Box<PartsAnswer>),
     /// The asker's floor is not the one agreed.
     OtherFloor,
     /// Too many, or something of the kind is under way.
@@ -103,12 +108,19 @@
     number: u64,
     reads: Vec<Ticket>,
     asks: Vec<(Ticket, Question)>,
+    parts: Vec<(Ticket, PartsQuestion)>,
     /// Ticks since it was first asked.
     age: u64,
     /// The log must be applied up to here; none: no word yet.
     index: Option<u64>,
 }
 
+impl Batch {
+    fn is_empty(&self) -> bool {
+        self.reads.is_empty() && self.asks.is_empty() && self.parts.is_empty()
+    }
+}
+
 /// One replica.
 pub struct Replica {
     id: u64,
@@ -122,8 +134,9 @@
     collecting: Batch,
     asked: Vec<Batch>,
     leading: Option<Leading>,
-    /// The first rules, for a log that has none.
-    begin: Option<Command>,
+    keeping: Keeping,
+    /// What a log begins with that lacks it: rules, a ledger.
+    begin: Vec<Command>,
     leader: u64,
     /// Other replicas take part than the snapshot says: one that comes would not take it.
     reshaped: bool,
@@ -135,11 +148,13 @@
     ///
     /// # Errors
     /// The store holds what can't be read.
-    pub fn new(id: u64, store: Store, life: u64, begin: Option<Command>) -> Result<Self, ReplicaError> {
+    pub fn new(
+        id: u64, store: Store, life: u64, begin: impl IntoIterator<Item = Command>,
+    ) -> Result<Self, ReplicaError> {
         let snapshot = store.snapshot();
         let applied = snapshot.index;
-        let state = postcard::from_bytes(&snapshot.data)
-            .map_err(|error| ReplicaError::Entry { index: applied, error })?;
+        let state =
+            State::read(&snapshot.data).map_err(|error| ReplicaError::Entry { index: applied, error })?;
         let config = Config {
             id,
             election_tick: ELECTION_TICKS,
@@ -156,6 +171,7 @@
         let raw = RawNode::new(&config, store, &logger)?;
         let (proposals, collecting, asked) = Default::default();
         let (next, leading, leader, reshaped) = (0, None, 0, false);
+        let (keeping, begin) = (Keeping::default(), begin.into_iter().collect());
         Ok(Replica {
             id,
             raw,
@@ -167,6 +183,7 @@
             collecting,
             asked,
             leading,
+            keeping,
             begin,
             leader,
             reshaped,
@@ -195,17 +212,19 @@
         if self.leads() {
             self.look_for_steps(now, output);
         }
+        self.keeping.follow(now, self.id, self.state.ledger.as_ref());
         let (mut given_up, mut again) = (Vec::new(), Vec::new());
         for batch in &mut self.asked {
             batch.age += 1;
             if batch.age >= GIVE_UP {
                 given_up.append(&mut batch.reads);
                 given_up.extend(batch.asks.drain(..).map(|(ticket, _)| ticket));
+                given_up.extend(batch.parts.drain(..).map(|(ticket, _)| ticket));
             } else if batch.index.is_none() && batch.age.is_multiple_of(ASK_AGAIN) {
                 again.push(batch.number);
             }
         }
-        self.asked.retain(|batch| !batch.reads.is_empty() || !batch.asks.is_empty());
+        self.asked.retain(|batch| !batch.is_empty());
         // the engine drops such questions while it knows no leader or has not committed in its term
         again.into_iter().for_each(|number| self.ask_majority(number));
         let leader = self.leader().filter(|leader| *leader != self.id);
@@ -272,6 +291,11 @@
         }
     }
 
+    /// A life of a sender asks for parts of limits, of which this replica deals those that it keeps.
+    pub fn ask_parts(&mut self, ticket: Ticket, question: PartsQuestion) {
+        self.collecting.parts.push((ticket, question));
+    }
+
     /// Asks for a majority's word that what is applied here is not behind what was answered before.
     pub fn read(&mut self, ticket: Ticket) {
         self.collecting.reads.push(ticket);
@@ -333,7 +357,7 @@
     /// # Errors
     /// The log can't be kept or read: the process must end.
     pub fn settle(&mut self, now: Micros, output: &mut Output) -> Result<(), ReplicaError> {
-        if !self.collecting.reads.is_empty() || !self.collecting.asks.is_empty() {
+        if !self.collecting.is_empty() {
             self.next += 1;
             self.collecting.number = self.next;
             self.asked.push(std::mem::take(&mut self.collecting));
@@ -381,8 +405,7 @@
         &mut self, snapshot: crate::mirror::Snapshot, hard: Option<Hard>, output: &mut Output,
     ) -> Result<(), ReplicaError> {
         let index = snapshot.index;
-        self.state =
-            postcard::from_bytes(&snapshot.data).map_err(|error| ReplicaError::Entry { index, error })?;
+        self.state = State::read(&snapshot.data).map_err(|error| ReplicaError::Entry { index, error })?;
         self.applied = index;
         self.raw.mut_store().install(snapshot, hard)?;
         output.reset = true;
@@ -422,7 +445,8 @@
                     };
                     output.notes.push(format!("replicas are {:?}", conf.voters));
                     let ticket = self.number_of(&mark).and_then(|number| self.proposals.remove(&number));
-                    let applied = Applied { rev: self.state.rev, tag: self.state.tag(), changed: vec![] };
+                    let applied =
+                        Applied { rev: self.state.rev, tag: self.state.tag(), ..Applied::default() };
                     output.answers.extend(ticket.map(|ticket| (ticket, Answer::Applied(applied))));
                 }
             }
@@ -441,7 +465,7 @@
         if let Some(leading) = &mut self.leading {
             leading.follow(now, applied, advances, &self.state);
         }
-        if let Some(tag) = applied.tag.filter(|_| applied.changed.is_empty()) {
+        if let Some(tag) = applied.tag.filter(|_| applied.changed.is_empty() && !applied.ledger) {
             let step = if tag.whole { "in force" } else { "as the meet of it and the one before" };
             output.notes.push(format!("rules: version {} {step}", tag.version));
         }
@@ -467,6 +491,12 @@
         let ready = |batch: &mut Batch| batch.index.is_some_and(|index| index <= applied);
         for batch in self.asked.extract_if(.., ready) {
             output.answers.extend(batch.reads.into_iter().map(|ticket| (ticket, Answer::Fresh)));
+            for (ticket, question) in batch.parts {
+                // whoever keeps a range now did so when the question came, or is asked with a later word
+                self.keeping.follow(now, self.id, self.state.ledger.as_ref());
+                let answer = self.keeping.deal(now, question, self.id, self.state.ledger.as_ref());
+                output.answers.push((ticket, answer));
+            }
             for (ticket, question) in batch.asks {
                 let answer = match &mut self.leading {
                     Some(leading) => leading.grant(now, question, &self.state),
@@ -499,7 +529,7 @@
                 let asks = batch.asks.drain(..).map(|(ticket, _)| (ticket, Answer::NotLeader(next)));
                 output.answers.extend(asks);
             }
-            self.asked.retain(|batch| !batch.reads.is_empty());
+            self.asked.retain(|batch| !batch.is_empty());
         }
         if self.leads() && self.leading.is_none() {
             self.leading = Some(Leading::new(term, self.state.terms, now));
@@ -509,8 +539,13 @@
     /// What the leader does by itself: begins the rules, goes on to a next step, drops what has run out, lets a replica
     /// vote that has the log.
     fn look_for_steps(&mut self, now: Micros, output: &mut Output) {
+        let voters = self.raw.store().voters().voters.clone();
+        let prs = self.raw.raft.prs();
+        let active = |id: &u64| *id == self.id || prs.get(*id).is_some_and(|progress| progress.recent_active);
+        let active: Vec<u64> = voters.iter().copied().filter(active).collect();
         let Some(leading) = &mut self.leading else { return };
-        let (steps, kept) = leading.steps(now, &self.state, self.begin.as_ref());
+        leading.hear_of(now, &voters, &active);
+        let (steps, kept) = leading.steps(now, &self.state, &self.begin);
         if kept > 0 {
             let why = "heartbeats of many are missing at once: the fault is likelier here";
             output.notes.push(format!("{kept} endpoints are kept though they have run out: {why}"));
--- /dev/null
+++ b/registry/src/replica/keeping.rs
@@ -0,0 +1,132 @@
+//! What a replica alone knows as keeper of ranges of the ledger: which parts are out. It deals only once a majority has
+//! confirmed that it still keeps the range.
+
+use super::Answer;
+use crate::state::Refused;
+use milletturn_ledger::{Book, BookError, Dealt, Floors, Keeper, Micros, Want};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// Lives of senders that may hold parts at once, and wants of one question.
+const LIVES_MOST: usize = 16_384;
+const WANTS_MOST: usize = 4096;
+/// How often what has lapsed is forgotten.
+const FORGET: Micros = 1_000_000;
+
+/// A sender's question for parts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PartsQuestion {
+    /// The sender's name.
+    pub sender: String,
+    /// Its life: differs between any two processes of one name.
+    pub life: u64,
+    /// Numbers the question within that life.
+    pub number: u64,
+    /// What it may use without asking.
+    pub floors: Floors,
+    /// What it wants.
+    pub wants: Vec<Want>,
+}
+
+/// The answer: of the ranges that could be asked.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartsAnswer {
+    /// How long the parts last, counted from when they were asked for, microseconds on the sender's clock.
+    pub lease: Micros,
+    /// The version of the limits.
+    pub rev: u64,
+    /// The parts.
+    pub dealt: Vec<Dealt>,
+    /// Which replicas keep the rest of what was wanted.
+    #[serde(skip)]
+    pub elsewhere: BTreeMap<u64, Vec<Want>>,
+}
+
+/// What it keeps.
+#[derive(Default)]
+pub(super) struct Keeping {
+    /// By first places, with their epochs.
+    ranges: BTreeMap<u64, (u64, Keeper)>,
+    numbers: BTreeMap<(String, u64), (u64, Micros)>,
+    next: u64,
+    forgot: Micros,
+    dealt: u64,
+}
+
+impl Keeping {
+    /// Begins and ends to keep ranges as the log says.
+    pub fn follow(&mut self, now: Micros, id: u64, book: Option<&Book>) {
+        let Some(book) = book else { return self.ranges.clear() };
+        let own = |first: &u64| book.shards().get(first).filter(|shard| shard.keeper == Some(id));
+        self.ranges.retain(|first, (epoch, _)| own(first).is_some_and(|shard| shard.epoch == *epoch));
+        for (first, shard) in book.shards().iter().filter(|(first, _)| own(first).is_some()) {
+            self.ranges.entry(*first).or_insert_with(|| (shard.epoch, Keeper::new(book.terms(), now)));
+        }
+        if now >= self.forgot + FORGET {
+            self.forgot = now;
+            self.ranges.values_mut().for_each(|(_, keeper)| keeper.forget(now));
+            self.numbers.retain(|_, (_, until)| *until > now);
+        }
+    }
+
+    /// Deals what is kept here, a majority having said that what is applied here was current.
+    pub fn deal(&mut self, now: Micros, question: PartsQuestion, id: u64, book: Option<&Book>) -> Answer {
+        let Some(book) = book else { return Answer::Refused(Refused::Ledger(BookError::None)) };
+        let PartsQuestion { sender, life, number, floors, wants } = question;
+        if &floors != book.floors() {
+            return Answer::OtherFloor;
+        }
+        if wants.len() > WANTS_MOST {
+            return Answer::Refused(Refused::Size("more than 4096 wants at once"));
+        }
+        let longest = book.limits().iter().map(|(_, limit)| limit.linger_ms * 1000).max().unwrap_or(0);
+        let until = now + 2 * book.terms().longest() + longest;
+        let known = (sender, life);
+        if self.numbers.len() >= LIVES_MOST && !self.numbers.contains_key(&known) {
+            return Answer::Busy("too many senders hold parts");
+        }
+        let next = &mut self.next;
+        let entry = self.numbers.entry(known).or_insert_with(|| {
+            *next += 1;
+            (*next, until)
+        });
+        entry.1 = until;
+        let holder = entry.0;
+        let mut answer = PartsAnswer { lease: book.terms().lease, rev: book.rev(), ..PartsAnswer::default() };
+        for want in wants {
+            let (first, shard) = book.shard_of(&want.key);
+            match (self.ranges.get_mut(&first), book.limits().get(&want.key)) {
+                (Some(_), None) => {
+                    answer.dealt.push(Dealt { key: want.key, part: None, total: None, linger_ms: 0 });
+                }
+                (Some((_, keeper)), Some(limit)) => {
+                    self.dealt += 1;
+                    answer.dealt.push(keeper.deal(now, holder, number, &want, limit, book.floors()));
+                }
+                (None, _) => {
+                    if let Some(keeper) = shard.keeper.filter(|keeper| *keeper != id) {
+                        answer.elsewhere.entry(keeper).or_default().push(want);
+                    }
+                }
+            }
+        }
+        Answer::Parts(Box::new(answer))
+    }
+
+    /// What is kept here and what of it is out, for operators.
+    pub fn report(&self, now: Micros, book: &Book) -> Value {
+        let account = |(key, out, holders): (&milletturn_ledger::Key, u64, usize)| {
+            let total = book.limits().get(key).map(|limit| limit.total);
+            json!({ "key": key, "total": total, "floors": book.floors().sum(key), "out": out, "holders": holders })
+        };
+        let range = |(first, (epoch, keeper)): (&u64, &(u64, Keeper))| {
+            json!({ "first": first, "epoch": epoch,
+                "deals_in_ms": keeper.deals_from().saturating_sub(now) / 1000,
+                "limits": keeper.accounts().map(account).collect::<Vec<_>>() })
+        };
+        json!({ "keeps": self.ranges.iter().map(range).collect::<Vec<_>>(), "lives": self.numbers.len(),
+            "dealt": self.dealt })
+    }
+}
--- a/registry/src/replica/leading.rs
+++ b/registry/src/replica/leading.rs
@@ -4,12 +4,16 @@
 use crate::beats::Beats;
 use crate::state::{Applied, Command, Refused, State};
 use milletturn_agreement::{Leases, Micros, Refusal, Rules, Tag, Terms};
+use milletturn_ledger::Entry;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Lives of senders that may hold a lease at once.
 const LIVES_MOST: usize = 4096;
 
+/// A replica that was not heard of for so long keeps nothing: two elections' time, in which a new leader would be found.
+const SILENT: Micros = 2_000_000;
+
 /// A sender's question for a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -45,6 +49,11 @@
     /// Proposed by this leader, and neither applied nor refused yet.
     advancing: Option<u64>,
     beginning: bool,
+    /// A ledger, or a keeper for each of these ranges, has been proposed.
+    ledger_beginning: bool,
+    naming: BTreeMap<u64, u64>,
+    /// When each voter was last heard of.
+    heard: BTreeMap<u64, Micros>,
     /// Leases that ran out and were not renewed, in this term.
     pub lapsed: u64,
 }
@@ -60,6 +69,9 @@
             beats: Beats::default(),
             advancing: None,
             beginning: false,
+            ledger_beginning: false,
+            naming: BTreeMap::new(),
+            heard: BTreeMap::new(),
             lapsed: 0,
         }
     }
@@ -115,9 +127,36 @@
         Answer::Granted(Box::new(leases.ask(now, number, acts_on, versions)))
     }
 
+    /// Which voters there are, and which were heard of a short while ago.
+    pub fn hear_of(&mut self, now: Micros, voters: &[u64], active: &[u64]) {
+        self.heard.retain(|id, _| voters.contains(id));
+        for id in voters {
+            let heard = self.heard.entry(*id).or_insert(now);
+            *heard = if active.contains(id) { now } else { *heard };
+        }
+    }
+
+    /// What the ledger lacks: its beginning, or keepers for ranges that have none that is alive.
+    fn ledger_steps(&mut self, now: Micros, state: &State, begin: &[Command]) -> Vec<Command> {
+        let Some(book) = &state.ledger else {
+            let begin = begin.iter().find(|command| matches!(command, Command::Ledger(_)));
+            let begin = begin.filter(|_| !std::mem::replace(&mut self.ledger_beginning, true));
+            return begin.cloned().into_iter().collect();
+        };
+        let alive = |(_, heard): &(&u64, &Micros)| now < **heard + SILENT;
+        let alive: Vec<u64> = self.heard.iter().filter(alive).map(|(id, _)| *id).collect();
+        let mut due = book.due(&alive);
+        due.retain(|entry| match entry {
+            // proposed already, and neither applied nor lost yet
+            Entry::Keeper { shard, epoch, .. } => self.naming.insert(*shard, *epoch) != Some(*epoch),
+            _ => true,
+        });
+        due.into_iter().map(Command::Ledger).collect()
+    }
+
     /// The commands that are due, and how many endpoints are newly kept though they have run out.
-    pub fn steps(&mut self, now: Micros, state: &State, begin: Option<&Command>) -> (Vec<Command>, usize) {
-        let mut steps = Vec::new();
+    pub fn steps(&mut self, now: Micros, state: &State, begin: &[Command]) -> (Vec<Command>, usize) {
+        let mut steps = self.ledger_steps(now, state, begin);
         if let Some(leases) = &mut self.leases {
             for number in leases.forget(now) {
                 self.lapsed += 1;
@@ -131,6 +170,7 @@
                 steps.push(Command::Advance(tag.version));
             }
         }
+        let begin = begin.iter().find(|command| matches!(command, Command::Begin { .. }));
         if let Some(begin) = begin.filter(|_| state.versions.is_none() && !self.beginning) {
             self.beginning = true;
             steps.push(begin.clone());
@@ -147,6 +187,8 @@
         match command {
             Command::Advance(_) => self.advancing = None,
             Command::Begin { .. } => self.beginning = false,
+            Command::Ledger(Entry::Keeper { shard, .. }) => drop(self.naming.remove(shard)),
+            Command::Ledger(_) => self.ledger_beginning = false,
             _ => {}
         }
     }
--- a/registry/src/replica/report.rs
+++ b/registry/src/replica/report.rs
@@ -22,9 +22,24 @@
             "rev": self.state.rev, "targets": self.state.targets.len(),
             "proposals": self.proposals.len(), "questions": self.asked.len(),
             "rules": self.rules_report(now), "kept_endpoints": self.kept(),
+            "ledger": self.ledger_report(now),
         })
     }
 
+    /// The ledger: its ranges, and what of those that this replica keeps is out; null where there is none.
+    pub fn ledger_report(&self, now: Micros) -> Value {
+        let Some(book) = &self.state.ledger else { return Value::Null };
+        let mut report = self.keeping.report(now, book);
+        report["rev"] = book.rev().into();
+        report["lease_ms"] = (book.terms().lease / 1000).into();
+        report["drift_ms"] = (book.terms().drift / 1000).into();
+        let ranges = book.shards().iter();
+        let ranges = ranges
+            .map(|(first, shard)| json!({ "first": first, "keeper": shard.keeper, "epoch": shard.epoch }));
+        report["ranges"] = ranges.collect();
+        report
+    }
+
     fn kept(&self) -> Vec<&String> {
         self.leading.iter().flat_map(|leading| leading.beats.kept()).collect()
     }
--- a/registry/src/server.rs
+++ b/registry/src/server.rs
@@ -1,6 +1,7 @@
 //! What clients ask, over HTTP/1.1: discovery and notices as the protocol page has them, writing, leases, reports. A follower
 //! passes on what only a leader can answer.
 
+mod ledger;
 mod routes;
 mod watch;
 
@@ -239,13 +240,16 @@
                     Refused::Proposal(milletturn_agreement::Refusal::Stale { .. }) => {
                         StatusCode::PRECONDITION_FAILED
                     }
+                    Refused::Ledger(error) => return Err(ledger::no(error)),
                     Refused::Unknown(_) | Refused::NoRules => StatusCode::NOT_FOUND,
                     Refused::Target(_) | Refused::Rules(_) | Refused::Size(_) => StatusCode::BAD_REQUEST,
                     Refused::Senseless { .. } | Refused::Begun | Refused::Proposal(_) => StatusCode::CONFLICT,
                 };
                 Err(No::new(status, refused))
             }
-            Answer::Applied(_) | Answer::Granted(_) | Answer::Fresh => Ok(text(StatusCode::NO_CONTENT, "")),
+            Answer::Applied(_) | Answer::Granted(_) | Answer::Parts(_) | Answer::Fresh => {
+                Ok(text(StatusCode::NO_CONTENT, ""))
+            }
         }
     }
 }
--- /dev/null
+++ b/registry/src/server/ledger.rs
@@ -0,0 +1,150 @@
+//! What clients ask of the ledger: parts, limits.
+
+use super::{Asked, Body, HOP, No, Server, json, routes::read, routes::wanted};
+use crate::core::Asked as Question;
+use crate::exchange::exchange;
+use crate::replica::{Answer, PartsAnswer, PartsQuestion};
+use crate::state::Command;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode};
+use miette::Diagnostic;
+use milletturn_ledger::{BadKey, BookError, Entry, Key, Limit, LimitError};
+use serde_json::json as value;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+/// Longest time in which the keeper of another range answers. What it deals counts from when the sender asked.
+const KEEPER: Duration = Duration::from_millis(400);
+
+/// What is wrong, its code, and what an operator can do, on one line.
+pub(super) fn explained(error: &dyn Diagnostic) -> String {
+    let code = error.code().map(|code| format!(" [{code}]")).unwrap_or_default();
+    let help = error.help().map(|help| format!("; {help}")).unwrap_or_default();
+    format!("{error}{code}{help}")
+}
+
+/// The answer to what the ledger does not take.
+pub(super) fn no(error: &BookError) -> No {
+    let status = match error {
+        BookError::None | BookError::Limit(LimitError::Unknown(_)) => StatusCode::NOT_FOUND,
+        BookError::Version { .. } => StatusCode::PRECONDITION_FAILED,
+        BookError::Limit(LimitError::Senseless(_) | LimitError::Unnamed(_)) | BookError::Ranges => {
+            StatusCode::BAD_REQUEST
+        }
+        BookError::Begun | BookError::Limit(_) => StatusCode::CONFLICT,
+    };
+    No::new(status, explained(error))
+}
+
+/// Parts of limits: those that this replica keeps, and by one hop those that others keep. What a keeper does not answer
+/// in time is left out, and the sender goes on with what it has.
+pub(super) async fn parts(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
+    let question: PartsQuestion = read(asked)?;
+    let mut whole = match server.core.ask(Question::Parts(question.clone())).await? {
+        Answer::Parts(answer) => *answer,
+        // any replica deals what it keeps: no other is asked in this one's place
+        Answer::NotLeader(_) => return Err(No::busy("no majority is heard of")),
+        other => return server.otherwise(asked, other).await,
+    };
+    let elsewhere = std::mem::take(&mut whole.elsewhere);
+    let mut others = JoinSet::new();
+    for (keeper, wants) in elsewhere.into_iter().filter(|_| !asked.hop) {
+        let place = server.core.seen.borrow().places.get(&keeper).copied();
+        if let Some(place) = place {
+            let question = PartsQuestion { wants, ..question.clone() };
+            others.spawn(async move { timeout(KEEPER, of_keeper(place.clients, question)).await.ok()? });
+        }
+    }
+    while let Some(answer) = others.join_next().await {
+        if let Ok(Some(answer)) = answer {
+            whole.dealt.extend(answer.dealt);
+        }
+    }
+    Ok(json(&serde_json::to_value(whole).map_err(No::busy)?))
+}
+
+async fn of_keeper(place: std::net::SocketAddr, question: PartsQuestion) -> Option<PartsAnswer> {
+    let body = Full::new(Bytes::from(serde_json::to_vec(&question).ok()?));
+    let request =
+        Request::post("/v1/parts").header("host", place.to_string()).header(HOP, "1").body(body).ok()?;
+    let response = exchange(place, request).await.ok()?;
+    let good = response.status() == StatusCode::OK;
+    good.then(|| serde_json::from_slice(response.body()).ok())?
+}
+
+/// All limits, or one of them set or removed.
+pub(super) async fn limits(asked: &Asked, server: &Arc<Server>, key: &[&str]) -> Result<Response<Body>, No> {
+    if asked.method == Method::GET && key.is_empty() {
+        return list(asked, server).await;
+    }
+    let key: Key = key.join("/").parse().map_err(|error: BadKey| No::bad(explained(&error)))?;
+    let limit: Option<Limit> = match asked.method {
+        Method::PUT => Some(read(asked)?),
+        Method::DELETE => None,
+        _ => {
+            return Err(No::new(
+                StatusCode::METHOD_NOT_ALLOWED,
+                format!("{} means nothing here", asked.method),
+            ));
+        }
+    };
+    let entry = Entry::Limit { key, limit, if_match: wanted(asked)? };
+    match server.core.ask(Question::Change(Command::Ledger(entry))).await? {
+        Answer::Applied(_) => {
+            let rev =
+                server.core.look(|replica, _| replica.state().ledger.as_ref().map(|book| book.rev())).await?;
+            Ok(json(&value!({ "rev": rev })))
+        }
+        other => server.otherwise(asked, other).await,
+    }
+}
+
+async fn list(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
+    match server.core.ask(Question::Read).await? {
+        Answer::Fresh => {}
+        other => return server.otherwise(asked, other).await,
+    }
+    let report = server.core.look(|replica, now| {
+        let mut report = replica.ledger_report(now);
+        if let Some(book) = &replica.state().ledger {
+            report["limits"] = serde_json::to_value(book.limits()).unwrap_or_default();
+            report["floors"] = serde_json::to_value(book.floors()).unwrap_or_default();
+        }
+        report
+    });
+    match report.await? {
+        serde_json::Value::Null => Err(no(&BookError::None)),
+        report => Ok(json(&report)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use milletturn_ledger::{Want, What};
+
+    #[test]
+    fn each_no_has_a_code_and_tells_what_to_do() {
+        let key = Key::of(7, What::Rate);
+        let floors = LimitError::Floors { key: key.clone(), senders: 3, floor: 5, total: 2 };
+        for (error, status) in [
+            (BookError::None, 404),
+            (BookError::Begun, 409),
+            (BookError::Ranges, 400),
+            (BookError::Version { now: 2, wanted: 1 }, 412),
+            (floors.into(), 409),
+            (LimitError::Unknown(key.clone()).into(), 404),
+            (LimitError::Unnamed(key).into(), 400),
+        ] {
+            let no = no(&error);
+            assert_eq!(no.status, status, "{}", no.what);
+            assert!(no.what.contains(" [ledger::") && no.what.contains("; "), "{}", no.what);
+        }
+        let want =
+            serde_json::from_str::<Want>(r#"{"key":"rate/x","want":1}"#).expect_err("no key").to_string();
+        assert!(want.contains("names nothing that can be limited"), "{want}");
+    }
+}
--- a/registry/src/server/routes.rs
+++ b/registry/src/server/routes.rs
@@ -22,7 +22,7 @@
 pub(super) fn body_most(path: &str) -> usize {
     match path {
         "/v1/endpoints" => BATCH_MOST,
-        "/v1/outcomes" => NOTICES_MOST,
+        "/v1/outcomes" | "/v1/parts" => NOTICES_MOST,
         _ => BODY_MOST,
     }
 }
@@ -79,6 +79,8 @@
                 other => server.otherwise(asked, other).await,
             }
         }
+        (["v1", "parts"], method) if method == post => super::ledger::parts(asked, server).await,
+        (["v1", "limits", key @ ..], _) => super::ledger::limits(asked, server, key).await,
         (["v1", "rules"], method) if method == get => rules(asked, server).await,
         (["v1", "rules"], method) if method == put => propose(asked, server).await,
         (["v1", "rules", version], method) if method == get => {
@@ -106,7 +108,7 @@
             }
         }
         (["v1", known, ..], _)
-            if ["endpoints", "outcomes", "lease", "rules", "status", "replicas", "transfer"]
+            if ["endpoints", "outcomes", "lease", "parts", "rules", "status", "replicas", "transfer"]
                 .contains(known) =>
         {
             Err(No::new(StatusCode::METHOD_NOT_ALLOWED, format!("{method} means nothing here")))
@@ -115,12 +117,12 @@
     }
 }
 
-fn read<T: DeserializeOwned>(asked: &Asked) -> Result<T, No> {
+pub(super) fn read<T: DeserializeOwned>(asked: &Asked) -> Result<T, No> {
     serde_json::from_slice(&asked.body).map_err(No::bad)
 }
 
 /// The version that a write wants to find: `If-Match: 41`, with quotes or without.
-fn wanted(asked: &Asked) -> Result<Option<u64>, No> {
+pub(super) fn wanted(asked: &Asked) -> Result<Option<u64>, No> {
     let Some(version) = &asked.if_match else { return Ok(None) };
     let version = version.to_str().ok().and_then(|text| text.trim().trim_matches('"').parse().ok());
     version.map(Some).ok_or_else(|| No::bad("If-Match is no version"))
--- a/registry/src/settings.rs
+++ b/registry/src/settings.rs
@@ -3,6 +3,7 @@
 use crate::state::{Command, Place};
 use crate::target::is_name;
 use milletturn_agreement::{Rules, Senseless, Terms, Versions};
+use milletturn_ledger::{Entry, Floors, KINDS, Key};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -31,6 +32,8 @@
     pub replicas: Vec<Other>,
     /// The first rules, where senders are to agree on rules.
     pub agreement: Option<Agreement>,
+    /// Limits that hold for the fleet, where there is a ledger of them.
+    pub ledger: Option<Ledger>,
     /// Bounds.
     #[serde(default)]
     pub limits: Limits,
@@ -64,6 +67,39 @@
     pub rules: PathBuf,
 }
 
+/// What a log without a ledger begins one with.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ledger {
+    /// How long parts are leased, ms.
+    #[serde(default = "one_and_a_half_seconds")]
+    pub lease_ms: u64,
+    /// By how much of the time that passes a clock may be wrong at most, percent.
+    #[serde(default = "one_percent")]
+    pub drift_percent: f64,
+    /// Senders that are configured.
+    pub senders: u32,
+    /// What each may use without asking, by key or kind.
+    #[serde(default)]
+    pub floors: BTreeMap<String, u64>,
+    /// First destinations of the ranges after the first.
+    #[serde(default)]
+    pub split_at: Vec<u64>,
+}
+
+fn one_and_a_half_seconds() -> u64 {
+    1500
+}
+
+/// A lease of so many ms, and what clocks that are wrong by a part make of it.
+fn terms(lease_ms: u64, drift_percent: f64) -> Terms {
+    let lease = lease_ms * 1000;
+    // the sender's clock slow by the bound, this one's fast by it
+    let part = drift_percent / 100.0;
+    let drift = (lease as f64 * 2.0 * part / (1.0 - part)).ceil() as u64;
+    Terms { lease, drift }
+}
+
 fn six_seconds() -> u64 {
     6000
 }
@@ -184,6 +220,17 @@
             holds(drift, "agreement.drift_percent", "a share from 0 to 10")?;
             self.begin()?;
         }
+        if let Some(ledger) = &self.ledger {
+            let lease = (300..=600_000).contains(&ledger.lease_ms);
+            holds(lease, "ledger.lease_ms", "a time from 300 to 600000")?;
+            let drift = (0.0..=10.0).contains(&ledger.drift_percent);
+            holds(drift, "ledger.drift_percent", "a share from 0 to 10")?;
+            holds((1..=100_000).contains(&ledger.senders), "ledger.senders", "a number from 1 to 100000")?;
+            let named = |name: &String| KINDS.contains(&name.as_str()) || name.parse::<Key>().is_ok();
+            holds(ledger.floors.keys().all(named), "ledger.floors", "a table of keys, or kinds of them")?;
+            let grows = ledger.split_at.windows(2).all(|two| two[0] < two[1]);
+            holds(grows && ledger.split_at.first() != Some(&0), "ledger.split_at", "a growing list")?;
+        }
         Ok(())
     }
 
@@ -210,11 +257,15 @@
         let Some(agreement) = &self.agreement else { return Ok(None) };
         let (floor, rules) = (rules_of(&agreement.floor)?, rules_of(&agreement.rules)?);
         Versions::new(floor.clone(), rules.clone()).map_err(|_| SettingsError::Floor)?;
-        let lease = agreement.lease_ms * 1000;
-        // the sender's clock slow by the bound, this one's fast by it
-        let part = agreement.drift_percent / 100.0;
-        let drift = (lease as f64 * 2.0 * part / (1.0 - part)).ceil() as u64;
-        Ok(Some(Command::Begin { floor, rules, terms: Terms { lease, drift } }))
+        let terms = terms(agreement.lease_ms, agreement.drift_percent);
+        Ok(Some(Command::Begin { floor, rules, terms }))
+    }
+
+    /// The ledger, as the command that begins it.
+    pub fn begin_ledger(&self) -> Option<Command> {
+        let Ledger { lease_ms, drift_percent, senders, floors, split_at } = self.ledger.clone()?;
+        let floors = Floors { senders, each: floors };
+        Some(Command::Ledger(Entry::Begin { floors, terms: terms(lease_ms, drift_percent), split_at }))
     }
 }
 
@@ -282,6 +333,12 @@
             ("[agreement]", "[limits]\nwatchers = 0\n[agreement]", "limits.watchers is not"),
             ("[agreement]", "[agreement]\nlease_ms = 1", "agreement.lease_ms is not"),
             ("rules.json", "none.json", "none.json: No such file"),
+            ("[agreement]", "[ledger]\nsenders = 0\n[agreement]", "ledger.senders is not"),
+            (
+                "[agreement]",
+                "[ledger]\nsenders = 3\nfloors = { rat = 1 }\n[agreement]",
+                "ledger.floors is not",
+            ),
         ] {
             let error = read(&GOOD.replacen(from, to, 1)).expect_err(to).to_string();
             assert!(error.contains(told), "{to}: {error}");
--- a/registry/src/state.rs
+++ b/registry/src/state.rs
@@ -3,6 +3,7 @@
 
 use crate::target::{BadTarget, Standing, Target};
 use milletturn_agreement::{Proposal, Refusal, Rules, Senseless, Tag, Terms, Versions};
+use milletturn_ledger::{Book, BookError, Entry};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -71,6 +72,8 @@
     Rules(Proposal),
     /// The change to this version goes on from the meet.
     Advance(u64),
+    /// Of the ledger.
+    Ledger(Entry),
 }
 
 /// An endpoint that has changed, as it is now or was last, and whether it is gone.
@@ -85,6 +88,8 @@
     pub tag: Option<Tag>,
     /// Endpoints that have changed or are gone, as they are now or were last.
     pub changed: Vec<Changed>,
+    /// It was an entry of the ledger.
+    pub ledger: bool,
 }
 
 /// Why a command did nothing.
@@ -127,6 +132,9 @@
     /// Other rules can't follow.
     #[error(transparent)]
     Proposal(#[from] Refusal),
+    /// The ledger does not take it.
+    #[error(transparent)]
+    Ledger(#[from] BookError),
 }
 
 /// The state.
@@ -144,14 +152,42 @@
     pub kept: BTreeMap<u64, Rules>,
     /// Replicas that came after the start.
     pub replicas: BTreeMap<u64, Place>,
+    /// The ledger. It stands last: a replica of the version before reads what lies before it.
+    pub ledger: Option<Book>,
+}
+
+/// The state as the version before the ledger wrote it.
+#[derive(Deserialize)]
+struct Before {
+    rev: u64,
+    targets: BTreeMap<String, Target>,
+    versions: Option<Versions>,
+    terms: Option<Terms>,
+    kept: BTreeMap<u64, Rules>,
+    replicas: BTreeMap<u64, Place>,
 }
 
 impl State {
+    /// Reads a snapshot of this version or the one before.
+    ///
+    /// # Errors
+    /// It is neither.
+    pub fn read(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        match postcard::from_bytes(bytes) {
+            Err(postcard::Error::DeserializeUnexpectedEnd) => {
+                let Before { rev, targets, versions, terms, kept, replicas } = postcard::from_bytes(bytes)?;
+                Ok(State { rev, targets, versions, terms, kept, replicas, ledger: None })
+            }
+            read => read,
+        }
+    }
+
     /// Applies a command: all of it or nothing.
     ///
     /// # Errors
     /// Says why nothing was done.
     pub fn apply(&mut self, command: Command) -> Result<Applied, Refused> {
+        let ledger = matches!(command, Command::Ledger(_));
         let changed = match command {
             Command::List { if_match, changes } => self.change(if_match, &changes)?,
             Command::Expire(gone) => {
@@ -187,8 +223,12 @@
                 self.versions.as_mut().ok_or(Refused::NoRules)?.advance(version);
                 Vec::new()
             }
+            Command::Ledger(entry) => {
+                Book::apply(&mut self.ledger, entry)?;
+                Vec::new()
+            }
         };
-        Ok(Applied { rev: self.rev, tag: self.tag(), changed })
+        Ok(Applied { rev: self.rev, tag: self.tag(), changed, ledger })
     }
 
     /// The rules' version and step.
@@ -280,6 +320,19 @@
         Change::Put { uid: uid.to_string(), target: target(port) }
     }
 
+    #[test]
+    fn a_snapshot_of_the_version_before_is_read_and_it_reads_ours() {
+        let mut state = State::default();
+        state.apply(list(vec![put("a", 1)])).expect("put");
+        let bytes = postcard::to_allocvec(&state).expect("encoded");
+        // no ledger is one byte at the end
+        let before = &bytes[..bytes.len() - 1];
+        assert_eq!(State::read(before).as_ref(), Ok(&state));
+        assert_eq!(State::read(&bytes).as_ref(), Ok(&state));
+        assert_eq!(postcard::from_bytes::<Before>(&bytes).map(|before| before.rev), Ok(1));
+        assert!(State::read(&before[..before.len() - 1]).is_err());
+    }
+
     #[test]
     fn a_batch_is_one_version_or_nothing() {
         let mut state = State::default();
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! legality gate, then the proposals: sends, copies, probes, ends. Only the gate knows the rules.
 
 use crate::interface::*;
-use crate::state::{Attempt, Call, Endpoint, Health, Held, KeyLine, Unit, UnitId, Warmup, seconds};
+use crate::state::{Attempt, Bucket, Call, Endpoint, Health, Held, KeyLine, Unit, UnitId, Warmup, seconds};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -142,6 +142,9 @@
     agreed: Option<Box<Agreed>>,
     /// The list may be older than what counts as told.
     blind: bool,
+    /// What limits that all senders share leave to this one, and the calls that they allow now.
+    quotas: Option<Box<Quotas>>,
+    buckets: BTreeMap<DestinationId, Bucket>,
     /// Messages for which an endpoint was looked for in the last turn.
     #[serde(skip)]
     weighed: usize,
@@ -162,6 +165,8 @@
             fleet_since: 0,
             agreed: None,
             blind: false,
+            quotas: None,
+            buckets: BTreeMap::new(),
             settings,
             random: Pcg32::seed_from_u64(seed),
             now: 0,
@@ -218,6 +223,7 @@
         match event {
             Event::Agreed(agreed) => self.agreed = agreed.clone(),
             Event::Blind(blind) => self.blind = *blind,
+            Event::Shared(quotas) => self.quotas = quotas.clone(),
             Event::Fleet(view) => {
                 // who holds a view may grow; what is seen must stand
                 let seen = |view: FleetView| FleetView { holders: 0, ..view };
@@ -720,9 +726,12 @@
         let here =
             self.units.range((message.destination, None)..=(message.destination, Some(EndpointId(u32::MAX))));
         let in_flight: usize = here.map(|(_, unit)| unit.in_flight).sum();
+        let shared = self.quotas.as_ref().and_then(|quotas| quotas.of(message.destination).out);
+        let shared = shared.and_then(|(share, _)| share.at(self.now)).unwrap_or(u64::MAX);
         let slots = joins
-            || (self.calls.len() < self.most(|bounds| bounds.calls, settings.call_slots)
-                && in_flight < share_of(settings.call_slots, WINDOW_MOST));
+            || (in_flight as u64) < shared
+                && (self.calls.len() < self.most(|bounds| bounds.calls, settings.call_slots)
+                    && in_flight < share_of(settings.call_slots, WINDOW_MOST));
         repeatable && turn && !waits && slots
     }
 
@@ -854,6 +863,8 @@
     ) -> Option<(EndpointId, Option<u64>)> {
         let message = &self.messages[&id];
         let unsafe_class = self.effect(message.class) == Effect::Unsafe;
+        let shared = self.allowed_together(message.destination);
+        let message = &self.messages[&id];
         let routes: Vec<EndpointId> = self.routes.get(&message.destination)?.iter().copied().collect();
         let mut options = Vec::new();
         for endpoint in routes {
@@ -880,7 +891,7 @@
             if copy && late || !self.is_wise(unit_id, unsafe_class, copy, joined.is_some()) {
                 continue;
             }
-            if joined.is_none() && !self.is_warm_enough(endpoint, unit_id) {
+            if joined.is_none() && !(shared && self.is_warm_enough(endpoint, unit_id)) {
                 continue;
             }
             let known = &self.endpoints[&endpoint];
@@ -900,6 +911,41 @@
         options.into_iter().min().map(|(_, endpoint, joined)| (endpoint, joined))
     }
 
+    /// True if limits that all senders share leave this one a call to the destination now, beside its own pace.
+    /// Guards the limit against the sum of all senders; could starve a sender whose floor is small and that can't ask.
+    fn allowed_together(&mut self, destination: DestinationId) -> bool {
+        let Some(quota) = self.quotas.as_ref().map(|quotas| quotas.of(destination)) else { return true };
+        let units = self.units.range((destination, None)..=(destination, Some(EndpointId(u32::MAX))));
+        let well = units.into_iter().all(|(_, unit)| unit.health == Health::Well);
+        let (now, shares) = (self.now, [quota.rate, quota.cold.filter(|_| !well)]);
+        let Some(rate) = shares.into_iter().flatten().filter_map(|share| share.at(now)).min() else {
+            return true;
+        };
+        let new = Bucket { tokens: Bucket::CALL, at: now };
+        let bucket = self.buckets.entry(destination).or_insert(new);
+        bucket.refill(now, rate, (PACE_BURST * SECOND as f64) as Micros);
+        let allowed = bucket.tokens >= Bucket::CALL;
+        if !allowed && rate > 0 {
+            self.due = self.due.min(now.saturating_add(bucket.rest(rate)));
+        }
+        allowed
+    }
+
+    /// What this sender could use at each destination that it knows.
+    pub fn demand(&self) -> BTreeMap<DestinationId, Demand> {
+        let mut all: BTreeMap<DestinationId, Demand> =
+            self.routes.keys().map(|&destination| (destination, Demand::default())).collect();
+        for held in self.messages.values().filter(|held| held.open && !held.is_out()) {
+            all.entry(held.destination).or_default().waiting += 1;
+        }
+        for ((destination, _), unit) in &self.units {
+            let demand = all.entry(*destination).or_default();
+            (demand.out, demand.sent) = (demand.out + unit.in_flight as u64, demand.sent + unit.sent);
+            demand.sick |= unit.health != Health::Well;
+        }
+        all
+    }
+
     /// True if window, pace and health advise the call.
     fn is_wise(&mut self, id: UnitId, unsafe_class: bool, copy: bool, joins: bool) -> bool {
         let (now, safety) = (self.now, self.settings.safety.clone());
@@ -979,6 +1025,9 @@
             unit.tokens -= 1.0;
             unit.in_flight += 1;
             unit.sent += 1;
+            if let Some(bucket) = self.buckets.get_mut(&unit_id.0) {
+                bucket.tokens -= Bucket::CALL;
+            }
             if let Some(warmup) = self.endpoints.get_mut(&endpoint).and_then(|known| known.warmup.as_mut()) {
                 warmup.tokens -= 1.0;
             }
@@ -993,6 +1042,8 @@
             Effect::Keyed { window, .. } => message.deadline.min(now + window),
             Effect::Repeatable => message.deadline.min(now + offset * 10),
         };
+        let longest = self.quotas.as_ref().and_then(|quotas| quotas.of(unit_id.0).out);
+        let expires = longest.map_or(expires, |(_, longest)| expires.min(now + longest));
         if copy {
             message.copy_at = now + message.copy_step;
             message.copy_step *= 2;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,6 +102,65 @@
     }
 }
 
+/// What a sender may use of a limit that holds for all senders together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Without asking: in thousandths of a call a second, or in calls at once.
+    pub floor: u64,
+    /// Beside it, and until when; none within it: there is no limit for so long.
+    pub part: Option<(Option<u64>, Micros)>,
+}
+
+impl Share {
+    /// What may be used at a time; none: all that it likes.
+    pub fn at(&self, now: Micros) -> Option<u64> {
+        match self.part {
+            Some((part, until)) if now < until => part.map(|part| self.floor.saturating_add(part)),
+            _ => Some(self.floor),
+        }
+    }
+}
+
+/// What a sender may send to one destination, as far as all senders together are limited there.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Thousandths of a call a second.
+    pub rate: Option<Share>,
+    /// Calls out at once, and how long one may last at most.
+    pub out: Option<(Share, Micros)>,
+    /// Thousandths of a call a second while the destination is not well.
+    pub cold: Option<Share>,
+}
+
+/// Quotas by destination; what holds for one that is not named.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quotas {
+    /// Of these destinations.
+    pub named: BTreeMap<DestinationId, Quota>,
+    /// Of all others.
+    pub others: Quota,
+}
+
+impl Quotas {
+    /// The quota of a destination.
+    pub fn of(&self, destination: DestinationId) -> Quota {
+        self.named.get(&destination).copied().unwrap_or(self.others)
+    }
+}
+
+/// What a sender could use at a destination.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Messages that wait there for a call.
+    pub waiting: u64,
+    /// Calls out.
+    pub out: u64,
+    /// Calls sent since it was first seen.
+    pub sent: u64,
+    /// It is not well.
+    pub sick: bool,
+}
+
 /// A class of message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
@@ -534,6 +593,8 @@
 pub enum Event {
     /// Rules on which the senders agree; none: own settings alone hold.
     Agreed(Option<Box<Agreed>>),
+    /// What this sender may use of limits that hold for all; none: no such limits.
+    Shared(Option<Box<Quotas>>),
     /// What is known of the other senders; none where nothing is.
     Fleet(Option<FleetView>),
     /// News of the endpoint list.
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,11 +11,12 @@
 use net::driver::{Driver, Shared};
 use net::events::{Clock, Input};
 use net::journal::Journal;
+use net::ledger::settings::Ledger;
 use net::membership::settings::Membership;
 use net::pool::{Connections, Means, limits};
 use net::server::{Classes, Server, serve};
 use net::upgrade::{self, Frame, Lock, Taken};
-use net::{agreement, control, discovery, journal, membership};
+use net::{agreement, control, discovery, journal, ledger, membership};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -36,6 +37,10 @@
 /// Orders of operators that may wait.
 const ORDERS: usize = 64;
 
+/// The ways to parts that other settings may concern.
+type Parts =
+    (watch::Sender<Option<Membership>>, watch::Sender<Option<Agreement>>, watch::Sender<Option<Ledger>>);
+
 /// What runs beside the driver.
 type Task = Pin<Box<dyn Future<Output = ()>>>;
 
@@ -69,6 +74,8 @@
     let (moved, agent) = watch::channel(config.discovery);
     let (member, membership) = watch::channel(config.membership);
     let (agrees, agreement) = watch::channel(config.agreement);
+    let (shares, shared_limits) = watch::channel(config.ledger);
+    let (parts, parts_asked) = mpsc::channel(ORDERS);
     let (stop, stopping) = watch::channel(false);
     let (rules, rules_asked) = mpsc::channel(ORDERS);
     let (members, queries) = mpsc::channel(ORDERS);
@@ -79,6 +86,7 @@
             orders: orders.clone(),
             members,
             agreement: rules,
+            ledger: parts,
             ready: ready_seen.clone(),
             draining: draining.clone(),
         };
@@ -131,6 +139,7 @@
     let counted = Rc::new(Cell::new(senders));
     let listed = Rc::new(Cell::new(0));
     let floor = agreement.borrow().as_ref().map(|agreement| agreement::bounds(&agreement.floor));
+    let floors = shared_limits.borrow().as_ref().map(ledger::on_floors);
     let shared = Shared {
         clock,
         inputs: inputs.clone(),
@@ -157,6 +166,7 @@
         shared,
         handover,
         floor,
+        floors,
     );
     if let Some(mut link) = link {
         // an old process that is gone leaves all to this one just the same
@@ -183,6 +193,15 @@
     };
     let holds = agreement::hold(holds, agreement, rules_asked, stopping.clone());
     tokio::task::spawn_local(until_handed(Box::pin(holds)));
+    let holds = ledger::Means {
+        clock,
+        name: config.name.clone(),
+        seed: config.seed,
+        inputs: inputs.clone(),
+        agent: agent.clone(),
+    };
+    let holds = ledger::hold(holds, shared_limits, parts_asked, stopping.clone());
+    tokio::task::spawn_local(until_handed(Box::pin(holds)));
     let post = discovery::post_notices(agent, queue, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(post)));
     tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(
@@ -198,7 +217,7 @@
     };
     let part = membership::take_part(means, membership, queries, stopping);
     tokio::task::spawn_local(until_handed(Box::pin(part)));
-    tokio::task::spawn_local(reread(hangup, config.text, moved, (member, agrees), inputs.clone()));
+    tokio::task::spawn_local(reread(hangup, config.text, moved, (member, agrees, shares), inputs.clone()));
     draining.set(false);
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let driver = tokio::task::spawn_local(driver.run(received, ordered, successors));
@@ -229,8 +248,7 @@
 
 /// Rereads the configuration on each SIGHUP: settings and discovery come from a file that is whole, or neither.
 async fn reread(
-    mut hangup: Signal, mut text: Vec<u8>, moved: watch::Sender<SocketAddr>,
-    (member, agrees): (watch::Sender<Option<Membership>>, watch::Sender<Option<Agreement>>),
+    mut hangup: Signal, mut text: Vec<u8>, moved: watch::Sender<SocketAddr>, (member, agrees, shares): Parts,
     inputs: mpsc::UnboundedSender<Input>,
 ) {
     while hangup.recv().await.is_some() {
@@ -246,6 +264,7 @@
                 let _ = inputs.send(Input::Retuned(Box::new((new.settings, new.names, new.pool))));
                 replace(&member, new.membership);
                 replace(&agrees, new.agreement);
+                replace(&shares, new.ledger);
                 replace(&moved, new.discovery);
             }
             Err(error) => net::log(format_args!("SIGHUP: configuration left as it was: {error}")),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,6 +5,8 @@
 use super::agreement::settings::{Agreement, AgreementError};
 use super::discovery::parse_list;
 use super::events::ListUpdate;
+use super::ledger;
+use super::ledger::settings::{Ledger, LedgerError};
 use super::membership;
 use super::membership::settings::{Membership, MembershipError};
 use milletturn::pool::PoolSettings;
@@ -23,7 +25,7 @@
 /// Keys of a class that may be absent by the rules of the settings.
 const MAY_LACK: [&str; 2] = ["aimStretch", "oneAtATime"];
 /// Objects that may come and go.
-const PARTS: [&str; 3] = ["pool", "membership", "agreement"];
+const PARTS: [&str; 4] = ["pool", "membership", "agreement", "ledger"];
 
 /// Why the sender cannot start.
 #[derive(Debug, Error)]
@@ -46,6 +48,8 @@
     Membership(#[from] MembershipError),
     #[error(transparent)]
     Agreement(#[from] AgreementError),
+    #[error(transparent)]
+    Ledger(#[from] LedgerError),
 }
 
 /// All that the sender is told at its start.
@@ -74,6 +78,8 @@
     pub membership: Option<Membership>,
     /// How this sender agrees on rules with the others, if it does.
     pub agreement: Option<Agreement>,
+    /// Limits that hold for all senders, if there are any.
+    pub ledger: Option<Ledger>,
 }
 
 /// Reads the `pool` object; the process may hold so many descriptors.
@@ -149,6 +155,8 @@
     membership: Value,
     #[serde(default)]
     agreement: Value,
+    #[serde(default)]
+    ledger: Value,
     settings: Value,
 }
 
@@ -250,6 +258,7 @@
         settings.validate()?;
         let membership = membership::settings::read(&file.membership, &name, settings.senders)?;
         let agreement = agreement::settings::read(&file.agreement)?;
+        let ledger = ledger::settings::read(&file.ledger)?;
         let remembered = if membership.is_some() { membership::DISK } else { 0 };
         Ok(Config {
             name,
@@ -269,6 +278,7 @@
             pool,
             membership,
             agreement,
+            ledger,
         })
     }
 }
@@ -292,7 +302,11 @@
     let lacks = |what: &str| Err(ConfigError::Incomplete(format!("{path}{what}")));
     match (before, new) {
         // for the start alone, or with defaults for all that is not set
-        _ if ["/known", "/control", "/seed", "/pool", "/membership", "/agreement"].contains(&path) => Ok(()),
+        _ if ["/known", "/control", "/seed", "/pool", "/membership", "/agreement", "/ledger"]
+            .contains(&path) =>
+        {
+            Ok(())
+        }
         (Value::Object(before), Value::Object(new)) => {
             before.iter().try_for_each(|(name, value)| match new.get(name) {
                 Some(new) => complete(&format!("{path}/{name}"), value, new),
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -36,6 +36,7 @@
     pub orders: mpsc::Sender<Order>,
     pub members: mpsc::Sender<Query>,
     pub agreement: mpsc::Sender<Query>,
+    pub ledger: mpsc::Sender<Query>,
     pub ready: watch::Receiver<bool>,
     /// Set once the process takes nothing new.
     pub draining: Rc<Cell<bool>>,
@@ -119,7 +120,12 @@
             return report(&control.agreement, |reply| reply, (StatusCode::NOT_FOUND, "agreement is off"))
                 .await;
         }
-        ("/ready" | "/pools" | "/members" | "/agreement", _) => {
+        ("/ledger", &Method::GET) => {
+            seat.set_idle(false);
+            return report(&control.ledger, |reply| reply, (StatusCode::NOT_FOUND, "the ledger is off"))
+                .await;
+        }
+        ("/ready" | "/pools" | "/members" | "/agreement" | "/ledger", _) => {
             return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET));
         }
         ("/endpoints/disable", &Method::POST) => true,
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -18,7 +18,7 @@
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
 use milletturn::{
-    Action, Agreed, Bounds, EndpointId, Event, MILLISECOND, MessageId, Micros, Sender, Settings,
+    Action, Agreed, Bounds, EndpointId, Event, MILLISECOND, MessageId, Micros, Quotas, Sender, Settings,
 };
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -153,7 +153,7 @@
     pub fn new(
         sender: Sender, settings: Settings, names: Names, pool: PoolSettings, known: Option<ListUpdate>,
         journal: Journal, calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>,
-        shared: Shared, handover: Option<Handover>, floor: Option<Bounds>,
+        shared: Shared, handover: Option<Handover>, floor: Option<Bounds>, floors: Option<Quotas>,
     ) -> Self {
         let mut driver = Driver {
             settings: sender.settings().clone(),
@@ -200,6 +200,9 @@
         if taken_over || agreed.is_some() {
             driver.events.push(Event::Agreed(agreed));
         }
+        if taken_over || floors.is_some() {
+            driver.events.push(Event::Shared(floors.map(Box::new)));
+        }
         driver.retune(settings, names);
         if let Some(known) = known.filter(|_| !taken_over) {
             driver.list(known, true);
@@ -295,6 +298,14 @@
                 self.events.push(Event::Agreed(agreed));
                 self.binding.push(binds);
             }
+            Input::Shared(quotas, binds) => {
+                self.events.push(Event::Shared(quotas));
+                self.binding.push(binds);
+            }
+            Input::Wanted(reply) => {
+                // a part that is off by now asks no more
+                let _ = reply.send(self.sender.demand());
+            }
             Input::Fleet(view) => self.events.push(Event::Fleet(view)),
             Input::Listed(update) => self.list(update, false),
             Input::Blind(blind) => self.events.push(Event::Blind(blind)),
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -4,8 +4,9 @@
 use hyper::header::HeaderValue;
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
-use milletturn::{Agreed, FleetView, Micros, Outcome, Settings, Status};
+use milletturn::{Agreed, Demand, FleetView, Micros, Outcome, Quotas, Settings, Status};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
@@ -29,6 +30,10 @@
     Noticed(Vec<u64>),
     /// Rules on which the senders agree, and who is to be told once they bind all that is sent.
     Agreed(Option<Box<Agreed>>, oneshot::Sender<()>),
+    /// What this sender may use of limits that hold for all, and who is told once it binds.
+    Shared(Option<Box<Quotas>>, oneshot::Sender<()>),
+    /// Tells what could be used at each destination.
+    Wanted(oneshot::Sender<BTreeMap<u64, Demand>>),
     /// What is seen of the other senders; none where nothing is.
     Fleet(Option<FleetView>),
     /// New settings, checked.
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -102,6 +102,8 @@
             // the new one reads lists and settings itself, and posts notices
             Input::Retuned(_)
             | Input::Agreed(..)
+            | Input::Shared(..)
+            | Input::Wanted(_)
             | Input::Fleet(_)
             | Input::Linked(_)
             | Input::Listed(_)
--- /dev/null
+++ b/src/net/ledger/settings.rs
@@ -0,0 +1,91 @@
+//! The `ledger` object of the configuration, read strictly.
+
+use milletturn_ledger::{Floors, KINDS, Key};
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// Addresses beside discovery's own.
+const OTHERS_MOST: usize = 16;
+
+/// What is wrong with the object, and what to write instead.
+#[derive(Debug, Error)]
+pub enum LedgerError {
+    #[error("ledger: {0}; it has senders, floors and others")]
+    Json(#[from] serde_json::Error),
+    #[error("ledger.senders is not above zero; it is the number of senders that the registry's ledger names")]
+    Senders,
+    #[error("ledger.floors names '{0}'; write a kind ({kinds}) or a key like rate/7", kinds = KINDS.join(", "))]
+    Floor(String),
+    #[error("ledger.others is not a list of up to {OTHERS_MOST} addresses")]
+    Others,
+}
+
+/// How this sender shares limits with the others.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ledger {
+    /// Senders that are configured.
+    senders: u32,
+    /// What each may use without asking, by key or kind: the same for all senders, and the registry's.
+    floors: BTreeMap<String, u64>,
+    /// Replicas of the registry to be asked where the one at discovery's address does not answer.
+    #[serde(default)]
+    pub others: Vec<SocketAddr>,
+}
+
+impl Ledger {
+    /// The floors, as the registry's ledger has them.
+    pub fn floors(&self) -> Floors {
+        Floors { senders: self.senders, each: self.floors.clone() }
+    }
+}
+
+/// Reads the object; none if there is none.
+///
+/// # Errors
+/// Names the key that is wrong.
+pub fn read(value: &Value) -> Result<Option<Ledger>, LedgerError> {
+    if value.is_null() {
+        return Ok(None);
+    }
+    let ledger = Ledger::deserialize(value)?;
+    if ledger.senders == 0 {
+        return Err(LedgerError::Senders);
+    }
+    let named = |name: &str| KINDS.contains(&name) || name.parse::<Key>().is_ok();
+    if let Some(name) = ledger.floors.keys().find(|name| !named(name)) {
+        return Err(LedgerError::Floor(name.clone()));
+    }
+    if ledger.others.len() > OTHERS_MOST {
+        return Err(LedgerError::Others);
+    }
+    Ok(Some(ledger))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_faulty_object_names_its_key() {
+        let good = json!({ "senders": 3, "floors": { "rate": 50, "out/7": 0 }, "others": ["10.0.0.4:8500"] });
+        assert_eq!(read(&good).expect("good").expect("there").floors().senders, 3);
+        assert_eq!(read(&Value::Null).expect("none is none"), None);
+        for (key, value, told) in [
+            ("sender", json!(3), "unknown field `sender`"),
+            ("senders", json!(0), "ledger.senders is not"),
+            ("floors", json!({ "rte": 1 }), "ledger.floors names 'rte'"),
+            ("floors", json!({ "rate/x": 1 }), "ledger.floors names 'rate/x'"),
+            ("others", json!(vec!["10.0.0.4:1"; 17]), "ledger.others is not"),
+        ] {
+            let mut bad = good.clone();
+            bad[key] = value;
+            let error = read(&bad).expect_err(told).to_string();
+            assert!(error.contains(told), "{key}: {error}");
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod events;
 pub mod journal;
 pub mod leaving;
+pub mod ledger;
 pub mod membership;
 pub mod pool;
 pub mod server;
--- a/src/state.rs
+++ b/src/state.rs
@@ -194,6 +194,32 @@
     pub tokens_at: Micros,
 }
 
+/// Calls that a shared limit allows now, in thousand millionths, so that nothing is rounded up.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Bucket {
+    pub tokens: i64,
+    pub at: Micros,
+}
+
+impl Bucket {
+    /// One call.
+    pub const CALL: i64 = 1_000_000_000;
+
+    /// Adds what a rate, thousandths of a call a second, has brought since; at most a call or what comes in `burst`.
+    pub fn refill(&mut self, now: Micros, rate: u64, burst: Micros) {
+        let rate = i64::try_from(rate).unwrap_or(i64::MAX);
+        let most = rate.saturating_mul(burst).max(Bucket::CALL);
+        let come = rate.saturating_mul(now - self.at);
+        (self.tokens, self.at) = (self.tokens.saturating_add(come).min(most), now);
+    }
+
+    /// How long until there is a whole call.
+    pub fn rest(&self, rate: u64) -> Micros {
+        let rate = i64::try_from(rate).unwrap_or(i64::MAX).max(1);
+        (Bucket::CALL - self.tokens).max(0) / rate + 1
+    }
+}
+
 /// The last values of something, oldest first.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Samples(VecDeque<Micros>);
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -2,19 +2,9 @@
 
 mod node;
 
+use node::registry::Registry;
 use node::*;
 use serde_json::{Value, json};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-
-/// A registry of one replica; killed when dropped.
-struct Registry {
-    folder: PathBuf,
-    address: SocketAddr,
-    process: Child,
-}
 
 fn class(effect: Value, in_order: bool) -> Value {
     json!({ "accepted": true, "effect": effect, "attempts": 5, "in_order": in_order, "keyed_by": "reader",
@@ -34,75 +24,14 @@
     json!({ "classes": { "charge": class(json!("at_most_once"), true) }, "limits": { "calls": 2 } })
 }
 
-impl Registry {
-    fn new() -> Self {
-        let folder = fresh_folder();
-        let address = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port");
-        let write = |name: &str, text: String| std::fs::write(folder.join(name), text).expect("written");
-        write("floor.json", floor().to_string());
-        write("rules.json", rules("webhook").to_string());
-        write(
-            "registry.toml",
-            format!(
-                "cluster = \"test\"\nid = 1\nlisten = \"{address}\"\nfolder = \"log\"\n[agreement]\n\
-                 lease_ms = 2000\nfloor = \"floor.json\"\nrules = \"rules.json\"\n"
-            ),
-        );
-        let process = Registry::run(&folder);
-        Registry { folder, address, process }
-    }
-
-    fn run(folder: &Path) -> Child {
-        let program = Path::new(env!("CARGO_BIN_EXE_milletturn")).with_file_name("milletturn-registry");
-        assert!(program.exists(), "{} is built by cargo test --workspace", program.display());
-        let mut command = Command::new(program);
-        command.args(["run", "--config"]).arg(folder.join("registry.toml"));
-        command.stderr(Stdio::null()).spawn().expect("the registry starts")
-    }
-
-    fn ask(&self, method: &str, path: &str, body: &Value) -> Option<(u16, Value)> {
-        let mut stream = TcpStream::connect(self.address).ok()?;
-        let body = if body.is_null() { String::new() } else { body.to_string() };
-        let length = body.len();
-        let head = format!("{method} {path} HTTP/1.1\r\nhost: r\r\nconnection: close\r\n");
-        stream.write_all(format!("{head}content-length: {length}\r\n\r\n{body}").as_bytes()).ok()?;
-        let mut text = String::new();
-        stream.read_to_string(&mut text).ok()?;
-        let (head, body) = text.split_once("\r\n\r\n")?;
-        Some((head.split(' ').nth(1)?.parse().ok()?, serde_json::from_str(body).unwrap_or_default()))
-    }
-
-    fn until(&self, method: &str, path: &str, body: &Value) {
-        wait_until(path, || self.ask(method, path, body).is_some_and(|(status, _)| status == 200));
-    }
-
-    fn list(&self, uid: &str, endpoint: &Endpoint, dest: u64) {
-        let target = json!({ "endpoint": endpoint.address, "pod_group": dest, "az": "a", "model": "one" });
-        self.until("PUT", &format!("/v1/endpoints/{uid}"), &target);
-    }
-
-    fn kill(&mut self) {
-        self.process.kill().and_then(|()| self.process.wait()).expect("killed");
-    }
-
-    fn start(&mut self) {
-        self.process = Registry::run(&self.folder);
-    }
-
-    /// A sender that agrees by it.
-    fn sender(&self, name: &str) -> Node {
-        let mut agent = Agent::new(Vec::new());
-        agent.address = self.address;
-        let part = format!(r#""name":"{name}","agreement":{{"floor":{}}},"#, floor());
-        Node::configured_with(&agent, |text| with_part(&text.replace(r#""name":"n1","#, ""), &part)).ready()
-    }
+fn registry() -> Registry {
+    let files = [("floor.json", floor().to_string()), ("rules.json", rules("webhook").to_string())];
+    Registry::new(&files, "[agreement]\nlease_ms = 2000\nfloor = \"floor.json\"\nrules = \"rules.json\"\n")
 }
 
-impl Drop for Registry {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
+/// A sender that agrees by it.
+fn sender(registry: &Registry, name: &str) -> Node {
+    registry.sender(name, &format!(r#""agreement":{{"floor":{}}},"#, floor()))
 }
 
 fn acts_on(node: &Node) -> Value {
@@ -117,9 +46,9 @@
 #[test]
 fn senders_go_by_what_is_agreed_and_serve_on_by_the_floor_while_the_registry_is_gone() {
     let endpoint = Endpoint::new(|_, _| OK);
-    let mut registry = Registry::new();
+    let mut registry = self::registry();
     registry.list("s-1", &endpoint, 7);
-    let senders = [registry.sender("a"), registry.sender("b")];
+    let senders = [sender(&registry, "a"), sender(&registry, "b")];
     wait_until("both act on the first version", || senders.iter().all(|node| acts_on(node) == whole(1)));
     let taken = |node: &Node, class: &str, id: &str| node.hand_in(class, id, 7, 20_000, b"x");
     assert_eq!(["webhook", "order"].map(|class| taken(&senders[0], class, class)), [202, 429]);
@@ -146,9 +75,9 @@
 #[test]
 fn a_sender_with_another_floor_gets_no_lease_and_says_so() {
     let endpoint = Endpoint::new(|_, _| OK);
-    let registry = Registry::new();
+    let registry = self::registry();
     registry.list("s-1", &endpoint, 7);
-    let node = registry.sender("a");
+    let node = sender(&registry, "a");
     wait_until("it agrees", || acts_on(&node) == whole(1));
     let path = node.folder.join("config.json");
     let text = std::fs::read_to_string(&path).expect("its configuration");
@@ -168,7 +97,7 @@
 #[test]
 fn without_the_object_no_lease_is_asked_for() {
     let endpoint = Endpoint::new(|_, _| OK);
-    let registry = Registry::new();
+    let registry = self::registry();
     registry.list("s-1", &endpoint, 7);
     let mut agent = Agent::new(Vec::new());
     agent.address = registry.address;
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,145 @@
+//! Senders that hold a limit together by the registry's own program: while they want more than it, once it is lowered, while
+//! the keeper is gone, and across a restart and an upgrade.
+
+mod node;
+
+use node::registry::Registry;
+use node::*;
+use serde_json::{Value, json};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+const SENDERS: u32 = 3;
+/// Thousandths of a call a second that each may use without asking.
+const FLOOR: u64 = 500;
+const LEASE: Duration = Duration::from_millis(800);
+
+fn registry() -> Registry {
+    let lease = LEASE.as_millis();
+    let floors = format!("floors = {{ rate = {FLOOR} }}");
+    Registry::new(&[], &format!("[ledger]\nlease_ms = {lease}\nsenders = {SENDERS}\n{floors}\n"))
+}
+
+fn sender(registry: &Registry, name: &str) -> Node {
+    registry.sender(name, &format!(r#""ledger":{{"senders":{SENDERS},"floors":{{"rate":{FLOOR}}}}},"#))
+}
+
+fn set(registry: &Registry, total: u64) {
+    registry.until("PUT", "/v1/limits/rate/7", &json!({ "total": total }));
+}
+
+fn report(node: &Node) -> Value {
+    serde_json::from_str(&told(node, "GET /ledger")).expect("JSON")
+}
+
+/// The part of destination 7's rate that a sender has.
+fn part(node: &Node) -> Option<u64> {
+    let report = report(node);
+    let parts = report["parts"].as_array()?;
+    parts.iter().find(|part| part["key"] == "rate/7")?["part"].as_u64()
+}
+
+static MESSAGES: AtomicUsize = AtomicUsize::new(0);
+
+/// Keeps every sender at more than it may send for so long; how many calls came meanwhile, from `after` on.
+fn press(nodes: &[&Node], endpoint: &Endpoint, after: Duration, time: Duration) -> usize {
+    let (begin, mut before) = (Instant::now(), None);
+    while begin.elapsed() < after + time {
+        for node in nodes {
+            let number = MESSAGES.fetch_add(1, Ordering::SeqCst);
+            node.hand_in("webhook", &format!("p{number}"), 7, 900, b"x");
+        }
+        if begin.elapsed() >= after {
+            before.get_or_insert_with(|| (endpoint.count(), Instant::now()));
+        }
+        std::thread::sleep(Duration::from_millis(15));
+    }
+    let (count, _) = before.expect("the time has begun");
+    endpoint.count() - count
+}
+
+#[test]
+fn three_senders_hold_a_limit_together_and_serve_on_by_their_floors_while_the_keeper_is_gone() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let mut registry = registry();
+    registry.list("s-1", &endpoint, 7);
+    set(&registry, 20_000);
+    let nodes = ["a", "b", "c"].map(|name| sender(&registry, name));
+    let nodes: Vec<&Node> = nodes.iter().collect();
+    // one alone may have nearly all of it
+    press(&nodes[..1], &endpoint, Duration::ZERO, 2 * LEASE);
+    wait_until("a large part", || {
+        press(&nodes[..1], &endpoint, Duration::ZERO, LEASE / 4);
+        part(nodes[0]).is_some_and(|part| part > 12_000)
+    });
+    // all together have no more than the limit, beside one call that each may have saved, and make use of it
+    let span = Duration::from_millis(2500);
+    let calls = press(&nodes, &endpoint, 2 * LEASE, span);
+    let most = 20 * 2500 / 1000 + SENDERS as usize;
+    assert!(calls <= most + 2, "{calls} calls, {most} allowed");
+    assert!(calls >= most / 2, "{calls} calls of {most}");
+    let parts: u64 = nodes.iter().filter_map(|node| part(node)).sum();
+    assert!(parts + u64::from(SENDERS) * FLOOR <= 20_000, "{parts} dealt");
+    // lowered: within a lease and its drift all go by it
+    set(&registry, 5_000);
+    let calls = press(&nodes, &endpoint, LEASE + LEASE / 4, span);
+    let most = 5 * 2500 / 1000 + SENDERS as usize;
+    assert!(calls <= most + 2, "{calls} calls, {most} allowed");
+    // no keeper: the floors, on which they serve
+    registry.kill();
+    let calls = press(&nodes, &endpoint, LEASE + LEASE / 4, span);
+    let most = SENDERS as usize * (FLOOR as usize * 2500 / 1_000_000 + 2);
+    assert!((1..=most).contains(&calls), "{calls} calls, {most} allowed");
+    assert!(nodes.iter().all(|node| part(node).is_none()));
+    // it comes back and deals only once all that it may have dealt before has lapsed
+    registry.start();
+    wait_until("parts are had again", || {
+        press(&nodes, &endpoint, Duration::ZERO, LEASE / 4);
+        nodes.iter().any(|node| part(node).is_some_and(|part| part > 0))
+    });
+    assert!(nodes.iter().any(|node| node.logged("ledger: no parts")));
+}
+
+#[test]
+fn a_killed_sender_and_an_upgrade_begin_on_the_floor_and_two_processes_have_one_part() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let registry = registry();
+    registry.list("s-1", &endpoint, 7);
+    set(&registry, 20_000);
+    let node = sender(&registry, "a");
+    wait_until("a large part", || {
+        press(&[&node], &endpoint, Duration::ZERO, LEASE / 4);
+        part(&node).is_some_and(|part| part > 12_000)
+    });
+    let next = node.successor_as_configured().ready();
+    // what the old process may still use is not dealt to the new one
+    let span = 2 * LEASE;
+    let calls = press(&[&next], &endpoint, Duration::ZERO, span);
+    let most = 20 * span.as_millis() as usize / 1000;
+    assert!(calls <= most + 3, "{calls} calls, {most} allowed");
+    wait_until("a part of its own", || {
+        press(&[&next], &endpoint, Duration::ZERO, LEASE / 4);
+        part(&next).is_some_and(|part| part > 12_000)
+    });
+    assert!(next.logged("ledger: on the floors until parts are had"));
+}
+
+#[test]
+fn a_sender_with_other_floors_gets_no_part_and_one_without_the_object_asks_for_none() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let registry = registry();
+    registry.list("s-1", &endpoint, 7);
+    set(&registry, 20_000);
+    let other = registry.sender("a", r#""ledger":{"senders":4,"floors":{"rate":500}},"#);
+    wait_until("it is told why", || other.logged("the floor is not the one that is agreed here"));
+    assert_eq!(report(&other)["granted"], 0);
+    let off = registry.sender("b", "");
+    assert_eq!((off.operate("GET /ledger", ""), off.operate("POST /ledger", "")), (404, 405));
+    assert!(!off.logged("ledger"));
+    let limits = registry.ask("GET", "/v1/limits", &Value::Null).expect("an answer").1;
+    assert_eq!((&limits["lives"], &limits["limits"]["rate/7"]["total"]), (&json!(0), &json!(20_000)));
+    // a no names its code and what can be done
+    let (status, _) = registry.ask("PUT", "/v1/limits/rate/7", &json!({ "total": 1499 })).expect("an answer");
+    assert_eq!(status, 409);
+    assert_eq!(registry.ask("PUT", "/v1/limits/out/7", &json!({ "total": 9 })).expect("an answer").0, 400);
+}
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -1,6 +1,8 @@
 //! A real sender as a process of its own, with a scripted agent and scripted endpoints on loopback sockets.
 #![allow(dead_code)]
 
+pub mod registry;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
