--- a/src/decide.rs
+++ b/src/decide.rs
@@ -83,8 +83,7 @@
 /// Part of the fail-back budget that is used. Higher returns sooner, lower leaves room for other senders.
 const BUDGET_SHARE: f64 = 0.7;
 /// Part of a rough listed rate that a destination surely takes when warm. Higher returns sooner, lower spares
-/// one
-/// that is listed too high.
+/// one that is listed too high.
 const LISTED_SURE: f64 = 0.75;
 /// Calls in a fall span that all senders together may try at a sick unit, however little each knows of it.
 /// Higher finds the return sooner, lower spares a small destination.
@@ -417,14 +416,9 @@
         self.accept(message);
         let rest_until = self.now + self.key_rest(message.class);
         let Some(held) = self.messages.get_mut(&message.id) else { return };
-        held.attempts.extend(attempts.iter().map(|past| Attempt {
-            endpoint: past.endpoint,
-            sent: past.sent,
-            call: u64::MAX,
-            out: false,
-            may_have_run: past.may_have_run,
-            overlapped: true,
-            cancelled: false,
+        held.attempts.extend(attempts.iter().map(|past| {
+            let attempt = Attempt::new(past.endpoint, past.sent, u64::MAX);
+            Attempt { out: false, may_have_run: past.may_have_run, overlapped: true, ..attempt }
         }));
         let unsure = attempts.iter().any(|past| past.may_have_run);
         if let Some(line) = held.key.filter(|_| unsure).and_then(|key| self.keys.get_mut(&key)) {
@@ -912,7 +906,7 @@
     }
 
     /// True if limits that all senders share leave this one a call to the destination now, beside its own pace.
-    /// Guards the limit against the sum of all senders; could starve a sender whose floor is small and that can't ask.
+    /// Guards the limit against the sum of all; could starve a sender that can't ask and has a small floor.
     fn allowed_together(&mut self, destination: DestinationId) -> bool {
         let Some(quota) = self.quotas.as_ref().map(|quotas| quotas.of(destination)) else { return true };
         let units = self.units.range((destination, None)..=(destination, Some(EndpointId(u32::MAX))));
@@ -1053,15 +1047,7 @@
         }
         self.due = self.due.min(message.copy_at).min(now + silence + MILLISECOND);
         message.attempts.iter_mut().for_each(|attempt| attempt.overlapped |= attempt.out);
-        message.attempts.push(Attempt {
-            endpoint,
-            sent: now,
-            call: call_id,
-            out: true,
-            may_have_run: false,
-            overlapped: false,
-            cancelled: false,
-        });
+        message.attempts.push(Attempt::new(endpoint, now, call_id));
         actions.push(Action::Send { message: id, endpoint, expires });
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,14 @@
     pub cancelled: bool,
 }
 
+impl Attempt {
+    /// One that starts now.
+    pub fn new(endpoint: EndpointId, sent: Micros, call: u64) -> Self {
+        let (out, may_have_run, overlapped, cancelled) = (true, false, false, false);
+        Attempt { endpoint, sent, call, out, may_have_run, overlapped, cancelled }
+    }
+}
+
 /// A message until its end and the end of its attempts.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Held {
