--- a/src/decide.rs
+++ b/src/decide.rs
@@ -905,7 +905,7 @@
         options.into_iter().min().map(|(_, endpoint, joined)| (endpoint, joined))
     }
 
-    /// True if limits that all senders share leave this one a call to the destination now, beside its own pace.
+    /// True if limits that all senders share leave this one a call to the destination now.
     /// Guards the limit against the sum of all; could starve a sender that can't ask and has a small floor.
     fn allowed_together(&mut self, destination: DestinationId) -> bool {
         let Some(quota) = self.quotas.as_ref().map(|quotas| quotas.of(destination)) else { return true };
