--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -3,9 +3,12 @@
 //! A [`Limit`] binds all senders together. Each has a floor of it ([`Floors`]) that it may use without asking; the rest is
 //! dealt out by a [`Keeper`] in leased parts, which a [`Holder`] acts on for as long as its leases last. Floors and parts
 //! never add up to more than the limit: a part that may still be used is not dealt again. `docs/ledger.md` states the
-//! bound, and what is conserved when links, keepers and clocks fail.
+//! bound, and what is conserved when links, keepers and clocks fail. [`freeze`] holds changes of topology.
 
 mod book;
+#[cfg(feature = "calendar")]
+pub mod calendar;
+pub mod freeze;
 mod holder;
 mod keys;
 mod limits;
