Freeze: the registry refuses what a window holds, and each sender checks for itself

Cause: a list may come from a discovery that knows no calendar, so a freeze that only the registry keeps is none. The registry judges each change of the list, rules, limits and replicas when it is applied: 409 with window, end and what to do; a batch that mixes is refused whole; a drain that would leave a destination without an endpoint wants ?force=1. The leader has windows begin and end by the log's clock beside its own (PUT and GET /v1/freeze, POST and DELETE /v1/freeze/glass). A sender with a `freeze` object holds entries that widen, whoever lists them, obeys what takes away, goes by the windows that it knows when it hears no more, on the strict side, and admits held entries one at a time after the thaw. GET /freeze on the operators' address.

The hand-over has version 9.

--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 #[cfg(feature = "calendar")]
 pub mod calendar;
 pub mod freeze;
+pub mod gate;
 mod holder;
 mod keys;
 mod limits;
--- a/registry/src/core.rs
+++ b/registry/src/core.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch};
 
 /// Questions and messages that may wait for a turn, and that one turn takes in.
@@ -171,6 +171,8 @@
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             }
             if Instant::now() >= next {
+                let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                self.replica.tell_time(self.now(), unix.as_millis() as u64);
                 self.replica.tick(self.now(), &mut output);
                 // ticks that a pause swallowed are not made up for: others have seen the time pass
                 next = (next + tick).max(Instant::now());
--- a/registry/src/lib.rs
+++ b/registry/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod state;
 pub mod store;
 pub mod target;
+pub mod topology;
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -13,6 +13,8 @@
 use leading::Leading;
 pub use leading::Question;
 use milletturn_agreement::{Grant, Micros};
+use milletturn_ledger::calendar::{Clocks, SKEW_MS};
+use milletturn_ledger::freeze::{FreezeEntry, Matter, Widening};
 use raft::eraftpb::{ConfChange, ConfChangeType, Message};
 use raft::{Config, RawNode, ReadState, StateRole};
 use serde::{Deserialize, Serialize};
@@ -137,6 +139,10 @@
     keeping: Keeping,
     /// What a log begins with that lacks it: rules, a ledger.
     begin: Vec<Command>,
+    /// This machine's clock as told last, Unix time in ms; 0: not told.
+    wall_ms: u64,
+    /// The log's clock, and when it showed that here.
+    clock: Option<(u64, Micros)>,
     leader: u64,
     /// Other replicas take part than the snapshot says: one that comes would not take it.
     reshaped: bool,
@@ -185,6 +191,8 @@
             leading,
             keeping,
             begin,
+            wall_ms: 0,
+            clock: None,
             leader,
             reshaped,
         })
@@ -206,6 +214,29 @@
         self.raw.raft.state == StateRole::Leader
     }
 
+    /// What this machine's clock shows, Unix time in ms. It may jump.
+    pub fn tell_time(&mut self, now: Micros, wall_ms: u64) {
+        self.wall_ms = wall_ms;
+        if self.clock.is_none() && self.leads() && wall_ms > 0 {
+            // nothing was heard in this life: the log's clock may be as old as the last process
+            self.clock = Some((wall_ms.max(self.state.freeze.clock_ms()), now));
+        }
+    }
+
+    /// What the two clocks show that a calendar goes by; none while no clock was told.
+    pub fn clocks(&self, now: Micros) -> Option<Clocks> {
+        let carried = self.clock.map(|(ms, at)| ms + now.saturating_sub(at) / 1000);
+        (self.wall_ms > 0).then(|| Clocks { wall_ms: self.wall_ms, log_ms: carried.unwrap_or(self.wall_ms) })
+    }
+
+    /// The log's clock was written. One that is read again after a start is as old as that.
+    fn hear_clock(&mut self, now: Micros, ms: u64) {
+        let carried = self.clock.map(|(ms, at)| ms + now.saturating_sub(at) / 1000);
+        if carried.is_some() || self.wall_ms.abs_diff(ms) <= SKEW_MS {
+            self.clock = Some((carried.unwrap_or(ms).max(ms), now));
+        }
+    }
+
     /// One of [`TICK`] has passed.
     pub fn tick(&mut self, now: Micros, output: &mut Output) {
         self.raw.tick();
@@ -315,6 +346,8 @@
     pub fn reconfigure(&mut self, ticket: Ticket, change: ReplicaChange, output: &mut Output) {
         let answer = if !self.leads() {
             Answer::NotLeader(self.leader())
+        } else if let Err(held) = self.judge_replica(change) {
+            Answer::Refused(Refused::Freeze(held))
         } else if self.raw.raft.has_pending_conf() {
             Answer::Busy("another change of replicas is under way")
         } else if change.id == 0 {
@@ -333,6 +366,12 @@
         output.answers.push((ticket, answer));
     }
 
+    fn judge_replica(&self, change: ReplicaChange) -> Result<(), milletturn_ledger::freeze::FreezeError> {
+        let joins = change.place.is_some() && !self.state.replicas.contains_key(&change.id);
+        let matters = joins.then(|| Matter::of_all(Widening::Replica));
+        self.state.freeze.judge(matters.as_slice(), false)
+    }
+
     fn append_change(&mut self, change: ReplicaChange) -> Option<u64> {
         self.next += 1;
         let number = self.next;
@@ -427,6 +466,9 @@
                     let command: Command = postcard::from_bytes(&entry.data).map_err(unread)?;
                     let number = self.number_of(&entry.context);
                     let advances = matches!(command, Command::Advance(_));
+                    if let Command::Freeze(FreezeEntry::Clock(ms)) = &command {
+                        self.hear_clock(now, *ms);
+                    }
                     let applied = self.state.apply(command);
                     self.follow(now, &applied, advances, output);
                     let ticket = number.and_then(|number| self.proposals.remove(&number));
@@ -543,8 +585,19 @@
         let prs = self.raw.raft.prs();
         let active = |id: &u64| *id == self.id || prs.get(*id).is_some_and(|progress| progress.recent_active);
         let active: Vec<u64> = voters.iter().copied().filter(active).collect();
+        let clocks = self.clocks(now);
         let Some(leading) = &mut self.leading else { return };
         leading.hear_of(now, &voters, &active);
+        if let Some(clocks) = clocks {
+            for entry in leading.freeze_steps(now, &self.state.freeze, clocks) {
+                if !matches!(entry, FreezeEntry::Clock(_)) {
+                    output.notes.push(format!("freeze: {entry:?}"));
+                }
+                // one that can't be appended now is due again
+                self.append(&Command::Freeze(entry));
+            }
+        }
+        let Some(leading) = &mut self.leading else { return };
         let (steps, kept) = leading.steps(now, &self.state, &self.begin);
         if kept > 0 {
             let why = "heartbeats of many are missing at once: the fault is likelier here";
--- a/registry/src/replica/leading.rs
+++ b/registry/src/replica/leading.rs
@@ -5,6 +5,8 @@
 use crate::state::{Applied, Command, Refused, State};
 use milletturn_agreement::{Leases, Micros, Refusal, Rules, Tag, Terms};
 use milletturn_ledger::Entry;
+use milletturn_ledger::calendar::Clocks;
+use milletturn_ledger::freeze::{Freeze, FreezeEntry};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -14,6 +16,11 @@
 /// A replica that was not heard of for so long keeps nothing: two elections' time, in which a new leader would be found.
 const SILENT: Micros = 2_000_000;
 
+/// Steps of the freeze are looked for again so long after some were proposed.
+const FREEZE_REST: Micros = 300_000;
+/// Of two calendars both are in force for so long: every sender that is reached has asked twice in it.
+pub const SETTLES: Micros = 3_000_000;
+
 /// A sender's question for a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -54,6 +61,11 @@
     naming: BTreeMap<u64, u64>,
     /// When each voter was last heard of.
     heard: BTreeMap<u64, Micros>,
+    /// When steps of the freeze were proposed last, and since when two calendars are in force.
+    froze: Micros,
+    settles: Option<(u64, Micros)>,
+    /// It was said that the clocks differ.
+    clocks_differ: bool,
     /// Leases that ran out and were not renewed, in this term.
     pub lapsed: u64,
 }
@@ -72,6 +84,9 @@
             ledger_beginning: false,
             naming: BTreeMap::new(),
             heard: BTreeMap::new(),
+            froze: 0,
+            settles: None,
+            clocks_differ: false,
             lapsed: 0,
         }
     }
@@ -136,6 +151,29 @@
         }
     }
 
+    /// Windows that begin or end, calendars that have settled.
+    pub fn freeze_steps(&mut self, now: Micros, freeze: &Freeze, clocks: Clocks) -> Vec<FreezeEntry> {
+        if std::mem::replace(&mut self.clocks_differ, clocks.differ()) != clocks.differ() {
+            let Clocks { wall_ms, log_ms } = clocks;
+            tracing::warn!(wall_ms, log_ms, differ = clocks.differ(), "the strict side of the clocks holds");
+        }
+        if now < self.froze + FREEZE_REST {
+            return Vec::new();
+        }
+        let mut due = freeze.due(clocks);
+        let rev = freeze.before().map(|_| freeze.rev());
+        if rev != self.settles.map(|(rev, _)| rev) {
+            self.settles = rev.map(|rev| (rev, now));
+        }
+        due.extend(
+            self.settles.filter(|(_, since)| now >= since + SETTLES).map(|(rev, _)| FreezeEntry::Settle(rev)),
+        );
+        if !due.is_empty() {
+            self.froze = now;
+        }
+        due
+    }
+
     /// What the ledger lacks: its beginning, or keepers for ranges that have none that is alive.
     fn ledger_steps(&mut self, now: Micros, state: &State, begin: &[Command]) -> Vec<Command> {
         let Some(book) = &state.ledger else {
--- a/registry/src/replica/report.rs
+++ b/registry/src/replica/report.rs
@@ -3,9 +3,13 @@
 use super::Replica;
 use crate::store::Store;
 use milletturn_agreement::Micros;
+use milletturn_ledger::calendar::SKEW_MS;
 use raft::Storage;
 use serde_json::{Value, json};
 
+/// Windows that begin within so long are told ahead, ms: a sender that hears nothing more goes by them.
+const SOON_MS: u64 = 7 * 24 * 3600 * 1000;
+
 impl Replica {
     /// All that operators may want to know, as JSON; times are ms from now.
     pub fn report(&self, now: Micros) -> Value {
@@ -22,7 +26,7 @@
             "rev": self.state.rev, "targets": self.state.targets.len(),
             "proposals": self.proposals.len(), "questions": self.asked.len(),
             "rules": self.rules_report(now), "kept_endpoints": self.kept(),
-            "ledger": self.ledger_report(now),
+            "ledger": self.ledger_report(now), "freeze": self.freeze_report(now),
         })
     }
 
@@ -40,6 +44,27 @@
         report
     }
 
+    /// The freeze: the windows that are on or come soon, with the times until then, and how the clocks stand.
+    pub fn freeze_report(&self, now: Micros) -> Value {
+        let freeze = &self.state.freeze;
+        let Some(clocks) = self.clocks(now) else { return Value::Null };
+        let on = freeze.on().iter().map(|(name, on)| {
+            let left = (on.until_ms + SKEW_MS).saturating_sub(clocks.earliest());
+            json!({ "window": name, "ends_in_ms": left, "on": on })
+        });
+        let soon = freeze.soon(clocks, SOON_MS);
+        let soon = soon.into_iter().map(|(name, begins_in_ms, on)| {
+            json!({ "window": name, "begins_in_ms": begins_in_ms,
+                "ends_in_ms": (on.until_ms + SKEW_MS).saturating_sub(clocks.earliest()), "on": on })
+        });
+        json!({
+            "rev": freeze.rev(), "settled": freeze.before().is_none(),
+            "on": on.collect::<Vec<_>>(), "soon": soon.collect::<Vec<_>>(), "glass": freeze.glass(),
+            "glass_ends_in_ms": freeze.glass().map_or(0, |glass| glass.until_ms.saturating_sub(clocks.latest())),
+            "wall_ms": clocks.wall_ms, "log_ms": clocks.log_ms, "clocks_differ": clocks.differ(),
+        })
+    }
+
     fn kept(&self) -> Vec<&String> {
         self.leading.iter().flat_map(|leading| leading.beats.kept()).collect()
     }
--- a/registry/src/server.rs
+++ b/registry/src/server.rs
@@ -1,6 +1,7 @@
 //! What clients ask, over HTTP/1.1: discovery and notices as the protocol page has them, writing, leases, reports. A follower
 //! passes on what only a leader can answer.
 
+mod freeze;
 mod ledger;
 mod routes;
 mod watch;
@@ -241,6 +242,7 @@
                         StatusCode::PRECONDITION_FAILED
                     }
                     Refused::Ledger(error) => return Err(ledger::no(error)),
+                    Refused::Freeze(error) => return Err(freeze::no(error)),
                     Refused::Unknown(_) | Refused::NoRules => StatusCode::NOT_FOUND,
                     Refused::Target(_) | Refused::Rules(_) | Refused::Size(_) => StatusCode::BAD_REQUEST,
                     Refused::Senseless { .. } | Refused::Begun | Refused::Proposal(_) => StatusCode::CONFLICT,
--- /dev/null
+++ b/registry/src/server/freeze.rs
@@ -0,0 +1,73 @@
+//! What clients ask of the freeze: the calendar, the windows that are on, the glass.
+
+use super::ledger::explained;
+use super::{Asked, Body, No, Server, json, routes::read, routes::wanted};
+use crate::core::Asked as Question;
+use crate::replica::Answer;
+use crate::state::Command;
+use hyper::{Method, Response, StatusCode};
+use milletturn_ledger::freeze::{Calendar, FreezeEntry, FreezeError, Glass};
+use serde_json::json as value;
+use std::sync::Arc;
+
+/// The answer to what a freeze holds or does not take.
+pub(super) fn no(error: &FreezeError) -> No {
+    let status = match error {
+        FreezeError::Window { .. } | FreezeError::Many | FreezeError::Glass(_) => StatusCode::BAD_REQUEST,
+        FreezeError::Version { .. } => StatusCode::PRECONDITION_FAILED,
+        FreezeError::Whole => StatusCode::NOT_FOUND,
+        FreezeError::Held { .. }
+        | FreezeError::Mixed(_)
+        | FreezeError::Last { .. }
+        | FreezeError::UnderWay(_) => StatusCode::CONFLICT,
+    };
+    No::new(status, explained(error))
+}
+
+pub(super) async fn answer(asked: &Asked, server: &Arc<Server>, rest: &[&str]) -> Result<Response<Body>, No> {
+    let entry = match (rest, &asked.method) {
+        ([], &Method::GET) => return show(asked, server).await,
+        ([], &Method::PUT) => {
+            let calendar: Calendar = read(asked)?;
+            calendar.check().map_err(|error| no(&error))?;
+            FreezeEntry::Put { calendar, if_match: wanted(asked)? }
+        }
+        (["glass"], &Method::POST) => {
+            let glass: Glass = read(asked)?;
+            let clocks = server.core.look(|replica, now| replica.clocks(now)).await?;
+            let now_ms = clocks.ok_or_else(|| No::busy("the clock is not known yet"))?.earliest();
+            FreezeEntry::Break { glass, now_ms }
+        }
+        (["glass"], &Method::DELETE) => FreezeEntry::Mend,
+        ([] | ["glass"], method) => {
+            return Err(No::new(StatusCode::METHOD_NOT_ALLOWED, format!("{method} means nothing here")));
+        }
+        _ => return Err(No::new(StatusCode::NOT_FOUND, "no such path")),
+    };
+    match server.core.ask(Question::Change(Command::Freeze(entry))).await? {
+        Answer::Applied(_) => {
+            let rev = server.core.look(|replica, _| replica.state().freeze.rev()).await?;
+            Ok(json(&value!({ "rev": rev })))
+        }
+        other => server.otherwise(asked, other).await,
+    }
+}
+
+async fn show(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
+    match server.core.ask(Question::Read).await? {
+        Answer::Fresh => {}
+        other => return server.otherwise(asked, other).await,
+    }
+    let report = server.core.look(|replica, now| {
+        let mut report = replica.freeze_report(now);
+        if let (Some(clocks), freeze) = (replica.clocks(now), &replica.state().freeze) {
+            report["calendar"] = serde_json::to_value(freeze.calendar()).unwrap_or_default();
+            report["ended"] = value!(freeze.calendar().ended(clocks.earliest()));
+        }
+        report
+    });
+    match report.await? {
+        serde_json::Value::Null => Err(No::busy("the clock is not known yet")),
+        report => Ok(json(&report)),
+    }
+}
--- a/registry/src/server/routes.rs
+++ b/registry/src/server/routes.rs
@@ -80,6 +80,7 @@
             }
         }
         (["v1", "parts"], method) if method == post => super::ledger::parts(asked, server).await,
+        (["v1", "freeze", rest @ ..], _) => super::freeze::answer(asked, server, rest).await,
         (["v1", "limits", key @ ..], _) => super::ledger::limits(asked, server, key).await,
         (["v1", "rules"], method) if method == get => rules(asked, server).await,
         (["v1", "rules"], method) if method == put => propose(asked, server).await,
@@ -153,7 +154,12 @@
 
 async fn change(asked: &Asked, server: &Server, changes: Vec<Change>) -> Result<Response<Body>, No> {
     let if_match = wanted(asked)?;
-    match server.core.ask(Question::Change(Command::List { if_match, changes })).await? {
+    let command = match asked.query.as_str() {
+        "" => Command::List { if_match, changes },
+        "force=1" => Command::Forced { if_match, changes },
+        _ => return Err(No::bad("a write takes force=1 or nothing")),
+    };
+    match server.core.ask(Question::Change(command)).await? {
         Answer::Applied(applied) => Ok(json(&value!({ "rev": applied.rev }))),
         other => server.otherwise(asked, other).await,
     }
--- a/registry/src/state.rs
+++ b/registry/src/state.rs
@@ -2,7 +2,9 @@
 //! has the same state; no clock and no chance is in it.
 
 use crate::target::{BadTarget, Standing, Target};
+use crate::topology::{judge_limit, judge_list, judge_rules};
 use milletturn_agreement::{Proposal, Refusal, Rules, Senseless, Tag, Terms, Versions};
+use milletturn_ledger::freeze::{Freeze, FreezeEntry, FreezeError};
 use milletturn_ledger::{Book, BookError, Entry};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -74,6 +76,15 @@
     Advance(u64),
     /// Of the ledger.
     Ledger(Entry),
+    /// Of the freeze.
+    Freeze(FreezeEntry),
+    /// As a list's changes, also where a window would rather keep a destination's last endpoint.
+    Forced {
+        /// Only if the list has this version.
+        if_match: Option<u64>,
+        /// In order.
+        changes: Vec<Change>,
+    },
 }
 
 /// An endpoint that has changed, as it is now or was last, and whether it is gone.
@@ -88,7 +99,7 @@
     pub tag: Option<Tag>,
     /// Endpoints that have changed or are gone, as they are now or were last.
     pub changed: Vec<Changed>,
-    /// It was an entry of the ledger.
+    /// It was an entry of the ledger or the freeze.
     pub ledger: bool,
 }
 
@@ -135,6 +146,9 @@
     /// The ledger does not take it.
     #[error(transparent)]
     Ledger(#[from] BookError),
+    /// A freeze holds it, or does not take it.
+    #[error(transparent)]
+    Freeze(#[from] FreezeError),
 }
 
 /// The state.
@@ -152,31 +166,24 @@
     pub kept: BTreeMap<u64, Rules>,
     /// Replicas that came after the start.
     pub replicas: BTreeMap<u64, Place>,
-    /// The ledger. It stands last: a replica of the version before reads what lies before it.
+    /// The ledger. What came with later versions stands last: a replica of one before reads what lies before it.
     pub ledger: Option<Book>,
+    /// The freeze.
+    pub freeze: Freeze,
 }
 
-/// The state as the version before the ledger wrote it.
-#[derive(Deserialize)]
-struct Before {
-    rev: u64,
-    targets: BTreeMap<String, Target>,
-    versions: Option<Versions>,
-    terms: Option<Terms>,
-    kept: BTreeMap<u64, Rules>,
-    replicas: BTreeMap<u64, Place>,
-}
+/// Zeros that stand for what a version before did not know: no ledger, no calendar.
+const UNKNOWN: [u8; 8] = [0; 8];
 
 impl State {
-    /// Reads a snapshot of this version or the one before.
+    /// Reads a snapshot of this version or one before, whose store vouches for its bytes.
     ///
     /// # Errors
     /// It is neither.
     pub fn read(bytes: &[u8]) -> Result<Self, postcard::Error> {
         match postcard::from_bytes(bytes) {
             Err(postcard::Error::DeserializeUnexpectedEnd) => {
-                let Before { rev, targets, versions, terms, kept, replicas } = postcard::from_bytes(bytes)?;
-                Ok(State { rev, targets, versions, terms, kept, replicas, ledger: None })
+                postcard::from_bytes(&[bytes, &UNKNOWN].concat())
             }
             read => read,
         }
@@ -187,9 +194,10 @@
     /// # Errors
     /// Says why nothing was done.
     pub fn apply(&mut self, command: Command) -> Result<Applied, Refused> {
-        let ledger = matches!(command, Command::Ledger(_));
+        let ledger = matches!(command, Command::Ledger(_) | Command::Freeze(_));
         let changed = match command {
-            Command::List { if_match, changes } => self.change(if_match, &changes)?,
+            Command::List { if_match, changes } => self.change(if_match, &changes, false)?,
+            Command::Forced { if_match, changes } => self.change(if_match, &changes, true)?,
             Command::Expire(gone) => {
                 let still = |(uid, target): &(String, Target)| self.targets.get(uid) == Some(target);
                 let changes: Vec<Change> = gone
@@ -197,7 +205,8 @@
                     .filter(|gone| still(gone))
                     .map(|(uid, _)| Change::Remove { uid })
                     .collect();
-                self.change(None, &changes)?
+                // what has run out is gone, whatever is frozen
+                self.change(None, &changes, true)?
             }
             Command::Begin { floor, rules, terms } => {
                 if self.versions.is_some() {
@@ -212,6 +221,7 @@
             }
             Command::Rules(proposal) => {
                 proposal.rules.validate()?;
+                judge_rules(self, &proposal.rules)?;
                 let versions = self.versions.as_mut().ok_or(Refused::NoRules)?;
                 versions.propose(proposal)?;
                 let versions = versions.clone();
@@ -223,7 +233,14 @@
                 self.versions.as_mut().ok_or(Refused::NoRules)?.advance(version);
                 Vec::new()
             }
+            Command::Freeze(entry) => {
+                self.freeze.apply(entry)?;
+                Vec::new()
+            }
             Command::Ledger(entry) => {
+                if let Entry::Limit { key, limit, .. } = &entry {
+                    judge_limit(self, key, *limit)?;
+                }
                 Book::apply(&mut self.ledger, entry)?;
                 Vec::new()
             }
@@ -243,7 +260,9 @@
         }
     }
 
-    fn change(&mut self, if_match: Option<u64>, changes: &[Change]) -> Result<Vec<Changed>, Refused> {
+    fn change(
+        &mut self, if_match: Option<u64>, changes: &[Change], forced: bool,
+    ) -> Result<Vec<Changed>, Refused> {
         if let Some(wanted) = if_match.filter(|wanted| *wanted != self.rev) {
             return Err(Refused::Version { now: self.rev, wanted });
         }
@@ -255,6 +274,7 @@
         if targets.len() > TARGETS_MOST {
             return Err(Refused::Size("more than 10000 endpoints"));
         }
+        judge_list(self, &self.targets, &targets, forced)?;
         let before = std::mem::replace(&mut self.targets, targets);
         let now = self.targets.iter().filter(|(uid, target)| before.get(*uid) != Some(target));
         let gone = before.iter().filter(|(uid, _)| !self.targets.contains_key(*uid));
@@ -325,12 +345,50 @@
         let mut state = State::default();
         state.apply(list(vec![put("a", 1)])).expect("put");
         let bytes = postcard::to_allocvec(&state).expect("encoded");
-        // no ledger is one byte at the end
-        let before = &bytes[..bytes.len() - 1];
-        assert_eq!(State::read(before).as_ref(), Ok(&state));
+        // no ledger is one byte at the end, an empty freeze six
+        for unknown in [6, 7] {
+            let before = &bytes[..bytes.len() - unknown];
+            assert_eq!(State::read(before).as_ref(), Ok(&state), "without {unknown} bytes");
+        }
         assert_eq!(State::read(&bytes).as_ref(), Ok(&state));
-        assert_eq!(postcard::from_bytes::<Before>(&bytes).map(|before| before.rev), Ok(1));
-        assert!(State::read(&before[..before.len() - 1]).is_err());
+        // what lies before it is as it was: the version before stops there
+        type Before = (u64, BTreeMap<String, Target>, Option<Versions>, Option<Terms>);
+        assert_eq!(postcard::from_bytes::<Before>(&bytes).map(|before| before.0), Ok(1));
+    }
+
+    #[test]
+    fn a_freeze_holds_what_widens_and_lets_relief_pass() {
+        use milletturn_ledger::freeze::{On, Scope};
+        let mut state = State::default();
+        state.apply(list(vec![put("a", 1), put("b", 2)])).expect("put");
+        let (reason, owner) = ("term begins".to_string(), "lan".to_string());
+        let on = On { until_ms: 9, scope: Scope::default(), holds: Default::default(), reason, owner };
+        state.apply(Command::Freeze(FreezeEntry::Begin("w".into(), on))).expect("begun");
+        let drain = |uid: &str| Change::Drain { uid: uid.to_string() };
+        let hint =
+            |hint| Change::Put { uid: "a".into(), target: Target { capacity_hint: hint, ..target(1) } };
+        let moved = Change::Put { uid: "a".into(), target: Target { pod_group: 4, ..target(1) } };
+        for held in [put("c", 3), hint(9.0), moved] {
+            let refused = state.apply(list(vec![held.clone()]));
+            assert!(
+                matches!(refused, Err(Refused::Freeze(FreezeError::Held { .. }))),
+                "{held:?}: {refused:?}"
+            );
+        }
+        let mixed = state.apply(list(vec![drain("a"), put("c", 3)]));
+        assert_eq!(mixed, Err(Refused::Freeze(FreezeError::Mixed("w".into()))));
+        state.apply(list(vec![drain("a")])).expect("relief passes");
+        // a restart of what serves is neither
+        let started = Change::Put { uid: "b".into(), target: Target { boot_ms: 6, ..target(2) } };
+        state.apply(list(vec![started])).expect("passes");
+        let back = Change::Put { uid: "a".into(), target: Target { boot_ms: 7, ..target(1) } };
+        assert!(matches!(state.apply(list(vec![back])), Err(Refused::Freeze(FreezeError::Held { .. }))));
+        let last = state.apply(list(vec![drain("b")]));
+        assert!(matches!(last, Err(Refused::Freeze(FreezeError::Last { destination: 3, .. }))), "{last:?}");
+        let forced = Command::Forced { if_match: None, changes: vec![drain("b")] };
+        state.apply(forced).expect("forced");
+        state.apply(Command::Freeze(FreezeEntry::End("w".into()))).expect("ended");
+        state.apply(list(vec![put("c", 3)])).expect("after the thaw");
     }
 
     #[test]
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,14 +9,15 @@
 use net::control::Control;
 use net::discovery::{Backoff, Sight};
 use net::driver::{Driver, Shared};
-use net::events::{Clock, Input};
+use net::events::{Clock, Freezing, Input};
+use net::freeze::settings::FreezeSettings;
 use net::journal::Journal;
 use net::ledger::settings::Ledger;
 use net::membership::settings::Membership;
 use net::pool::{Connections, Means, limits};
 use net::server::{Classes, Server, serve};
 use net::upgrade::{self, Frame, Lock, Taken};
-use net::{agreement, control, discovery, journal, ledger, membership};
+use net::{agreement, control, discovery, freeze, journal, ledger, membership};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -38,8 +39,12 @@
 const ORDERS: usize = 64;
 
 /// The ways to parts that other settings may concern.
-type Parts =
-    (watch::Sender<Option<Membership>>, watch::Sender<Option<Agreement>>, watch::Sender<Option<Ledger>>);
+type Parts = (
+    watch::Sender<Option<Membership>>,
+    watch::Sender<Option<Agreement>>,
+    watch::Sender<Option<Ledger>>,
+    watch::Sender<Option<FreezeSettings>>,
+);
 
 /// What runs beside the driver.
 type Task = Pin<Box<dyn Future<Output = ()>>>;
@@ -76,6 +81,11 @@
     let (agrees, agreement) = watch::channel(config.agreement);
     let (shares, shared_limits) = watch::channel(config.ledger);
     let (parts, parts_asked) = mpsc::channel(ORDERS);
+    if let Some(settings) = &config.freeze {
+        // the first list is looked at by it
+        let _ = inputs.send(Input::Freezing(Freezing::On(settings.clone())));
+    }
+    let (freezes, frozen) = watch::channel(config.freeze);
     let (stop, stopping) = watch::channel(false);
     let (rules, rules_asked) = mpsc::channel(ORDERS);
     let (members, queries) = mpsc::channel(ORDERS);
@@ -167,6 +177,7 @@
         handover,
         floor,
         floors,
+        config.seed,
     );
     if let Some(mut link) = link {
         // an old process that is gone leaves all to this one just the same
@@ -202,6 +213,9 @@
     };
     let holds = ledger::hold(holds, shared_limits, parts_asked, stopping.clone());
     tokio::task::spawn_local(until_handed(Box::pin(holds)));
+    let means = freeze::Means { clock, seed: config.seed, inputs: inputs.clone(), agent: agent.clone() };
+    let follows = freeze::follow(means, frozen, stopping.clone());
+    tokio::task::spawn_local(until_handed(Box::pin(follows)));
     let post = discovery::post_notices(agent, queue, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(post)));
     tokio::task::spawn_local(until_handed(Box::pin(upgrade::wait_for_successor(
@@ -217,7 +231,13 @@
     };
     let part = membership::take_part(means, membership, queries, stopping);
     tokio::task::spawn_local(until_handed(Box::pin(part)));
-    tokio::task::spawn_local(reread(hangup, config.text, moved, (member, agrees, shares), inputs.clone()));
+    tokio::task::spawn_local(reread(
+        hangup,
+        config.text,
+        moved,
+        (member, agrees, shares, freezes),
+        inputs.clone(),
+    ));
     draining.set(false);
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let driver = tokio::task::spawn_local(driver.run(received, ordered, successors));
@@ -248,8 +268,8 @@
 
 /// Rereads the configuration on each SIGHUP: settings and discovery come from a file that is whole, or neither.
 async fn reread(
-    mut hangup: Signal, mut text: Vec<u8>, moved: watch::Sender<SocketAddr>, (member, agrees, shares): Parts,
-    inputs: mpsc::UnboundedSender<Input>,
+    mut hangup: Signal, mut text: Vec<u8>, moved: watch::Sender<SocketAddr>,
+    (member, agrees, shares, freezes): Parts, inputs: mpsc::UnboundedSender<Input>,
 ) {
     while hangup.recv().await.is_some() {
         let before = text.clone();
@@ -265,6 +285,7 @@
                 replace(&member, new.membership);
                 replace(&agrees, new.agreement);
                 replace(&shares, new.ledger);
+                replace(&freezes, new.freeze);
                 replace(&moved, new.discovery);
             }
             Err(error) => net::log(format_args!("SIGHUP: configuration left as it was: {error}")),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,6 +5,8 @@
 use super::agreement::settings::{Agreement, AgreementError};
 use super::discovery::parse_list;
 use super::events::ListUpdate;
+use super::freeze;
+use super::freeze::settings::{FreezeSettings, FreezeSettingsError};
 use super::ledger;
 use super::ledger::settings::{Ledger, LedgerError};
 use super::membership;
@@ -25,7 +27,7 @@
 /// Keys of a class that may be absent by the rules of the settings.
 const MAY_LACK: [&str; 2] = ["aimStretch", "oneAtATime"];
 /// Objects that may come and go.
-const PARTS: [&str; 4] = ["pool", "membership", "agreement", "ledger"];
+const PARTS: [&str; 5] = ["pool", "membership", "agreement", "ledger", "freeze"];
 
 /// Why the sender cannot start.
 #[derive(Debug, Error)]
@@ -50,6 +52,8 @@
     Agreement(#[from] AgreementError),
     #[error(transparent)]
     Ledger(#[from] LedgerError),
+    #[error(transparent)]
+    Freeze(#[from] FreezeSettingsError),
 }
 
 /// All that the sender is told at its start.
@@ -80,6 +84,8 @@
     pub agreement: Option<Agreement>,
     /// Limits that hold for all senders, if there are any.
     pub ledger: Option<Ledger>,
+    /// The freeze calendar, if it is kept to.
+    pub freeze: Option<FreezeSettings>,
 }
 
 /// Reads the `pool` object; the process may hold so many descriptors.
@@ -157,6 +163,8 @@
     agreement: Value,
     #[serde(default)]
     ledger: Value,
+    #[serde(default)]
+    freeze: Value,
     settings: Value,
 }
 
@@ -259,6 +267,7 @@
         let membership = membership::settings::read(&file.membership, &name, settings.senders)?;
         let agreement = agreement::settings::read(&file.agreement)?;
         let ledger = ledger::settings::read(&file.ledger)?;
+        let freeze = freeze::settings::read(&file.freeze)?;
         let remembered = if membership.is_some() { membership::DISK } else { 0 };
         Ok(Config {
             name,
@@ -279,6 +288,7 @@
             membership,
             agreement,
             ledger,
+            freeze,
         })
     }
 }
@@ -302,7 +312,7 @@
     let lacks = |what: &str| Err(ConfigError::Incomplete(format!("{path}{what}")));
     match (before, new) {
         // for the start alone, or with defaults for all that is not set
-        _ if ["/known", "/control", "/seed", "/pool", "/membership", "/agreement", "/ledger"]
+        _ if ["/known", "/control", "/seed", "/pool", "/membership", "/agreement", "/ledger", "/freeze"]
             .contains(&path) =>
         {
             Ok(())
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -110,6 +110,11 @@
             let ending = (StatusCode::SERVICE_UNAVAILABLE, "ending");
             return report(&control.orders, |reply| Order::Pools { reply }, ending).await;
         }
+        ("/freeze", &Method::GET) => {
+            seat.set_idle(false);
+            let off = (StatusCode::NOT_FOUND, "the freeze is off");
+            return report(&control.orders, |reply| Order::Frozen { reply }, off).await;
+        }
         ("/members", &Method::GET) => {
             seat.set_idle(false);
             return report(&control.members, |reply| reply, (StatusCode::NOT_FOUND, "membership is off"))
@@ -125,7 +130,7 @@
             return report(&control.ledger, |reply| reply, (StatusCode::NOT_FOUND, "the ledger is off"))
                 .await;
         }
-        ("/ready" | "/pools" | "/members" | "/agreement" | "/ledger", _) => {
+        ("/ready" | "/pools" | "/members" | "/agreement" | "/ledger" | "/freeze", _) => {
             return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET));
         }
         ("/endpoints/disable", &Method::POST) => true,
--- a/src/net/driver/handing.rs
+++ b/src/net/driver/handing.rs
@@ -65,6 +65,8 @@
             destination: route.destination,
             listed: route.listed,
             up: route.up,
+            zone: route.zone.clone(),
+            weight: route.weight,
         };
         let message = |(number, held): (&MessageId, &Message)| HandedMessage {
             number: number.0,
@@ -94,7 +96,8 @@
             out: self.out.iter().map(call).collect(),
             next_call: self.next_call,
             delivered: self.delivered.iter().map(text).collect(),
-            list_version: self.list_version,
+            // what a freeze holds of the list is not handed over: the next process asks for all of it
+            list_version: if self.holds_entries() { 0 } else { self.list_version },
             alarm: self.alarm,
             clients: self.shared.most.saturating_sub(self.shared.places.available_permits()),
         })
@@ -107,10 +110,11 @@
         (self.list_version, self.alarm) = (handover.list_version, handover.alarm);
         self.next_endpoint = handover.next_endpoint;
         for handed in handover.routes {
-            let HandedRoute { endpoint, uid, address, kind, destination, listed, up } = handed;
+            let HandedRoute { endpoint, uid, address, kind, destination, listed, up, zone, weight } = handed;
             let (endpoint, gone) = (EndpointId(endpoint), None);
             self.by_uid.insert(uid.clone(), endpoint);
-            self.routes.insert(endpoint, Route { uid, address, kind, destination, listed, up, gone });
+            self.routes
+                .insert(endpoint, Route { uid, address, kind, destination, listed, up, zone, weight, gone });
             self.admit(endpoint);
         }
         for handed in handover.messages {
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -1,6 +1,7 @@
 //! The turns: all that is ready becomes events, the decision module is asked once, its actions become calls.
 //! This is the only owner of the module and of the messages.
 
+mod frozen;
 mod handing;
 mod intake;
 mod orders;
@@ -76,6 +77,9 @@
     listed: bool,
     /// Nor that it drains.
     up: bool,
+    /// Its zone and weight, as listed last.
+    zone: String,
+    weight: f64,
     /// Since when nothing needs it any more, as far as that has been looked at.
     gone: Option<Instant>,
 }
@@ -140,6 +144,9 @@
     /// A lower version came: what changes of it tell rests on another list.
     behind: bool,
     behind_fault: Seldom,
+    /// What a freeze holds of the lists.
+    frozen: Option<Box<frozen::Frozen>>,
+    ramp: frozen::Ramp,
     /// Those that wait until agreed rules bind.
     binding: Vec<oneshot::Sender<()>>,
     shared: Shared,
@@ -153,7 +160,7 @@
     pub fn new(
         sender: Sender, settings: Settings, names: Names, pool: PoolSettings, known: Option<ListUpdate>,
         journal: Journal, calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>,
-        shared: Shared, handover: Option<Handover>, floor: Option<Bounds>, floors: Option<Quotas>,
+        shared: Shared, handover: Option<Handover>, floor: Option<Bounds>, floors: Option<Quotas>, seed: u64,
     ) -> Self {
         let mut driver = Driver {
             settings: sender.settings().clone(),
@@ -183,6 +190,8 @@
             agreed: floor.is_some(),
             behind: false,
             behind_fault: Seldom::default(),
+            frozen: None,
+            ramp: frozen::Ramp(seed),
             binding: Vec::new(),
             shared,
             predecessor: None,
@@ -240,6 +249,13 @@
                         let _ = reply.send(self.calls.connections().report(uid_of));
                         continue;
                     }
+                    Order::Frozen { reply } => {
+                        // without an answer it is off
+                        if let Some(report) = self.freeze_report() {
+                            let _ = reply.send(report);
+                        }
+                        continue;
+                    }
                 },
                 Some(successor) = successors.recv() => match self.hand_over(successor).await {
                     Next::GoOn => {}
@@ -250,7 +266,9 @@
                     self.calls.connections().sweep();
                     let written = self.journal.retry();
                     self.check(written);
-                    continue;
+                    if !self.thaw() {
+                        continue;
+                    }
                 }
                 input = inputs.recv() => match input {
                     Some(input) => self.learn(input),
@@ -302,6 +320,7 @@
                 self.events.push(Event::Shared(quotas));
                 self.binding.push(binds);
             }
+            Input::Freezing(freezing) => self.freeze(freezing),
             Input::Wanted(reply) => {
                 // a part that is off by now asks no more
                 let _ = reply.send(self.sender.demand());
--- a/src/net/driver/routes.rs
+++ b/src/net/driver/routes.rs
@@ -13,6 +13,12 @@
         if self.is_behind(&update, old) {
             return;
         }
+        let update = if old { update } else { self.without_held(update) };
+        self.take_list(update, old);
+    }
+
+    /// Takes a list as it is.
+    pub(super) fn take_list(&mut self, update: ListUpdate, old: bool) {
         // a list as known that is empty is none: the first watch is to tell all
         if !(old && update.targets.is_empty()) {
             self.list_version = update.version;
@@ -33,6 +39,7 @@
                 route.listed = listed.status != Status::Gone;
                 route.up = listed.status == Status::Serving;
                 (route.kind, route.destination) = (kind, listed.destination);
+                (route.zone, route.weight) = (listed.zone.clone(), listed.weight);
             }
             if !update.full {
                 self.admit(endpoint);
@@ -87,8 +94,10 @@
         self.next_endpoint += 1;
         let (uid, kind) = (uid.to_string(), usize::MAX);
         let (address, destination, listed, up, gone) = (None, 0, false, false, None);
+        let (zone, weight) = (String::new(), 0.0);
         self.by_uid.insert(uid.clone(), endpoint);
-        self.routes.insert(endpoint, Route { uid, address, kind, destination, listed, up, gone });
+        self.routes
+            .insert(endpoint, Route { uid, address, kind, destination, listed, up, zone, weight, gone });
         endpoint
     }
 
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -1,10 +1,12 @@
 //! What the parts tell the driver, what operators order, and the clock: data alone, known to all parts.
 
+use super::freeze::settings::FreezeSettings;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
 use milletturn::{Agreed, Demand, FleetView, Micros, Outcome, Quotas, Settings, Status};
+use milletturn_ledger::gate::News;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -32,6 +34,8 @@
     Agreed(Option<Box<Agreed>>, oneshot::Sender<()>),
     /// What this sender may use of limits that hold for all, and who is told once it binds.
     Shared(Option<Box<Quotas>>, oneshot::Sender<()>),
+    /// Of the freeze calendar.
+    Freezing(Freezing),
     /// Tells what could be used at each destination.
     Wanted(oneshot::Sender<BTreeMap<u64, Demand>>),
     /// What is seen of the other senders; none where nothing is.
@@ -43,6 +47,17 @@
     LinkLost,
 }
 
+/// What the driver's gate is told of the freeze.
+#[derive(Debug)]
+pub enum Freezing {
+    /// It is off: nothing is held.
+    Off,
+    /// It is on, by these settings.
+    On(FreezeSettings),
+    /// What the registry answered to a question that was asked then, and for how long a broken glass counts by it.
+    Told { asked: u64, fresh: u64, news: News },
+}
+
 /// Asks a part for its report, as JSON.
 pub type Query = oneshot::Sender<String>;
 
@@ -53,6 +68,8 @@
     SetOut { uid: String, out: bool, reply: oneshot::Sender<Verdict> },
     /// Tell how the connections to endpoints stand, as JSON.
     Pools { reply: Query },
+    /// Tell what the freeze holds, as JSON.
+    Frozen { reply: Query },
 }
 
 /// What came of an order.
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -103,6 +103,7 @@
             Input::Retuned(_)
             | Input::Agreed(..)
             | Input::Shared(..)
+            | Input::Freezing(_)
             | Input::Wanted(_)
             | Input::Fleet(_)
             | Input::Linked(_)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod discovery;
 pub mod driver;
 pub mod events;
+pub mod freeze;
 pub mod journal;
 pub mod leaving;
 pub mod ledger;
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -24,7 +24,7 @@
 
 /// What the two processes say to each other, the state of the module included. To be raised with every change
 /// of [`Frame`], of what it holds, or of anything that the module keeps.
-const VERSION: u32 = 8;
+const VERSION: u32 = 9;
 /// Asks the old process to leave the journal and go, handing over nothing else.
 const JOURNAL_ALONE: u32 = 0;
 const LOCK: &str = "lock";
@@ -93,6 +93,8 @@
     pub destination: u64,
     pub listed: bool,
     pub up: bool,
+    pub zone: String,
+    pub weight: f64,
 }
 
 /// A call that is out.
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -227,6 +227,11 @@
         let _ = stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes());
         return;
     }
+    if request.line.starts_with("GET /v1/freeze ") {
+        // a discovery that knows no calendar
+        let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
     assert!(request.line.starts_with("GET /v1/endpoints?watch=1&from="), "{}", request.line);
     let number = watches.fetch_add(1, Ordering::SeqCst);
     thread::sleep(*agent.late.lock().expect("not poisoned"));
