--- a/ledger/src/book.rs
+++ b/ledger/src/book.rs
@@ -2,7 +2,8 @@
 //! time is in it.
 
 use crate::keys::Key;
-use crate::limits::{Floors, Limit, LimitError, Limits};
+use crate::limits::{Floors, LIMITS_MOST, Limit, LimitError};
+use crate::splits::{self, ENDED_MOST, Ended, Flag, Plant, Query, Records, Rows, Split, SplitError, compare};
 use miette::Diagnostic;
 use milletturn_agreement::Terms;
 use serde::{Deserialize, Serialize};
@@ -42,15 +43,40 @@
         /// Who keeps it from now on.
         replica: u64,
     },
+    /// A range begins to be split.
+    Split {
+        /// Its first place.
+        first: u64,
+        /// The first place of the second child.
+        at: u64,
+        /// For a rehearsal: what is planted.
+        plant: Option<Plant>,
+    },
+    /// The split under way copies, and then compares, so many keys more.
+    Step(u64),
+    /// Queries have been read on both sides, or not; with a flag of one that disagreed.
+    Read {
+        /// Queries that were compared, and that were not.
+        queries: [u64; 2],
+        /// Where the sides disagreed.
+        flags: Vec<Flag>,
+    },
+    /// The split is cut over: its children own the keys.
+    Cut,
+    /// The split is undone.
+    Undo(SplitError),
 }
 
 /// A range of keys, up to where the next one begins.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Shard {
     /// One higher with each keeper.
     pub epoch: u64,
     /// The replica that deals its parts; none: nobody yet.
     pub keeper: Option<u64>,
+    /// The range and epoch whose parts it took over when that was split: a keeper that dealt them knows them.
+    pub from: Option<(u64, u64)>,
+    records: Records,
 }
 
 /// Why an entry did nothing.
@@ -90,6 +116,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Limit(#[from] LimitError),
+    /// A split can't be so.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Split(#[from] SplitError),
 }
 
 /// The ledger as the log has it.
@@ -98,8 +128,11 @@
     floors: Floors,
     terms: Terms,
     rev: u64,
-    limits: Limits,
     shards: BTreeMap<u64, Shard>,
+    /// The longest call that any limit ever allowed, ms.
+    linger_most: u64,
+    split: Option<Box<Split>>,
+    ended: Vec<Ended>,
 }
 
 impl Book {
@@ -116,7 +149,8 @@
                     return Err(BookError::Ranges);
                 }
                 let shards = [0].into_iter().chain(split_at).map(|first| (first, Shard::default())).collect();
-                *book = Some(Book { floors, terms, rev: 0, limits: Limits::default(), shards });
+                let (rev, linger_most, split, ended) = (0, 0, None, Vec::new());
+                *book = Some(Book { floors, terms, rev, shards, linger_most, split, ended });
                 Ok(())
             }
             (None, _) => Err(BookError::None),
@@ -124,19 +158,140 @@
                 if let Some(wanted) = if_match.filter(|wanted| *wanted != book.rev) {
                     return Err(BookError::Version { now: book.rev, wanted });
                 }
-                if book.limits.get(&key) != limit || limit.is_none() {
-                    book.limits.set(&book.floors, key, limit)?;
-                    book.rev += 1;
-                }
-                Ok(())
+                book.set(key, limit).map_err(BookError::from)
             }
             (Some(book), Entry::Keeper { shard, epoch, replica }) => {
                 if let Some(shard) = book.shards.get_mut(&shard).filter(|shard| shard.epoch == epoch) {
-                    *shard = Shard { epoch: epoch + 1, keeper: Some(replica) };
+                    (shard.epoch, shard.keeper, shard.from) = (epoch + 1, Some(replica), None);
+                }
+                Ok(())
+            }
+            (Some(book), Entry::Split { first, at, plant }) => Ok(book.begin_split(first, at, plant)?),
+            (Some(book), Entry::Step(count)) => {
+                let fence = book.rev;
+                if let Some((split, records)) = book.splitting() {
+                    let count = usize::try_from(count).unwrap_or(usize::MAX);
+                    if split.copied_all {
+                        split.walk(records, count, fence)
+                    } else {
+                        split.copy(records, count)
+                    }
                 }
                 Ok(())
             }
+            (Some(book), Entry::Read { queries: [compared, not], flags }) => {
+                if let Some(split) = &mut book.split {
+                    (split.queries, split.not_compared) =
+                        (split.queries + compared, split.not_compared + not);
+                    flags.into_iter().for_each(|flag| split.flag(flag));
+                }
+                Ok(())
+            }
+            (Some(book), Entry::Cut) => Ok(book.cut()?),
+            (Some(book), Entry::Undo(why)) => {
+                let split = book.split.take().ok_or(SplitError::None)?;
+                book.end(split.ended(Some(why)));
+                Ok(())
+            }
+        }
+    }
+
+    fn set(&mut self, key: Key, limit: Option<Limit>) -> Result<(), LimitError> {
+        let count: usize = self.shards.values().map(|shard| shard.records.len()).sum();
+        let (first, _) = self.shard_of(&key);
+        let Some(shard) = self.shards.get_mut(&first) else { return Err(LimitError::Unknown(key)) };
+        match limit {
+            None if !shard.records.contains_key(&key) => return Err(LimitError::Unknown(key)),
+            None => drop(shard.records.remove(&key)),
+            Some(limit) if shard.records.get(&key) == Some(&limit) => return Ok(()),
+            Some(limit) => {
+                limit.check(&self.floors, &key)?;
+                if count >= LIMITS_MOST && !shard.records.contains_key(&key) {
+                    return Err(LimitError::Many);
+                }
+                self.linger_most = self.linger_most.max(limit.linger_ms);
+                shard.records.insert(key.clone(), limit);
+            }
+        }
+        self.rev += 1;
+        let (fence, shard) = (self.rev, &shard.records);
+        if let Some(split) = self.split.as_mut().filter(|split| split.first == first) {
+            split.write(&key, limit);
+            split.look(shard, &key, fence);
         }
+        Ok(())
+    }
+
+    fn begin_split(&mut self, first: u64, at: u64, plant: Option<Plant>) -> Result<(), SplitError> {
+        if let Some(split) = &self.split {
+            return Err(SplitError::UnderWay(split.first));
+        }
+        if !self.shards.contains_key(&first) {
+            return Err(SplitError::Range(first));
+        }
+        let next = self.shards.range(first + 1..).next().map(|(next, _)| *next);
+        if at <= first || next.is_some_and(|next| at >= next) || self.shards.len() >= SHARDS_MOST {
+            return Err(SplitError::Place { first, at });
+        }
+        self.split = Some(Box::new(Split::new(first, at, plant)));
+        Ok(())
+    }
+
+    fn splitting(&mut self) -> Option<(&mut Split, &Records)> {
+        let split = self.split.as_deref_mut()?;
+        let records = &self.shards.get(&split.first)?.records;
+        Some((split, records))
+    }
+
+    /// Cuts over, if all has been compared equal: else nothing is done, and no fault.
+    fn cut(&mut self) -> Result<(), SplitError> {
+        let split = self.split.take_if(|split| split.is_proven()).ok_or(SplitError::None)?;
+        let Split { first, at, .. } = *split;
+        let parent = self.shards.get(&first).ok_or(SplitError::Range(first))?;
+        let (from, keeper, epoch) = (Some((first, parent.epoch)), parent.keeper, parent.epoch + 1);
+        let [left, right] = split.children.clone();
+        self.shards.insert(first, Shard { epoch, keeper, from, records: left });
+        self.shards.insert(at, Shard { epoch, keeper, from, records: right });
+        self.end(split.ended(None));
+        Ok(())
+    }
+
+    fn end(&mut self, ended: Ended) {
+        self.ended.push(ended);
+        while self.ended.len() > ENDED_MOST {
+            self.ended.remove(0);
+        }
+    }
+
+    /// The split under way.
+    pub fn split(&self) -> Option<&Split> {
+        self.split.as_deref()
+    }
+
+    /// Splits that have ended, the last ones.
+    pub fn ended(&self) -> &[Ended] {
+        &self.ended
+    }
+
+    /// Answers a query by the ranges as they are.
+    pub fn plain(&self, query: &Query) -> Rows {
+        splits::read(query, self.limits())
+    }
+
+    /// Answers a query. While a split runs, both sides are read at this one point of the log: the parent answers, and
+    /// a flag tells where its children disagree.
+    pub fn read(&self, query: &Query) -> (Rows, Option<Flag>) {
+        let rows = self.plain(query);
+        let Some(split) = self.split.as_ref().filter(|split| split.reads_both()) else { return (rows, None) };
+        let parent = self.shards.get(&split.first).map(|shard| &shard.records);
+        let parent = splits::read(query, parent.into_iter().flatten());
+        let flag = compare(Some(query), &parent, &split.read(query), self.rev);
+        (rows, flag)
+    }
+
+    /// The longest call that any limit ever allowed, ms.
+    pub fn linger_most(&self) -> u64 {
+        self.linger_most
     }
 
     /// What each sender may use without asking.
@@ -154,9 +309,14 @@
         self.rev
     }
 
-    /// The limits.
-    pub fn limits(&self) -> &Limits {
-        &self.limits
+    /// The limits, in the order of their keys.
+    pub fn limits(&self) -> impl Iterator<Item = (&Key, &Limit)> {
+        self.shards.values().flat_map(|shard| &shard.records)
+    }
+
+    /// One limit.
+    pub fn limit(&self, key: &Key) -> Option<Limit> {
+        self.shards.range(..=key.place()).next_back()?.1.records.get(key).copied()
     }
 
     /// The ranges by their first places.
@@ -165,9 +325,9 @@
     }
 
     /// The range of a key: its first place, and who keeps it.
-    pub fn shard_of(&self, key: &Key) -> (u64, Shard) {
+    pub fn shard_of(&self, key: &Key) -> (u64, Option<u64>) {
         let shard = self.shards.range(..=key.place()).next_back();
-        shard.map_or((0, Shard::default()), |(first, shard)| (*first, *shard))
+        shard.map_or((0, None), |(first, shard)| (*first, shard.keeper))
     }
 
     /// Ranges whose keeper is none of these, each with a keeper that has the fewest: what a leader proposes.
@@ -245,6 +405,92 @@
         assert_eq!(Book::apply(&mut book, again), Err(BookError::Begun));
     }
 
+    fn stepped(book: &mut Option<Book>, steps: usize) {
+        (0..steps).for_each(|_| Book::apply(book, Entry::Step(4)).expect("applied"));
+    }
+
+    fn with_limits(count: u64) -> Option<Book> {
+        let mut book = begun(vec![]);
+        for destination in 0..count {
+            let limit = Some(Limit { total: 100 + destination, linger_ms: 0 });
+            let entry = Entry::Limit { key: Key::of(destination, What::Rate), limit, if_match: None };
+            Book::apply(&mut book, entry).expect("set");
+        }
+        book
+    }
+
+    fn write(book: &mut Option<Book>, destination: u64, total: u64) {
+        let limit = Some(Limit { total, linger_ms: 0 });
+        let entry = Entry::Limit { key: Key::of(destination, What::Rate), limit, if_match: None };
+        Book::apply(book, entry).expect("written");
+    }
+
+    #[test]
+    fn a_split_under_writes_is_cut_over_with_every_key_on_its_side() {
+        let mut book = with_limits(20);
+        Book::apply(&mut book, Entry::Split { first: 0, at: 10, plant: None }).expect("begun");
+        for step in 0..30 {
+            write(&mut book, step * 7 % 24, 200 + step);
+            stepped(&mut book, 1);
+            // sixteen steps copy and compare twenty keys, four at a time
+            if step < 10 {
+                let early = Book::apply(&mut book, Entry::Cut);
+                assert!(early.is_err(), "cut before all was compared");
+            }
+        }
+        stepped(&mut book, 12);
+        let before: Vec<_> = book.as_ref().expect("begun").limits().map(|(k, l)| (k.clone(), *l)).collect();
+        Book::apply(&mut book, Entry::Cut).expect("cut over");
+        let book = book.expect("begun");
+        let after: Vec<_> = book.limits().map(|(k, l)| (k.clone(), *l)).collect();
+        assert_eq!(before, after);
+        assert_eq!(book.shards().keys().copied().collect::<Vec<_>>(), [0, 10]);
+        assert!(book.shards()[&10].records.keys().all(|key| key.place() >= 10));
+        assert_eq!((book.ended()[0].undone.as_ref(), book.ended()[0].flagged), (None, 0));
+    }
+
+    #[test]
+    fn each_planted_difference_is_flagged_by_queries_and_by_the_walk_and_never_cut_over() {
+        for plant in [Plant::Lost, Plant::Doubled, Plant::WrongSide, Plant::Stale, Plant::Order] {
+            let mut book = with_limits(20);
+            Book::apply(&mut book, Entry::Split { first: 0, at: 10, plant: Some(plant) }).expect("begun");
+            stepped(&mut book, 6);
+            write(&mut book, 4, 999);
+            let queries = [
+                Query::Range { from: 0, to: None },
+                Query::One(Key::of(4, What::Rate)),
+                Query::Sum("rate".to_string()),
+            ];
+            let here = book.as_ref().expect("begun");
+            let found: Vec<_> = queries.iter().filter_map(|query| here.read(query).1).collect();
+            assert!(!found.is_empty(), "{plant:?}");
+            assert!(found.iter().all(|flag| flag.fence == here.rev()));
+            assert_eq!(here.read(&queries[1]).0, [(Some(Key::of(4, What::Rate)), 999)], "the parent answers");
+            if plant == Plant::Order {
+                assert_eq!(found[0].difference, crate::splits::Difference::Order);
+                Book::apply(&mut book, Entry::Read { queries: [1, 0], flags: found }).expect("told");
+            }
+            stepped(&mut book, 12);
+            let split = book.as_ref().and_then(Book::split).expect("under way").clone();
+            assert!(split.flagged > 0 && split.compared_all, "{plant:?}: {split:?}");
+            assert_eq!(Book::apply(&mut book, Entry::Cut), Err(SplitError::None.into()));
+            let why = SplitError::Flags(split.flagged);
+            Book::apply(&mut book, Entry::Undo(why.clone())).expect("undone");
+            let book = book.expect("begun");
+            assert_eq!((book.shards().len(), book.ended()[0].undone.as_ref()), (1, Some(&why)));
+        }
+    }
+
+    #[test]
+    fn a_split_that_makes_no_sense_is_refused() {
+        let mut book = with_limits(5);
+        let split = |first, at| Entry::Split { first, at, plant: None };
+        assert_eq!(Book::apply(&mut book, split(3, 4)), Err(SplitError::Range(3).into()));
+        assert_eq!(Book::apply(&mut book, split(0, 0)), Err(SplitError::Place { first: 0, at: 0 }.into()));
+        Book::apply(&mut book, split(0, 3)).expect("begun");
+        assert_eq!(Book::apply(&mut book, split(0, 2)), Err(SplitError::UnderWay(0).into()));
+    }
+
     #[test]
     fn an_entry_has_these_bytes() {
         let key = Key::of(7, What::Rate);
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -14,10 +14,11 @@
 mod keys;
 mod limits;
 mod parts;
+pub mod splits;
 
 pub use book::{Book, BookError, Entry, Shard};
 pub use holder::{Holder, Wanted};
 pub use keys::{BadKey, KINDS, Key, What};
-pub use limits::{BadLimit, Floors, Limit, LimitError, Limits};
+pub use limits::{BadLimit, Floors, Limit, LimitError};
 pub use milletturn_agreement::{Micros, Terms};
 pub use parts::{Dealt, Keeper, Want};
--- a/ledger/src/limits.rs
+++ b/ledger/src/limits.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Limits that a log may have.
-const LIMITS_MOST: usize = 20_000;
+pub(crate) const LIMITS_MOST: usize = 20_000;
 /// Greatest limit: sums of all floors and parts stay far within the integers.
 const TOTAL_MOST: u64 = 1 << 40;
 
@@ -122,48 +122,27 @@
     Unknown(Key),
 }
 
-/// The limits.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Limits(BTreeMap<Key, Limit>);
-
-impl Limits {
-    /// Sets or removes one.
+impl Limit {
+    /// Checks that it can stand for a key.
     ///
     /// # Errors
-    /// Says why nothing has changed.
-    pub fn set(&mut self, floors: &Floors, key: Key, limit: Option<Limit>) -> Result<(), LimitError> {
-        let Some(limit) = limit else {
-            return self.0.remove(&key).map(drop).ok_or(LimitError::Unknown(key));
-        };
-        if limit.total > TOTAL_MOST {
-            return Err(BadLimit::Large(limit.total).into());
+    /// Says why it can't.
+    pub fn check(self, floors: &Floors, key: &Key) -> Result<(), LimitError> {
+        if self.total > TOTAL_MOST {
+            return Err(BadLimit::Large(self.total).into());
         }
-        if key.is_rate() != (limit.linger_ms == 0) || limit.linger_ms > 600_000 {
-            return Err(BadLimit::Linger(key, limit.linger_ms).into());
+        if key.is_rate() != (self.linger_ms == 0) || self.linger_ms > 600_000 {
+            return Err(BadLimit::Linger(key.clone(), self.linger_ms).into());
         }
-        if !floors.name(&key) {
-            return Err(LimitError::Unnamed(key));
+        if !floors.name(key) {
+            return Err(LimitError::Unnamed(key.clone()));
         }
-        if floors.sum(&key) > limit.total {
-            let (senders, floor, total) = (floors.senders, floors.of(&key), limit.total);
-            return Err(LimitError::Floors { key, senders, floor, total });
+        if floors.sum(key) > self.total {
+            let (senders, floor, total) = (floors.senders, floors.of(key), self.total);
+            return Err(LimitError::Floors { key: key.clone(), senders, floor, total });
         }
-        if self.0.len() >= LIMITS_MOST && !self.0.contains_key(&key) {
-            return Err(LimitError::Many);
-        }
-        self.0.insert(key, limit);
         Ok(())
     }
-
-    /// One limit.
-    pub fn get(&self, key: &Key) -> Option<Limit> {
-        self.0.get(key).copied()
-    }
-
-    /// All, in the order of their keys.
-    pub fn iter(&self) -> impl Iterator<Item = (&Key, &Limit)> {
-        self.0.iter()
-    }
 }
 
 #[cfg(test)]
@@ -179,22 +158,20 @@
         let (other, seven) = (Key::of(3, What::Rate), Key::of(7, What::Rate));
         let out = Key::of(7, What::Out);
         assert_eq!((floors.of(&other), floors.of(&seven), floors.of(&out)), (5, 20, 0));
-        let mut limits = Limits::default();
-        let limit = |total, linger_ms| Some(Limit { total, linger_ms });
-        assert_eq!(limits.set(&floors, seven.clone(), limit(200, 0)), Ok(()));
+        let check = |key: &Key, total, linger_ms| Limit { total, linger_ms }.check(&floors, key);
+        assert_eq!(check(&seven, 200, 0), Ok(()));
+        assert_eq!(check(&out, 3, 500), Ok(()));
         let errors = [
-            limits.set(&floors, seven.clone(), limit(199, 0)),
-            limits.set(&floors, out.clone(), limit(3, 0)),
-            limits.set(&floors, seven.clone(), limit(300, 5)),
-            limits.set(&floors, seven.clone(), limit(u64::MAX, 0)),
-            limits.set(&floors, other, None),
-            limits.set(&floors, Key::of(7, What::Cold), limit(300, 0)),
+            check(&seven, 199, 0),
+            check(&other, 49, 0),
+            check(&out, 3, 0),
+            check(&seven, 300, 5),
+            check(&seven, u64::MAX, 0),
+            check(&Key::of(7, What::Cold), 300, 0),
         ];
         for error in errors {
             let error = error.expect_err("refused");
             assert!(error.help().is_some() && error.code().is_some(), "{error}");
         }
-        assert_eq!(limits.get(&seven).map(|limit| limit.total), Some(200));
-        assert_eq!(limits.set(&floors, out, limit(3, 500)), Ok(()));
     }
 }
--- /dev/null
+++ b/ledger/src/splits.rs
@@ -0,0 +1,389 @@
+//! A split of a range: its keys are copied to two children while it goes on to answer, every write goes to both sides, and
+//! both are read for one question at one point of the log. It is cut over once every key has been compared equal; a
+//! difference is kept with both sides, and has the split undone.
+
+use crate::keys::Key;
+use crate::limits::Limit;
+use miette::Diagnostic;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+use thiserror::Error;
+
+/// Flags that are kept of one split; more are counted.
+const FLAGS_MOST: usize = 32;
+/// Ended splits that are remembered.
+pub(crate) const ENDED_MOST: usize = 16;
+
+/// What a range holds.
+pub(crate) type Records = BTreeMap<Key, Limit>;
+
+/// A difference that a rehearsal plants into the children, to see it found. Such a split is never cut over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Plant {
+    /// A write is lost.
+    Lost,
+    /// It is in both children.
+    Doubled,
+    /// It is in the wrong one.
+    WrongSide,
+    /// A child has an older value.
+    Stale,
+    /// The children answer in the wrong order.
+    Order,
+}
+
+/// How two sides differ.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Difference {
+    /// One side lacks it.
+    Missing,
+    /// One side has it twice.
+    Twice,
+    /// The values differ.
+    Value,
+    /// The same, in another order.
+    Order,
+}
+
+/// A question that may span ranges.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Query {
+    /// All limits from one place up to another.
+    Range {
+        /// The first place.
+        from: u64,
+        /// The place after the last; none: to the end.
+        to: Option<u64>,
+    },
+    /// The limit of one key.
+    One(Key),
+    /// The sum of all limits of a kind.
+    Sum(String),
+}
+
+impl fmt::Display for Query {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Query::Range { from, to: None } => write!(f, "range from {from}"),
+            Query::Range { from, to: Some(to) } => write!(f, "range from {from} to {to}"),
+            Query::One(key) => write!(f, "{key}"),
+            Query::Sum(kind) => write!(f, "sum of {kind}"),
+        }
+    }
+}
+
+/// An answer in its one form: rows in the order of their keys; a sum is one row without a key.
+pub type Rows = Vec<(Option<Key>, u64)>;
+
+impl Query {
+    /// Answers from records in the order in which they are given.
+    fn answer<'a>(&self, records: impl Iterator<Item = (&'a Key, &'a Limit)>) -> Rows {
+        let row = |(key, limit): (&Key, &Limit)| (Some(key.clone()), limit.total);
+        match self {
+            Query::Range { from, to } => {
+                let within = |key: &Key| key.place() >= *from && to.is_none_or(|to| key.place() < to);
+                records.filter(|(key, _)| within(key)).map(row).collect()
+            }
+            Query::One(key) => records.filter(|(other, _)| *other == key).map(row).collect(),
+            Query::Sum(kind) => {
+                let of_kind = records.filter(|(key, _)| key.kind() == kind);
+                vec![(None, of_kind.fold(0, |sum: u64, (_, limit)| sum.saturating_add(limit.total)))]
+            }
+        }
+    }
+}
+
+/// A disagreement.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Flag {
+    /// The question; none: the walk over all keys found it.
+    pub query: Option<Query>,
+    /// The first key in which the sides differ, if it is one.
+    pub key: Option<Key>,
+    /// How.
+    pub difference: Difference,
+    /// What the parent has of it.
+    pub parent: Vec<u64>,
+    /// What the children have of it, merged.
+    pub children: Vec<u64>,
+    /// The point of the log at which both were read.
+    pub fence: u64,
+}
+
+/// Compares two answers; none where they are the same.
+pub fn compare(query: Option<&Query>, parent: &Rows, children: &Rows, fence: u64) -> Option<Flag> {
+    if parent == children {
+        return None;
+    }
+    let of = |rows: &Rows, key: &Option<Key>| -> Vec<u64> {
+        rows.iter().filter(|(other, _)| other == key).map(|(_, total)| *total).collect()
+    };
+    let keys = parent.iter().chain(children).map(|(key, _)| key);
+    let differing =
+        keys.map(|key| (key, of(parent, key), of(children, key))).find(|(_, one, other)| one != other);
+    let query = query.cloned();
+    Some(match differing {
+        None => {
+            let (key, _) = parent.iter().zip(children).find(|(one, other)| one != other)?.0;
+            let (parent, children) = (Vec::new(), Vec::new());
+            Flag { query, key: key.clone(), difference: Difference::Order, parent, children, fence }
+        }
+        Some((key, parent, children)) => {
+            let difference = match (parent.len(), children.len()) {
+                (0, _) | (_, 0) => Difference::Missing,
+                (1, 1) => Difference::Value,
+                _ => Difference::Twice,
+            };
+            Flag { query, key: key.clone(), difference, parent, children, fence }
+        }
+    })
+}
+
+/// Why a split does not begin, or is undone.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic, Serialize, Deserialize)]
+pub enum SplitError {
+    /// There is no such range.
+    #[error("no range begins at {0}")]
+    #[diagnostic(code(ledger::split::range), help("GET /v1/limits lists the ranges by their first places"))]
+    Range(u64),
+    /// The place is not inside it.
+    #[error("{at} is not inside the range that begins at {first}")]
+    #[diagnostic(
+        code(ledger::split::place),
+        help("name a destination after the first of the range and before the next range")
+    )]
+    Place {
+        /// The range.
+        first: u64,
+        /// Where it was to be split.
+        at: u64,
+    },
+    /// One is under way.
+    #[error("a split of the range that begins at {0} is under way")]
+    #[diagnostic(
+        code(ledger::split::under_way),
+        help("wait for its end (GET /v1/splits), or undo it (DELETE /v1/splits)")
+    )]
+    UnderWay(u64),
+    /// None is under way.
+    #[error("no split is under way")]
+    #[diagnostic(code(ledger::split::none), help("GET /v1/splits tells how the last ones ended"))]
+    None,
+    /// The sides disagree.
+    #[error("{0} answers of the two sides disagree")]
+    #[diagnostic(
+        code(ledger::split::flags),
+        help(
+            "GET /v1/splits has both sides of each; the range is as it was: report it before it is split again"
+        )
+    )]
+    Flags(u64),
+    /// It took too long.
+    #[error("it was not compared in whole in time")]
+    #[diagnostic(code(ledger::split::late), help("split it at a quieter time, or a smaller part of it"))]
+    Late,
+    /// A freeze began.
+    #[error("window {0} began before every key had been compared")]
+    #[diagnostic(code(ledger::split::frozen), help("split it again after the window"))]
+    Frozen(String),
+    /// An operator undid it.
+    #[error("an operator undid it")]
+    #[diagnostic(code(ledger::split::undone), help("the range is as it was"))]
+    Undone,
+    /// It was a rehearsal.
+    #[error("it was a rehearsal, and every key was compared without a flag")]
+    #[diagnostic(
+        code(ledger::split::rehearsed),
+        help("what was planted was not found: report it, and split nothing")
+    )]
+    Rehearsed,
+}
+
+/// A split under way.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Split {
+    /// The range's first place.
+    pub first: u64,
+    /// The first place of the second child.
+    pub at: u64,
+    /// What a rehearsal plants.
+    pub plant: Option<Plant>,
+    /// The two sides of the children.
+    pub(crate) children: [Records; 2],
+    /// Keys up to here have been copied; none: nothing has.
+    pub(crate) copied: Option<Key>,
+    /// All have been.
+    pub copied_all: bool,
+    /// Keys up to here have been compared.
+    pub(crate) compared: Option<Key>,
+    /// All have been, by the walk.
+    pub compared_all: bool,
+    /// Queries that were read on both sides.
+    pub queries: u64,
+    /// Queries that were not, since the keeper had other work.
+    pub not_compared: u64,
+    /// Flags, the first ones of them.
+    pub flags: Vec<Flag>,
+    /// How many there were.
+    pub flagged: u64,
+}
+
+/// A split that has ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The range's first place.
+    pub first: u64,
+    /// Where it was to be split.
+    pub at: u64,
+    /// Why it was undone; none: it was cut over.
+    pub undone: Option<SplitError>,
+    /// Queries compared, and not compared.
+    pub queries: [u64; 2],
+    /// Flags, the first ones of them.
+    pub flags: Vec<Flag>,
+    /// How many there were.
+    pub flagged: u64,
+}
+
+impl Split {
+    /// One that begins.
+    pub(crate) fn new(first: u64, at: u64, plant: Option<Plant>) -> Self {
+        Split {
+            first,
+            at,
+            plant,
+            children: Default::default(),
+            copied: None,
+            copied_all: false,
+            compared: None,
+            compared_all: false,
+            queries: 0,
+            not_compared: 0,
+            flags: Vec::new(),
+            flagged: 0,
+        }
+    }
+
+    fn side(&self, key: &Key) -> usize {
+        usize::from(key.place() >= self.at)
+    }
+
+    fn is_copied(&self, key: &Key) -> bool {
+        self.copied_all || self.copied.as_ref().is_some_and(|copied| key <= copied)
+    }
+
+    /// Copies the next keys of the parent.
+    pub(crate) fn copy(&mut self, parent: &Records, count: usize) {
+        let after = |(key, _): &(&Key, &Limit)| self.copied.as_ref().is_none_or(|copied| *key > copied);
+        let next: Vec<(Key, Limit)> =
+            parent.iter().filter(after).take(count).map(|(key, limit)| (key.clone(), *limit)).collect();
+        self.copied_all = next.len() < count;
+        for (key, limit) in next {
+            self.copied = Some(key.clone());
+            let side = self.side(&key);
+            self.children[side].insert(key, limit);
+        }
+    }
+
+    /// A write of the parent goes to its child too, once its key has been copied.
+    pub(crate) fn write(&mut self, key: &Key, limit: Option<Limit>) {
+        if !self.is_copied(key) {
+            return; // it is copied with what is written now
+        }
+        let side = self.side(key);
+        match (self.plant, limit) {
+            (Some(Plant::Lost | Plant::Stale), _) => {}
+            (Some(Plant::WrongSide), Some(limit)) => {
+                self.children[side].remove(key);
+                self.children[1 - side].insert(key.clone(), limit);
+            }
+            (Some(Plant::Doubled), Some(limit)) => {
+                for child in &mut self.children {
+                    child.insert(key.clone(), limit);
+                }
+            }
+            (_, Some(limit)) => {
+                self.children[side].insert(key.clone(), limit);
+            }
+            (_, None) => {
+                self.children[side].remove(key);
+            }
+        }
+    }
+
+    /// The children's records, merged: of one side and then the other, only what belongs there.
+    fn merged(&self) -> impl Iterator<Item = (&Key, &Limit)> {
+        let [left, right] = &self.children;
+        let (first, second) = if self.plant == Some(Plant::Order) { (right, left) } else { (left, right) };
+        first.iter().chain(second.iter())
+    }
+
+    /// The children's answer to a query.
+    pub(crate) fn read(&self, query: &Query) -> Rows {
+        query.answer(self.merged())
+    }
+
+    /// Whether queries can be read on both sides.
+    pub fn reads_both(&self) -> bool {
+        self.copied_all
+    }
+
+    /// Compares one key, and on which side it lies: as the walk comes to it, and again with each write after that, so that what
+    /// was compared stays compared.
+    pub(crate) fn look(&mut self, parent: &Records, key: &Key, fence: u64) {
+        if !self.is_copied(key) {
+            return;
+        }
+        let rows = |records: &Records| -> Rows {
+            records.get(key).map(|limit| (Some(key.clone()), limit.total)).into_iter().collect()
+        };
+        let side = self.side(key);
+        let (own, other) = (rows(&self.children[side]), rows(&self.children[1 - side]));
+        // in the wrong child it is missing where it belongs, beside the right one it is there twice
+        let children = if own.is_empty() { own } else { [own, other].concat() };
+        if let Some(flag) = compare(None, &rows(parent), &children, fence) {
+            self.flag(flag);
+        }
+    }
+
+    /// Compares the next keys.
+    pub(crate) fn walk(&mut self, parent: &Records, count: usize, fence: u64) {
+        let after = |key: &Key| self.compared.as_ref().is_none_or(|compared| key > compared);
+        let mut keys: Vec<&Key> = parent.keys().chain(self.children.iter().flat_map(Records::keys)).collect();
+        keys.sort_unstable();
+        keys.dedup();
+        let keys: Vec<Key> = keys.into_iter().filter(|key| after(key)).take(count).cloned().collect();
+        keys.iter().for_each(|key| self.look(parent, key, fence));
+        self.compared_all = keys.len() < count;
+        self.compared = keys.into_iter().next_back().or(self.compared.take());
+    }
+
+    /// Keeps a flag.
+    pub(crate) fn flag(&mut self, flag: Flag) {
+        self.flagged += 1;
+        if self.flags.len() < FLAGS_MOST {
+            self.flags.push(flag);
+        }
+    }
+
+    /// Whether it may be cut over.
+    pub fn is_proven(&self) -> bool {
+        self.copied_all && self.compared_all && self.flagged == 0 && self.plant.is_none()
+    }
+
+    /// How it ended.
+    pub(crate) fn ended(self, undone: Option<SplitError>) -> Ended {
+        let queries = [self.queries, self.not_compared];
+        let Split { first, at, flags, flagged, .. } = self;
+        Ended { first, at, undone, queries, flags, flagged }
+    }
+}
+
+/// The parent's answer to a query over all ranges.
+pub(crate) fn read<'a>(query: &Query, records: impl Iterator<Item = (&'a Key, &'a Limit)>) -> Rows {
+    query.answer(records)
+}
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -5,7 +5,7 @@
 mod leading;
 mod report;
 
-use crate::mirror::{Entry, Hard, Kind, Voters};
+use crate::mirror::{Entry as Logged, Hard, Kind, Voters};
 use crate::state::{Applied, Changed, Command, Place, Refused, State};
 use crate::store::{Store, StoreError};
 use keeping::Keeping;
@@ -13,8 +13,10 @@
 use leading::Leading;
 pub use leading::Question;
 use milletturn_agreement::{Grant, Micros};
+use milletturn_ledger::Entry;
 use milletturn_ledger::calendar::{Clocks, SKEW_MS};
 use milletturn_ledger::freeze::{FreezeEntry, Matter, Widening};
+use milletturn_ledger::splits::{Flag, Query, Rows, Split};
 use raft::eraftpb::{ConfChange, ConfChangeType, Message};
 use raft::{Config, RawNode, ReadState, StateRole};
 use serde::{Deserialize, Serialize};
@@ -33,6 +35,10 @@
 const UNDER_WAY: usize = 64;
 const UNCOMMITTED_MOST: u64 = 16 << 20;
 
+/// What is left free after a dual read, for each row of it, and flags of them in one entry.
+const COMPARE_ROW: Micros = 5;
+const FLAGS_TOLD: usize = 32;
+
 /// Who asked; the answer bears the same.
 pub type Ticket = u64;
 
@@ -139,6 +145,9 @@
     keeping: Keeping,
     /// What a log begins with that lacks it: rules, a ledger.
     begin: Vec<Command>,
+    /// Flags of dual reads, queries that were compared and that were not, and when the next may be.
+    dual: (Vec<Flag>, [u64; 2]),
+    compares_from: Micros,
     /// This machine's clock as told last, Unix time in ms; 0: not told.
     wall_ms: u64,
     /// The log's clock, and when it showed that here.
@@ -191,6 +200,8 @@
             leading,
             keeping,
             begin,
+            dual: Default::default(),
+            compares_from: 0,
             wall_ms: 0,
             clock: None,
             leader,
@@ -242,6 +253,7 @@
         self.raw.tick();
         if self.leads() {
             self.look_for_steps(now, output);
+            self.tell_reads();
         }
         self.keeping.follow(now, self.id, self.state.ledger.as_ref());
         let (mut given_up, mut again) = (Vec::new(), Vec::new());
@@ -327,6 +339,37 @@
         self.collecting.parts.push((ticket, question));
     }
 
+    /// Answers a query over the ledger's ranges. While one is split, its two sides are compared too, for no more than a share
+    /// of the time: what does not fit counts as not compared.
+    pub fn query(&mut self, now: Micros, query: &Query) -> Option<Rows> {
+        let book = self.state.ledger.as_ref()?;
+        if !book.split().is_some_and(Split::reads_both) {
+            return Some(book.plain(query));
+        }
+        let size = book.limits().count() as u64;
+        if now < self.compares_from {
+            self.dual.1[1] += 1;
+            return Some(book.plain(query));
+        }
+        let (rows, flag) = book.read(query);
+        self.dual.1[0] += 1;
+        self.dual.0.extend(flag);
+        // a row read and compared takes some hundred nanoseconds: a tenth of the time goes there at most
+        self.compares_from = now + size * COMPARE_ROW;
+        Some(rows)
+    }
+
+    /// What dual reads here have found, for the log.
+    fn tell_reads(&mut self) {
+        let (flags, queries) = &mut self.dual;
+        if queries.iter().sum::<u64>() == 0 || !self.raw.raft.leader_id.eq(&self.id) {
+            return;
+        }
+        let (mut flags, queries) = (std::mem::take(flags), std::mem::take(queries));
+        flags.truncate(FLAGS_TOLD);
+        self.append(&Command::Ledger(Entry::Read { queries, flags }));
+    }
+
     /// Asks for a majority's word that what is applied here is not behind what was answered before.
     pub fn read(&mut self, ticket: Ticket) {
         self.collecting.reads.push(ticket);
@@ -411,7 +454,7 @@
                 let snapshot = ready.snapshot().into();
                 self.install(snapshot, hard, output)?;
             }
-            let entries = ready.entries().iter().map(Entry::from).collect();
+            let entries = ready.entries().iter().map(Logged::from).collect();
             self.raw.mut_store().append(entries, hard, ready.must_sync())?;
             self.apply(now, ready.take_committed_entries(), output)?;
             output.messages.extend(ready.take_persisted_messages());
@@ -456,7 +499,7 @@
         &mut self, now: Micros, entries: Vec<raft::eraftpb::Entry>, output: &mut Output,
     ) -> Result<(), ReplicaError> {
         for entry in entries {
-            let entry = Entry::from(&entry);
+            let entry = Logged::from(&entry);
             let index = entry.index;
             self.applied = index;
             let unread = |error| ReplicaError::Entry { index, error };
--- a/registry/src/replica/keeping.rs
+++ b/registry/src/replica/keeping.rs
@@ -59,10 +59,37 @@
     /// Begins and ends to keep ranges as the log says.
     pub fn follow(&mut self, now: Micros, id: u64, book: Option<&Book>) {
         let Some(book) = book else { return self.ranges.clear() };
-        let own = |first: &u64| book.shards().get(first).filter(|shard| shard.keeper == Some(id));
-        self.ranges.retain(|first, (epoch, _)| own(first).is_some_and(|shard| shard.epoch == *epoch));
-        for (first, shard) in book.shards().iter().filter(|(first, _)| own(first).is_some()) {
-            self.ranges.entry(*first).or_insert_with(|| (shard.epoch, Keeper::new(book.terms(), now)));
+        let own = || book.shards().iter().filter(|(_, shard)| shard.keeper == Some(id));
+        let same = self.ranges.len() == own().count()
+            && own()
+                .all(|(first, shard)| self.ranges.get(first).is_some_and(|(epoch, _)| *epoch == shard.epoch));
+        if !same {
+            let mut before = std::mem::take(&mut self.ranges);
+            for (first, shard) in own() {
+                let kept = match before.remove(first) {
+                    Some((epoch, keeper)) if epoch == shard.epoch => keeper,
+                    // the other child may be still to come: what it does not take over is kept for it
+                    Some((epoch, keeper)) if shard.from == Some((*first, epoch)) => {
+                        let mut own = Keeper::new(book.terms(), now);
+                        let rest = own.take_over(keeper, |key| book.shard_of(key).0 == *first);
+                        before.insert(*first, (epoch, rest));
+                        own
+                    }
+                    other => {
+                        other.into_iter().for_each(|other| drop(before.insert(*first, other)));
+                        let mut own = Keeper::new(book.terms(), now);
+                        let from = shard.from.filter(|(from, _)| from != first);
+                        let parent =
+                            from.and_then(|(from, epoch)| before.remove(&from).filter(|(e, _)| *e == epoch));
+                        if let (Some((from, epoch)), Some((_, keeper))) = (from, parent) {
+                            let rest = own.take_over(keeper, |key| book.shard_of(key).0 == *first);
+                            before.insert(from, (epoch, rest));
+                        }
+                        own
+                    }
+                };
+                self.ranges.insert(*first, (shard.epoch, kept));
+            }
         }
         if now >= self.forgot + FORGET {
             self.forgot = now;
@@ -81,8 +108,7 @@
         if wants.len() > WANTS_MOST {
             return Answer::Refused(Refused::Size("more than 4096 wants at once"));
         }
-        let longest = book.limits().iter().map(|(_, limit)| limit.linger_ms * 1000).max().unwrap_or(0);
-        let until = now + 2 * book.terms().longest() + longest;
+        let until = now + 2 * book.terms().longest() + book.linger_most() * 1000;
         let known = (sender, life);
         if self.numbers.len() >= LIVES_MOST && !self.numbers.contains_key(&known) {
             return Answer::Busy("too many senders hold parts");
@@ -96,8 +122,8 @@
         let holder = entry.0;
         let mut answer = PartsAnswer { lease: book.terms().lease, rev: book.rev(), ..PartsAnswer::default() };
         for want in wants {
-            let (first, shard) = book.shard_of(&want.key);
-            match (self.ranges.get_mut(&first), book.limits().get(&want.key)) {
+            let (first, keeper) = book.shard_of(&want.key);
+            match (self.ranges.get_mut(&first), book.limit(&want.key)) {
                 (Some(_), None) => {
                     answer.dealt.push(Dealt { key: want.key, part: None, total: None, linger_ms: 0 });
                 }
@@ -106,7 +132,7 @@
                     answer.dealt.push(keeper.deal(now, holder, number, &want, limit, book.floors()));
                 }
                 (None, _) => {
-                    if let Some(keeper) = shard.keeper.filter(|keeper| *keeper != id) {
+                    if let Some(keeper) = keeper.filter(|keeper| *keeper != id) {
                         answer.elsewhere.entry(keeper).or_default().push(want);
                     }
                 }
@@ -118,7 +144,7 @@
     /// What is kept here and what of it is out, for operators.
     pub fn report(&self, now: Micros, book: &Book) -> Value {
         let account = |(key, out, holders): (&milletturn_ledger::Key, u64, usize)| {
-            let total = book.limits().get(key).map(|limit| limit.total);
+            let total = book.limit(key).map(|limit| limit.total);
             json!({ "key": key, "total": total, "floors": book.floors().sum(key), "out": out, "holders": holders })
         };
         let range = |(first, (epoch, keeper)): (&u64, &(u64, Keeper))| {
--- a/registry/src/replica/leading.rs
+++ b/registry/src/replica/leading.rs
@@ -6,7 +6,8 @@
 use milletturn_agreement::{Leases, Micros, Refusal, Rules, Tag, Terms};
 use milletturn_ledger::Entry;
 use milletturn_ledger::calendar::Clocks;
-use milletturn_ledger::freeze::{Freeze, FreezeEntry};
+use milletturn_ledger::freeze::{Freeze, FreezeEntry, FreezeError, Matter, Widening};
+use milletturn_ledger::splits::SplitError;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -21,6 +22,11 @@
 /// Of two calendars both are in force for so long: every sender that is reached has asked twice in it.
 pub const SETTLES: Micros = 3_000_000;
 
+/// Keys that a split copies or compares in one step, how long it is compared at least and may last at most.
+const SPLIT_KEYS: u64 = 256;
+const SPLIT_LEAST: Micros = 3_000_000;
+const SPLIT_MOST: Micros = 120_000_000;
+
 /// A sender's question for a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -66,6 +72,8 @@
     settles: Option<(u64, Micros)>,
     /// It was said that the clocks differ.
     clocks_differ: bool,
+    /// Since when a split is under way, as this leader knows.
+    split_since: Option<Micros>,
     /// Leases that ran out and were not renewed, in this term.
     pub lapsed: u64,
 }
@@ -85,6 +93,7 @@
             naming: BTreeMap::new(),
             heard: BTreeMap::new(),
             froze: 0,
+            split_since: None,
             settles: None,
             clocks_differ: false,
             lapsed: 0,
@@ -181,9 +190,33 @@
             let begin = begin.filter(|_| !std::mem::replace(&mut self.ledger_beginning, true));
             return begin.cloned().into_iter().collect();
         };
+        let mut due = Vec::new();
+        match book.split() {
+            None => self.split_since = None,
+            Some(split) => {
+                let since = *self.split_since.get_or_insert(now);
+                let frozen = Matter { destinations: vec![split.first], ..Matter::of_all(Widening::Split) };
+                let frozen = state.freeze.judge(&[frozen], false);
+                let proven = split.is_proven();
+                // what is compared in whole is finished; what is not is undone, so that nothing is left half
+                due.extend(match frozen {
+                    _ if split.flagged > 0 => Some(Entry::Undo(SplitError::Flags(split.flagged))),
+                    _ if split.plant.is_some() && split.compared_all && now >= since + SPLIT_LEAST => {
+                        Some(Entry::Undo(SplitError::Rehearsed))
+                    }
+                    Err(FreezeError::Held { window, .. }) if !proven => {
+                        Some(Entry::Undo(SplitError::Frozen(window)))
+                    }
+                    _ if proven && now >= since + SPLIT_LEAST => Some(Entry::Cut),
+                    _ if now >= since + SPLIT_MOST => Some(Entry::Undo(SplitError::Late)),
+                    _ if !proven => Some(Entry::Step(SPLIT_KEYS)),
+                    _ => None,
+                });
+            }
+        }
         let alive = |(_, heard): &(&u64, &Micros)| now < **heard + SILENT;
         let alive: Vec<u64> = self.heard.iter().filter(alive).map(|(id, _)| *id).collect();
-        let mut due = book.due(&alive);
+        due.extend(book.due(&alive));
         due.retain(|entry| match entry {
             // proposed already, and neither applied nor lost yet
             Entry::Keeper { shard, epoch, .. } => self.naming.insert(*shard, *epoch) != Some(*epoch),
--- a/registry/src/server/ledger.rs
+++ b/registry/src/server/ledger.rs
@@ -9,7 +9,9 @@
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode};
 use miette::Diagnostic;
+use milletturn_ledger::splits::{Plant, Query, SplitError};
 use milletturn_ledger::{BadKey, BookError, Entry, Key, Limit, LimitError};
+use serde::Deserialize;
 use serde_json::json as value;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,7 +36,9 @@
         BookError::Limit(LimitError::Senseless(_) | LimitError::Unnamed(_)) | BookError::Ranges => {
             StatusCode::BAD_REQUEST
         }
-        BookError::Begun | BookError::Limit(_) => StatusCode::CONFLICT,
+        BookError::Split(SplitError::Range(_) | SplitError::None) => StatusCode::NOT_FOUND,
+        BookError::Split(SplitError::Place { .. }) => StatusCode::BAD_REQUEST,
+        BookError::Begun | BookError::Limit(_) | BookError::Split(_) => StatusCode::CONFLICT,
     };
     No::new(status, explained(error))
 }
@@ -102,6 +106,75 @@
     }
 }
 
+/// Where a range is to be split.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Wish {
+    first: u64,
+    at: u64,
+    #[serde(default)]
+    rehearse: Option<Plant>,
+}
+
+/// The splits under way and ended; another begun, or the one under way undone.
+pub(super) async fn splits(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
+    let entry = match asked.method {
+        Method::GET => {
+            let report = |replica: &mut crate::replica::Replica| {
+                let book = replica.state().ledger.as_ref()?;
+                let explained = |why: &SplitError| explained(why);
+                let ended = book.ended().iter().map(|ended| {
+                    let mut row = serde_json::to_value(ended).unwrap_or_default();
+                    row["undone"] = ended.undone.as_ref().map(explained).into();
+                    row
+                });
+                let under_way = book.split().map(|split| {
+                    value!({ "first": split.first, "at": split.at, "rehearse": split.plant,
+                        "copied": split.copied_all, "compared": split.compared_all, "queries": split.queries,
+                        "not_compared": split.not_compared, "flagged": split.flagged, "flags": split.flags })
+                });
+                Some(value!({ "under_way": under_way, "ended": ended.collect::<Vec<_>>() }))
+            };
+            return match server.core.ask(Question::Read).await? {
+                Answer::Fresh => {
+                    let report = server.core.look(move |replica, _| report(replica)).await?;
+                    report.map(|report| json(&report)).ok_or_else(|| no(&BookError::None))
+                }
+                other => server.otherwise(asked, other).await,
+            };
+        }
+        Method::POST => {
+            let Wish { first, at, rehearse } = read(asked)?;
+            Entry::Split { first, at, plant: rehearse }
+        }
+        Method::DELETE => Entry::Undo(SplitError::Undone),
+        _ => {
+            return Err(No::new(
+                StatusCode::METHOD_NOT_ALLOWED,
+                format!("{} means nothing here", asked.method),
+            ));
+        }
+    };
+    let answer = server.core.ask(Question::Change(Command::Ledger(entry))).await?;
+    server.otherwise(asked, answer).await
+}
+
+/// Answers a query over all ranges; while one is split, both sides are read at the same point of the log.
+pub(super) async fn query(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
+    let query: Query = read(asked)?;
+    // what dual reads find goes to the log, which the leader writes
+    if !server.core.look(|replica, _| replica.leads()).await? {
+        let leader = server.core.seen.borrow().leader;
+        return server.otherwise(asked, Answer::NotLeader(leader)).await;
+    }
+    match server.core.ask(Question::Read).await? {
+        Answer::Fresh => {}
+        other => return server.otherwise(asked, other).await,
+    }
+    let rows = server.core.look(move |replica, now| replica.query(now, &query)).await?;
+    rows.map(|rows| json(&value!({ "rows": rows }))).ok_or_else(|| no(&BookError::None))
+}
+
 async fn list(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
     match server.core.ask(Question::Read).await? {
         Answer::Fresh => {}
@@ -110,7 +183,8 @@
     let report = server.core.look(|replica, now| {
         let mut report = replica.ledger_report(now);
         if let Some(book) = &replica.state().ledger {
-            report["limits"] = serde_json::to_value(book.limits()).unwrap_or_default();
+            let limits: std::collections::BTreeMap<_, _> = book.limits().collect();
+            report["limits"] = serde_json::to_value(limits).unwrap_or_default();
             report["floors"] = serde_json::to_value(book.floors()).unwrap_or_default();
         }
         report
--- a/registry/src/server/routes.rs
+++ b/registry/src/server/routes.rs
@@ -81,6 +81,8 @@
         }
         (["v1", "parts"], method) if method == post => super::ledger::parts(asked, server).await,
         (["v1", "freeze", rest @ ..], _) => super::freeze::answer(asked, server, rest).await,
+        (["v1", "splits"], _) => super::ledger::splits(asked, server).await,
+        (["v1", "query"], method) if method == post => super::ledger::query(asked, server).await,
         (["v1", "limits", key @ ..], _) => super::ledger::limits(asked, server, key).await,
         (["v1", "rules"], method) if method == get => rules(asked, server).await,
         (["v1", "rules"], method) if method == put => propose(asked, server).await,
@@ -109,8 +111,18 @@
             }
         }
         (["v1", known, ..], _)
-            if ["endpoints", "outcomes", "lease", "parts", "rules", "status", "replicas", "transfer"]
-                .contains(known) =>
+            if [
+                "endpoints",
+                "outcomes",
+                "lease",
+                "parts",
+                "query",
+                "rules",
+                "status",
+                "replicas",
+                "transfer",
+            ]
+            .contains(known) =>
         {
             Err(No::new(StatusCode::METHOD_NOT_ALLOWED, format!("{method} means nothing here")))
         }
--- a/registry/src/state.rs
+++ b/registry/src/state.rs
@@ -4,7 +4,7 @@
 use crate::target::{BadTarget, Standing, Target};
 use crate::topology::{judge_limit, judge_list, judge_rules};
 use milletturn_agreement::{Proposal, Refusal, Rules, Senseless, Tag, Terms, Versions};
-use milletturn_ledger::freeze::{Freeze, FreezeEntry, FreezeError};
+use milletturn_ledger::freeze::{Freeze, FreezeEntry, FreezeError, Matter, Widening};
 use milletturn_ledger::{Book, BookError, Entry};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -241,6 +241,11 @@
                 if let Entry::Limit { key, limit, .. } = &entry {
                     judge_limit(self, key, *limit)?;
                 }
+                if let Entry::Split { first, .. } = &entry {
+                    let destinations = vec![*first];
+                    let split = Matter { destinations, ..Matter::of_all(Widening::Split) };
+                    self.freeze.judge(&[split], false)?;
+                }
                 Book::apply(&mut self.ledger, entry)?;
                 Vec::new()
             }
--- a/registry/src/topology.rs
+++ b/registry/src/topology.rs
@@ -80,7 +80,7 @@
 /// # Errors
 /// A window holds it.
 pub fn judge_limit(state: &State, key: &Key, limit: Option<Limit>) -> Result<(), FreezeError> {
-    let Some(before) = state.ledger.as_ref().and_then(|book| book.limits().get(key)) else {
+    let Some(before) = state.ledger.as_ref().and_then(|book| book.limit(key)) else {
         return Ok(()); // a first limit takes from what was free
     };
     if limit.is_some_and(|limit| limit.total <= before.total && limit.linger_ms <= before.linger_ms) {
--- a/registry/tests/processes.rs
+++ b/registry/tests/processes.rs
@@ -376,3 +376,88 @@
     assert!(code == Some(2) && line.contains("damaged from byte 0 on"), "{code:?} {line}");
     assert_eq!(Command::new(PROGRAM).arg("--no-such").output().expect("it runs").status.code(), Some(2));
 }
+
+const LEDGER: &str = "[ledger]\nlease_ms = 500\nsenders = 3\nfloors = { rate = 10 }\n";
+
+/// Writes limits of thirty destinations in turn for as long as asked; those that were answered, by destination.
+fn write_limits(cluster: &Cluster, until: &dyn Fn() -> bool) -> std::collections::BTreeMap<u64, u64> {
+    let (mut answered, mut unsure) = (std::collections::BTreeMap::new(), std::collections::BTreeSet::new());
+    let begin = Instant::now();
+    for write in 0u64.. {
+        let (destination, total) = (write * 7 % 30, 1000 + write);
+        let body = json!({ "total": total }).to_string();
+        let running = cluster.replicas.iter().position(Option::is_some).expect("one runs");
+        match cluster.ask(running, "PUT", &format!("/v1/limits/rate/{destination}"), &body) {
+            Some((200, _)) => drop((answered.insert(destination, total), unsure.remove(&destination))),
+            // it may be done yet
+            _ => drop(unsure.insert(destination)),
+        }
+        if until() {
+            break;
+        }
+        assert!(begin.elapsed() < 2 * PATIENCE, "the split never ends");
+    }
+    answered.retain(|destination, _| !unsure.contains(destination));
+    answered
+}
+
+fn ended(cluster: &Cluster, count: usize) -> Option<Value> {
+    let running = cluster.replicas.iter().position(Option::is_some)?;
+    let (_, text) = cluster.ask(running, "GET", "/v1/splits", "")?;
+    let report: Value = serde_json::from_str(&text).ok()?;
+    report["ended"].as_array().filter(|ended| ended.len() >= count)?.last().cloned()
+}
+
+#[test]
+fn a_split_under_writes_flags_what_is_planted_and_without_it_is_cut_over_while_the_leader_is_killed() {
+    let mut cluster = Cluster::new(3, LEDGER);
+    let leader = cluster.leader();
+    cluster.until(leader, "PUT", "/v1/limits/rate/0", &json!({ "total": 500 }).to_string());
+    write_limits(&cluster, &|| false_after(Duration::from_millis(300)));
+    // a rehearsal: found by the walk or a query, and undone
+    let wish = |rehearse: Value| json!({ "first": 0, "at": 15, "rehearse": rehearse }).to_string();
+    cluster.until(leader, "POST", "/v1/splits", &wish(json!("lost")));
+    let asks = || {
+        cluster.ask(leader, "POST", "/v1/query", r#"{"range":{"from":0,"to":null}}"#);
+        ended(&cluster, 1).is_some()
+    };
+    write_limits(&cluster, &asks);
+    let undone = ended(&cluster, 1).expect("ended");
+    assert!(undone["flagged"].as_u64() > Some(0), "{undone}");
+    let why = undone["undone"].as_str().expect("a reason");
+    assert!(why.contains("disagree") && why.contains("[ledger::split::flags]"), "{why}");
+    assert!(undone["flags"][0]["difference"].is_string() && undone["flags"][0]["fence"].is_u64(), "{undone}");
+    // without it: cut over, though the leader is killed on the way, and no answered write is lost
+    cluster.until(leader, "POST", "/v1/splits", &wish(Value::Null));
+    std::thread::sleep(Duration::from_millis(400));
+    cluster.kill(leader);
+    let answered = write_limits(&cluster, &|| ended(&cluster, 2).is_some());
+    let done = ended(&cluster, 2).expect("ended");
+    assert_eq!((&done["undone"], &done["flagged"]), (&Value::Null, &json!(0)), "{done}");
+    let running = cluster.leader();
+    let limits = cluster.until(running, "GET", "/v1/limits", "");
+    assert_eq!(limits["ranges"].as_array().map(Vec::len), Some(2));
+    for (destination, total) in answered {
+        assert_eq!(limits["limits"][format!("rate/{destination}")]["total"], total, "rate/{destination}");
+    }
+    // a freeze holds the next one
+    let window = json!({ "windows": { "w": { "zone": "UTC", "begin": "2020-01-01T00:00", "end": "2100-01-01T00:00",
+        "reason": "r", "owner": "o" } } });
+    cluster.until(running, "PUT", "/v1/freeze", &window.to_string());
+    let begin = Instant::now();
+    loop {
+        let wish = json!({ "first": 0, "at": 5 }).to_string();
+        let (status, text) = cluster.ask(running, "POST", "/v1/splits", &wish).expect("an answer");
+        if status == 409 && text.contains("[freeze::held]") {
+            break;
+        }
+        let _ = cluster.ask(running, "DELETE", "/v1/splits", "");
+        assert!(begin.elapsed() < PATIENCE, "{status} {text}");
+    }
+}
+
+/// True once so long has passed since it was first asked on this thread.
+fn false_after(time: Duration) -> bool {
+    thread_local!(static BEGIN: Instant = Instant::now());
+    BEGIN.with(|begin| begin.elapsed() > time)
+}
