Ledger: a part may be used up at its beginning, and counts as out to its end

A larger part now brings its calls at once; so neither keeper nor sender lets a smaller one take its place before its end, which takes acknowledgements out of the protocol. What nobody wants is dealt ahead to all that ask, in whole calls.

--- a/ledger/src/holder.rs
+++ b/ledger/src/holder.rs
@@ -2,15 +2,26 @@
 
 use crate::keys::Key;
 use crate::limits::Floors;
-use crate::parts::{Dealt, Want};
+use crate::parts::{Dealt, Grants, Want};
 use milletturn_agreement::Micros;
 use std::collections::BTreeMap;
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Part {
+    /// As it was dealt last, and until when that says that there is a limit or none.
     dealt: Dealt,
-    number: u64,
     until: Micros,
+    grants: Grants,
+}
+
+impl Part {
+    /// What may be used beside the floor, and until when; none: it has lapsed. None of a part: there is no limit.
+    fn at(&self, now: Micros) -> Option<(Option<u64>, Micros)> {
+        if self.dealt.part.is_none() && now < self.until {
+            return Some((None, self.until));
+        }
+        self.grants.most(now).map(|(part, until)| (Some(part), until))
+    }
 }
 
 /// What a sender wants of one limit.
@@ -41,9 +52,9 @@
     pub fn ask(&mut self, now: Micros, wanted: impl IntoIterator<Item = Wanted>) -> (u64, Vec<Want>) {
         self.number += 1;
         self.asked = now;
-        self.parts.retain(|_, part| part.until > now);
-        let acts_on = |key: &Key| self.parts.get(key).map_or(0, |part| part.number);
-        let wants = wanted.into_iter().map(|Wanted { key, want }| Want { acts_on: acts_on(&key), key, want });
+        self.parts.values_mut().for_each(|part| part.grants.lapse(now));
+        self.parts.retain(|_, part| part.until > now || !part.grants.is_empty());
+        let wants = wanted.into_iter().map(|Wanted { key, want }| Want { key, want });
         (self.number, wants.collect())
     }
 
@@ -55,15 +66,17 @@
         }
         let until = self.asked + lease;
         for dealt in dealt {
-            self.parts.insert(dealt.key.clone(), Part { dealt, number, until });
+            let mut grants = self.parts.remove(&dealt.key).map(|part| part.grants).unwrap_or_default();
+            dealt.part.into_iter().for_each(|part| grants.push(part, until));
+            self.parts.insert(dealt.key.clone(), Part { dealt, until, grants });
         }
         true
     }
 
     /// What it may use of a limit now: its floor, and its part for as long as that lasts; none: all that it likes.
     pub fn may_use(&self, now: Micros, key: &Key) -> Option<u64> {
-        match self.parts.get(key).filter(|part| now < part.until) {
-            Some(part) => Some(self.floors.of(key) + part.dealt.part?),
+        match self.parts.get(key).and_then(|part| part.at(now)) {
+            Some((part, _)) => Some(self.floors.of(key) + part?),
             None => self.floors.name(key).then(|| self.floors.of(key)),
         }
     }
@@ -73,8 +86,10 @@
         &self.floors
     }
 
-    /// The parts that last, and until when.
-    pub fn parts(&self, now: Micros) -> impl Iterator<Item = (&Dealt, Micros)> {
-        self.parts.values().filter(move |part| now < part.until).map(|part| (&part.dealt, part.until))
+    /// What was dealt, what of it lasts beside the floor (none: there is no limit), and until when.
+    pub fn parts(&self, now: Micros) -> impl Iterator<Item = (&Dealt, Option<u64>, Micros)> {
+        self.parts
+            .values()
+            .filter_map(move |part| part.at(now).map(|(most, until)| (&part.dealt, most, until)))
     }
 }
--- a/ledger/src/parts.rs
+++ b/ledger/src/parts.rs
@@ -2,7 +2,8 @@
 //!
 //! Parts are not replicated. One that becomes keeper knows none, and deals nothing until every lease that one before it
 //! may have given has surely lapsed. That nothing is dealt twice follows from one line: a part is at most what is left of
-//! the limit after all floors and all parts that others may still use.
+//! the limit after all floors and all parts that others may still use. A part may be used up at its beginning, so it counts
+//! as out to its end whatever its sender says.
 
 use crate::keys::Key;
 use crate::limits::{Floors, Limit};
@@ -10,12 +11,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Grants of one key to one sender that are kept apart; more are kept as one that is at least each of them.
-const GRANTS_MOST: usize = 8;
 /// How long a computed level of fair parts is good. Wants that come meanwhile are dealt by it.
 const LEVEL_GOOD: Micros = 100_000;
-/// Part of what nobody wants that is dealt to those that ask: ahead of a clump, and yet some is left for one that
-/// did not ask before.
+/// Part of what nobody wants that is dealt to all that ask: ahead of a clump, and yet some is left for one that has it.
 const AHEAD: u64 = 2;
 
 /// A sender's wish for a part of one limit.
@@ -26,9 +24,6 @@
     pub key: Key,
     /// How much it could use beyond its floor, in the key's units.
     pub want: u64,
-    /// The question whose grant of this key it acts on; 0: none.
-    #[serde(default)]
-    pub acts_on: u64,
 }
 
 /// A part that a sender may use, beside its floor.
@@ -46,17 +41,40 @@
     pub linger_ms: u64,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Grant {
-    number: u64,
-    part: u64,
-    until: Micros,
+/// Parts of one limit that may still be used, each until its end: of them the largest counts. A smaller one never takes the
+/// place of a larger one before its end, at the keeper and at the sender alike: what comes back sooner could be used twice, for
+/// a part may be used up at its beginning.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Grants(Vec<(u64, Micros)>);
+
+impl Grants {
+    /// A further part. Those that end no later and are no larger are forgotten.
+    pub(crate) fn push(&mut self, part: u64, until: Micros) {
+        if !self.0.iter().any(|(other, end)| *other >= part && *end >= until) {
+            self.0.retain(|(other, end)| *other > part || *end > until);
+            self.0.push((part, until));
+        }
+    }
+
+    /// Forgets what has ended.
+    pub(crate) fn lapse(&mut self, now: Micros) {
+        self.0.retain(|(_, until)| *until > now);
+    }
+
+    /// The largest that lasts, and until when.
+    pub(crate) fn most(&self, now: Micros) -> Option<(u64, Micros)> {
+        self.0.iter().filter(|(_, until)| *until > now).copied().max()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
 }
 
 /// What one sender may still use of one limit, and what it asked for last.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 struct Held {
-    grants: Vec<Grant>,
+    grants: Grants,
     want: u64,
     /// Until when the want counts.
     wants_until: Micros,
@@ -64,28 +82,8 @@
 
 impl Held {
     /// The most that it may still use.
-    fn most(&self) -> u64 {
-        self.grants.iter().map(|grant| grant.part).max().unwrap_or(0)
-    }
-
-    fn lapse(&mut self, now: Micros) {
-        self.grants.retain(|grant| grant.until > now);
-    }
-
-    /// It acts on this grant, and asks with a later number: the answers to all its other questions of before count for
-    /// nothing. What is younger than the question stays, for questions may overtake one another.
-    fn acknowledge(&mut self, acts_on: u64, number: u64) {
-        self.grants.retain(|grant| grant.number == acts_on || grant.number > number);
-    }
-
-    fn grant(&mut self, grant: Grant) {
-        self.grants.push(grant);
-        if self.grants.len() > GRANTS_MOST {
-            let (first, second) = (self.grants.remove(0), self.grants[0]);
-            // the second stands for both, until both have lapsed
-            let (part, until) = (first.part.max(second.part), first.until.max(second.until));
-            self.grants[0] = Grant { number: u64::MAX, part, until };
-        }
+    fn most(&self, now: Micros) -> u64 {
+        self.grants.most(now).map_or(0, |(part, _)| part)
     }
 }
 
@@ -125,30 +123,27 @@
 
     /// A sender's life asks. To be called only once a majority has confirmed, after the question came in, that this is
     /// still the keeper: the next one waits no longer than the leases that were asked for before it was named.
-    pub fn deal(
-        &mut self, now: Micros, sender: u64, number: u64, want: &Want, limit: Limit, floors: &Floors,
-    ) -> Dealt {
-        let Want { key, want, acts_on } = want;
+    pub fn deal(&mut self, now: Micros, sender: u64, want: &Want, limit: Limit, floors: &Floors) -> Dealt {
+        let Want { key, want } = want;
         let (terms, linger) = (self.terms, limit.linger_ms * 1000);
         let pool = limit.total.saturating_sub(floors.sum(key));
         let unit = unit(key, terms);
         let account = self.accounts.entry(key.clone()).or_default();
         let held = account.held.entry(sender).or_default();
-        held.acknowledge(*acts_on, number);
         (held.want, held.wants_until) = (*want, now + terms.longest());
         account.look(now, pool, unit, terms);
-        let held = account.held.get(&sender).map_or(0, Held::most);
+        let held = account.held.get(&sender).map_or(0, |held| held.most(now));
         let others = account.out - held;
         let first_come = account.turn(now, sender, terms);
         let fair = account.level.saturating_mul(unit) + if first_come < account.extra { unit } else { 0 };
-        let target = (*want).min(fair).saturating_add(if *want > 0 { account.spare } else { 0 });
+        let target = (*want).min(fair).saturating_add(account.spare);
         // the one line: what others may still use is not dealt again
         let left = if now < self.from { 0 } else { pool.saturating_sub(others) };
         let part = target.min(left);
         let until = now + terms.longest() + linger;
         if let Some(held) = account.held.get_mut(&sender) {
-            held.grant(Grant { number, part, until });
-            account.out = others + held.most();
+            held.grants.push(part, until);
+            account.out = others + held.most(now);
         }
         Dealt { key: key.clone(), part: Some(part), total: Some(limit.total), linger_ms: limit.linger_ms }
     }
@@ -182,9 +177,9 @@
     }
 
     /// What one sender may still use of a key, and wants.
-    pub fn held(&self, key: &Key) -> impl Iterator<Item = (u64, u64, u64)> {
+    pub fn held(&self, now: Micros, key: &Key) -> impl Iterator<Item = (u64, u64, u64)> {
         let held = self.accounts.get(key).into_iter().flat_map(|account| &account.held);
-        held.map(|(sender, held)| (*sender, held.most(), held.want))
+        held.map(move |(sender, held)| (*sender, held.most(now), held.want))
     }
 }
 
@@ -196,9 +191,9 @@
 
 impl Account {
     fn lapse(&mut self, now: Micros) {
-        self.held.values_mut().for_each(|held| held.lapse(now));
+        self.held.values_mut().for_each(|held| held.grants.lapse(now));
         self.held.retain(|_, held| !held.grants.is_empty() || held.wants_until > now);
-        self.out = self.held.values().map(Held::most).sum();
+        self.out = self.held.values().map(|held| held.most(now)).sum();
     }
 
     /// Finds the level up to which all wants can be met at once, in whole units, when it was not found a short while ago.
@@ -216,7 +211,6 @@
             .collect();
         wants.sort_unstable();
         let (mut left, mut rest) = (pool / unit, wants.len() as u64);
-        let askers = rest;
         (self.level, self.extra) = (u64::MAX / unit, 0);
         for want in wants {
             let even = left / rest;
@@ -227,7 +221,9 @@
             }
             (left, rest) = (left - want, rest - 1);
         }
-        self.spare = if askers > 0 { left * unit / (AHEAD * askers) } else { 0 };
+        let asked = self.held.values().filter(|held| held.wants_until > now).count() as u64;
+        // in whole units: less is worth no call
+        self.spare = (left / (AHEAD * asked).max(1)).saturating_mul(unit);
     }
 
     /// How many senders with wants are before this one in this lease's turn.
--- a/ledger/tests/model.rs
+++ b/ledger/tests/model.rs
@@ -42,8 +42,8 @@
     Asked,
     /// What others may still use is dealt again.
     Line,
-    /// What was granted before the last question counts as given up.
-    Acknowledgement,
+    /// What was granted last stands in place of what was granted before.
+    Largest,
     /// Clocks that run slow are not allowed for.
     Drift,
     /// One that takes over takes it that nobody holds a part.
@@ -126,15 +126,31 @@
     }
 
     fn answer(&self, keeper: &mut Keeper, now: Micros, total: u64, ask: Message) -> Option<Message> {
-        let Message::Ask { sender, life, number, mut want } = ask else { return None };
-        if self.0 == Without::Acknowledgement {
-            want.acts_on = 0;
-        }
+        let Message::Ask { sender, life, number, want } = ask else { return None };
         let number_of = (sender as u64) << 8 | if self.0 == Without::Life { 0 } else { life };
         let limit = Limit { total, linger_ms: 0 };
         let mut alone = Keeper::new(self.terms(), 0);
+        // the sender before is known by another number, and what it had by none
         let keeper = if self.0 == Without::Line { &mut alone } else { keeper };
-        let dealt = keeper.deal(now, number_of, number, &want, limit, &self.counted());
+        if self.0 == Without::Largest {
+            let others = (0..self.1.senders).filter(|other| *other != sender);
+            let held: Vec<(u64, u64, u64)> = keeper.held(now, &key()).collect();
+            let mut fresh = Keeper::new(self.terms(), now - LEASE - DRIFT);
+            for other in others {
+                for (number, part, _) in held.iter().filter(|(number, ..)| *number >> 8 == other as u64) {
+                    let want = Want { key: key(), want: *part };
+                    fresh.deal(
+                        now,
+                        *number,
+                        &want,
+                        Limit { total: u64::MAX >> 20, linger_ms: 0 },
+                        &Floors::default(),
+                    );
+                }
+            }
+            *keeper = fresh;
+        }
+        let dealt = keeper.deal(now, number_of, &want, limit, &self.counted());
         Some(Message::Answer { sender, life, number, dealt })
     }
 }
@@ -291,7 +307,7 @@
         Without::End,
         Without::Asked,
         Without::Line,
-        Without::Acknowledgement,
+        Without::Largest,
         Without::Drift,
         Without::TakeOver,
         Without::Confirmation,
--- a/registry/src/replica/keeping.rs
+++ b/registry/src/replica/keeping.rs
@@ -101,7 +101,7 @@
     /// Deals what is kept here, a majority having said that what is applied here was current.
     pub fn deal(&mut self, now: Micros, question: PartsQuestion, id: u64, book: Option<&Book>) -> Answer {
         let Some(book) = book else { return Answer::Refused(Refused::Ledger(BookError::None)) };
-        let PartsQuestion { sender, life, number, floors, wants } = question;
+        let PartsQuestion { sender, life, floors, wants, .. } = question;
         if &floors != book.floors() {
             return Answer::OtherFloor;
         }
@@ -129,7 +129,7 @@
                 }
                 (Some((_, keeper)), Some(limit)) => {
                     self.dealt += 1;
-                    answer.dealt.push(keeper.deal(now, holder, number, &want, limit, book.floors()));
+                    answer.dealt.push(keeper.deal(now, holder, &want, limit, book.floors()));
                 }
                 (None, _) => {
                     if let Some(keeper) = keeper.filter(|keeper| *keeper != id) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -222,7 +222,7 @@
         match event {
             Event::Agreed(agreed) => self.agreed = agreed.clone(),
             Event::Blind(blind) => self.blind = *blind,
-            Event::Shared(quotas) => self.quotas = quotas.clone(),
+            Event::Shared(quotas) => self.share(quotas.clone()),
             Event::Fleet(view) => {
                 // who holds a view may grow; what is seen must stand
                 let seen = |view: FleetView| FleetView { holders: 0, ..view };
@@ -925,6 +925,13 @@
         allowed
     }
 
+    fn share(&mut self, quotas: Option<Box<Quotas>>) {
+        let before = std::mem::replace(&mut self.quotas, quotas);
+        for (&destination, bucket) in &mut self.buckets {
+            bucket.tokens += Quotas::credit([&self.quotas, &before], destination, self.now);
+        }
+    }
+
     /// What this sender could use at each destination that it knows.
     pub fn demand(&self) -> BTreeMap<DestinationId, Demand> {
         let mut all: BTreeMap<DestinationId, Demand> =
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,6 +142,20 @@
 }
 
 impl Quotas {
+    /// Calls, in thousand millionths, that may be made at once since a larger part of the rate came: for a part may be used up
+    /// at its beginning.
+    pub fn credit(
+        [after, before]: [&Option<Box<Quotas>>; 2], destination: DestinationId, now: Micros,
+    ) -> i64 {
+        let share =
+            |quotas: &Option<Box<Quotas>>| quotas.as_ref().and_then(|quotas| quotas.of(destination).rate);
+        let part =
+            |share: Option<Share>| share.and_then(|share| share.part).filter(|(_, until)| now < *until);
+        let (Some((Some(more), until)), before) = (part(share(after)), part(share(before))) else { return 0 };
+        let had = before.map_or(0, |(part, _)| part.unwrap_or(more));
+        i64::try_from(more.saturating_sub(had)).unwrap_or(0).saturating_mul(until - now)
+    }
+
     /// The quota of a destination.
     pub fn of(&self, destination: DestinationId) -> Quota {
         self.named.get(&destination).copied().unwrap_or(self.others)
--- a/src/net/ledger/mod.rs
+++ b/src/net/ledger/mod.rs
@@ -77,17 +77,17 @@
 /// What a holder may use, in the decisions' own terms.
 fn quotas(holder: &Holder, destinations: &BTreeSet<u64>, now: u64) -> Quotas {
     let parts: BTreeMap<&Key, _> =
-        holder.parts(now).map(|(dealt, until)| (&dealt.key, (dealt, until))).collect();
+        holder.parts(now).map(|(dealt, part, until)| (&dealt.key, (dealt, part, until))).collect();
     let floors = holder.floors();
     let kind = |name: &str| floors.each.get(name).map(|floor| Share { floor: *floor, part: None });
     let share = |key: &Key| {
         let part = parts.get(key);
-        let until = part.and_then(|(_, until)| Micros::try_from(*until).ok());
-        let part = part.and_then(|(dealt, _)| Some((dealt.part, until?)));
+        let until = part.and_then(|(_, _, until)| Micros::try_from(*until).ok());
+        let part = part.and_then(|(_, part, _)| Some((*part, until?)));
         floors.name(key).then(|| Share { floor: floors.of(key), part })
     };
     let linger = |key: &Key| {
-        let linger = parts.get(key).map_or(0, |(dealt, _)| dealt.linger_ms);
+        let linger = parts.get(key).map_or(0, |(dealt, ..)| dealt.linger_ms);
         // without a word of how long calls may last they are as long as before
         if linger == 0 { Micros::MAX / 4 } else { Micros::try_from(linger).unwrap_or(0) * MILLISECOND }
     };
@@ -340,8 +340,8 @@
 
     fn report(&self) -> String {
         let now = self.means.now();
-        let parts = self.holder.parts(now).map(|(dealt, until)| {
-            let Dealt { key, part, total, .. } = dealt;
+        let parts = self.holder.parts(now).map(|(dealt, part, until)| {
+            let Dealt { key, total, .. } = dealt;
             json!({ "key": key, "floor": self.holder.floors().of(key), "part": part, "total": total,
                 "until_us": until, "left_ms": (until - now) / 1000 })
         });
