Lab: senders hold limits together under faults, checked by their own words at every moment

Cause: nothing on the lab could tell whether a limit that all senders share is kept. A registry of a scenario may have a ledger; limits are set and once lowered, each sender's parts are asked for four times a second, and at each moment the parts that last and all floors must be within the limit, or within the one before for a lease.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -213,6 +213,10 @@
             let others: Vec<_> = (0..registry.replicas)
                 .map(|step| self.addresses.registry_of(sender, (sender + step) % registry.replicas))
                 .collect();
+            if let Some(ledger) = &registry.ledger {
+                config["ledger"] = json!({ "senders": self.scenario.senders, "others": others,
+                    "floors": { "rate": ledger.floor() } });
+            }
             config["agreement"] = json!({ "floor": crate::registry::floor(), "others": others });
         }
         config
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -104,6 +104,15 @@
         sender: usize,
         report: serde_json::Value,
     },
+    /// What one sender said of the parts that it holds.
+    Parts {
+        sender: usize,
+        report: serde_json::Value,
+    },
+    /// All limits were answered as set to this, in thousandths of a call a second.
+    Limited {
+        total: u64,
+    },
     /// A version of the rules was answered as taken up.
     Proposed {
         version: u64,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod figures;
 mod fleet;
 mod history;
+mod limits;
 mod links;
 mod listing;
 mod members;
--- a/lab/src/registry.rs
+++ b/lab/src/registry.rs
@@ -6,7 +6,7 @@
 use crate::history::{Event, History};
 use crate::plan::{CLASSES, Party, ReplicaAct, WINDOW_S};
 use crate::relay::Net;
-use crate::scenario::{Registry as Settings, Scenario};
+use crate::scenario::{Ledger, Registry as Settings, Scenario};
 use anyhow::Context;
 use hyper::{Method, StatusCode};
 use rustix::process::Signal;
@@ -102,6 +102,15 @@
                 "[agreement]\nlease_ms = {}\nfloor = \"floor.json\"\nrules = \"rules.json\"\n",
                 settings.lease_ms
             );
+            if let Some(ledger) = &settings.ledger {
+                text += &format!(
+                    "[ledger]\nlease_ms = {}\nsenders = {}\nfloors = {{ rate = {} }}\nsplit_at = {:?}\n",
+                    ledger.lease_ms,
+                    scenario.senders,
+                    ledger.floor(),
+                    ledger.split_at
+                );
+            }
             std::fs::write(folder.join(format!("r{from}.toml")), text)?;
             for sender in 0..scenario.senders {
                 let (one, other) = (Party::Sender(sender), Party::Registry(from));
@@ -236,6 +245,16 @@
         }
     }
 
+    /// Limits the rate of all destinations.
+    pub async fn limit(&self, destinations: usize, per_s: f64, history: &History) {
+        let total = Ledger::thousandths(per_s);
+        for destination in 0..destinations {
+            let body = json!({ "total": total }).to_string();
+            self.write(Method::PUT, &format!("/v1/limits/rate/{destination}"), body).await;
+        }
+        history.tell(Event::Limited { total });
+    }
+
     /// Has other rules taken up so often, by whichever replica answers, until the run ends.
     pub async fn change_rules(self, every: Duration, history: Arc<History>) {
         let mut turn = 0;
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -6,6 +6,7 @@
 use crate::figures;
 use crate::fleet::{Addresses, Fleet};
 use crate::history::{self, Event, Head, History};
+use crate::limits;
 use crate::members;
 use crate::plan::{Act, CLASSES, Plan, Step, micros};
 use crate::registry::Replicas;
@@ -83,6 +84,9 @@
     /// How the senders agreed on rules.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub agreement: Option<agreement::Agreed>,
+    /// How they held limits together.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limits: Option<limits::Limited>,
 }
 
 /// Plays a run.
@@ -126,6 +130,15 @@
             let replicas =
                 Replicas::start_all(scenario, settings, program, &out, addresses.clone(), &net).await?;
             replicas.asker().write(Method::POST, "/v1/endpoints", world.batch()).await;
+            if let Some(ledger) = &settings.ledger {
+                let (asker, count) = (replicas.asker(), scenario.destinations.count);
+                asker.limit(count, ledger.limit_per_s, &history).await;
+                let (history, ledger) = (history.clone(), ledger.clone());
+                tokio::spawn(async move {
+                    sleep(Duration::from_secs_f64(ledger.lower_at)).await;
+                    asker.limit(count, ledger.lower_to_per_s, &history).await;
+                });
+            }
             Some(replicas)
         }
         None => None,
@@ -148,6 +161,7 @@
     let figures = Figures {
         members,
         agreement: scenario.registry.is_some().then(|| agreement::figures(&records)),
+        limits: scenario.ledger().is_some().then(|| limits::figures(&records)),
         usage,
         worth: figures::worth(&records),
         evenness: figures::evenness(&records, scenario.endpoints()),
@@ -265,6 +279,9 @@
                 }
                 _ = ask_rules.tick(), if scenario.registry.is_some() => {
                     self.ask_all(&all, "/agreement", |sender, report| Event::Rules { sender, report });
+                    if scenario.ledger().is_some() {
+                        self.ask_all(&all, "/ledger", |sender, report| Event::Parts { sender, report });
+                    }
                 }
                 _ = &mut handing, if ends.is_none() => {
                     // until no message can be owed: its end may come with the last deadline
