--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -352,11 +352,6 @@
             assert_eq!(broken([taken(), more.clone()].concat()), [rule], "{more:?}");
         }
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
 
     fn handed_and_ended(end: u64) -> Vec<Record> {
         let step = |what: &Act| Event::Step { what: serde_json::to_string(what).unwrap_or_default() };
