--- a/ledger/tests/worlds.rs
+++ b/ledger/tests/worlds.rs
@@ -180,9 +180,8 @@
             }
         }
         // senders ask: a quarter of a lease after the last time, or sooner where something waits without a part
-        for number in 0..senders {
-            let local = all[number].local(now);
-            let sender = &mut all[number];
+        for (number, sender) in all.iter_mut().enumerate() {
+            let local = sender.local(now);
             let lacks = sender.lines.iter().any(|(destination, line)| {
                 let key = key(*destination);
                 !line.waiting.is_empty() && sender.holder.may_use(local, &key) == Some(floors.of(&key))
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,6 +48,7 @@
 const PACE_SELDOM: f64 = 1.0 / 60.0;
 /// Burst of the pace, as a span of it. Longer takes clumps faster, shorter draws fewer refusals.
 const PACE_BURST: f64 = 0.4;
+const BURST: Micros = 400 * MILLISECOND; // the same of what all share, in whole microseconds
 /// Weight of one more outcome in the failure score, and the scores at which a unit turns sick or is trusted.
 const FAIL_WEIGHT: f64 = 0.25;
 const FAIL_SICK: f64 = 0.55;
@@ -917,7 +918,7 @@
         };
         let new = Bucket { tokens: Bucket::CALL, at: now };
         let bucket = self.buckets.entry(destination).or_insert(new);
-        bucket.refill(now, rate, (PACE_BURST * SECOND as f64) as Micros);
+        bucket.refill(now, rate, BURST);
         let allowed = bucket.tokens >= Bucket::CALL;
         if !allowed && rate > 0 {
             self.due = self.due.min(now.saturating_add(bucket.rest(rate)));
@@ -928,7 +929,9 @@
     fn share(&mut self, quotas: Option<Box<Quotas>>) {
         let before = std::mem::replace(&mut self.quotas, quotas);
         for (&destination, bucket) in &mut self.buckets {
-            bucket.tokens += Quotas::credit([&self.quotas, &before], destination, self.now);
+            let quotas =
+                [&before, &self.quotas].map(|all| all.as_ref().and_then(|all| all.of(destination).rate));
+            bucket.change(self.now, quotas, BURST);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,11 +112,16 @@
 }
 
 impl Share {
+    /// The part that lasts, and until when; none within it: there is no limit.
+    pub fn part_at(&self, now: Micros) -> Option<(Option<u64>, Micros)> {
+        self.part.filter(|(_, until)| now < *until)
+    }
+
     /// What may be used at a time; none: all that it likes.
     pub fn at(&self, now: Micros) -> Option<u64> {
-        match self.part {
-            Some((part, until)) if now < until => part.map(|part| self.floor.saturating_add(part)),
-            _ => Some(self.floor),
+        match self.part_at(now) {
+            Some((part, _)) => part.map(|part| self.floor.saturating_add(part)),
+            None => Some(self.floor),
         }
     }
 }
@@ -142,20 +147,6 @@
 }
 
 impl Quotas {
-    /// Calls, in thousand millionths, that may be made at once since a larger part of the rate came: for a part may be used up
-    /// at its beginning.
-    pub fn credit(
-        [after, before]: [&Option<Box<Quotas>>; 2], destination: DestinationId, now: Micros,
-    ) -> i64 {
-        let share =
-            |quotas: &Option<Box<Quotas>>| quotas.as_ref().and_then(|quotas| quotas.of(destination).rate);
-        let part =
-            |share: Option<Share>| share.and_then(|share| share.part).filter(|(_, until)| now < *until);
-        let (Some((Some(more), until)), before) = (part(share(after)), part(share(before))) else { return 0 };
-        let had = before.map_or(0, |(part, _)| part.unwrap_or(more));
-        i64::try_from(more.saturating_sub(had)).unwrap_or(0).saturating_mul(until - now)
-    }
-
     /// The quota of a destination.
     pub fn of(&self, destination: DestinationId) -> Quota {
         self.named.get(&destination).copied().unwrap_or(self.others)
--- a/src/net/agreement/mod.rs
+++ b/src/net/agreement/mod.rs
@@ -3,13 +3,11 @@
 
 pub mod settings;
 
-use super::discovery::{Backoff, CallError, call};
+use super::asking::{self, AskError, whose_turn};
+use super::discovery::Backoff;
 use super::events::{BODY_MOST, Clock, Input, Query};
 use super::log;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Request, StatusCode};
+use hyper::Method;
 use milletturn::{Agreed, Bounds, ClassBound, Effect, MILLISECOND, Micros};
 use milletturn_agreement::{Ask, Effect as Agreeable, Grant, Holder, Rules, Tag, Taken};
 use serde_json::json;
@@ -20,7 +18,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 /// One question, its answer read whole, takes no longer.
 const ANSWER: Duration = Duration::from_secs(1);
@@ -43,15 +41,7 @@
 #[derive(Debug, Error)]
 enum LeaseError {
     #[error(transparent)]
-    Call(#[from] CallError),
-    #[error("{0}: {1}")]
-    Refused(StatusCode, String),
-    #[error("the answer can't be read: {0}")]
-    Json(#[from] serde_json::Error),
-    #[error("the answer did not come whole in time")]
-    Body,
-    #[error("bad request: {0}")]
-    Request(#[from] hyper::http::Error),
+    Ask(#[from] AskError),
     #[error("its rules forbid what this sender does without a lease")]
     BelowFloor,
     #[error("version {0:?} lies before what was in force here")]
@@ -235,14 +225,14 @@
 
     /// Asks one replica for a lease, and has it bind; for how long it lasts.
     async fn ask(&mut self, turn: usize) -> Result<Duration, LeaseError> {
-        let all = 1 + self.agreement.others.len();
-        let address = match turn % all {
-            0 => *self.means.agent.borrow_and_update(),
-            other => self.agreement.others[other - 1],
-        };
+        let address = whose_turn(turn, *self.means.agent.borrow_and_update(), &self.agreement.others);
         let ask = self.holder.ask(self.means.now());
         self.asked += 1;
-        let grant = timeout(ANSWER, self.question(address, ask)).await.map_err(|_| LeaseError::Body)??;
+        let Ask { life, acts_on, .. } = ask;
+        let question = json!({ "sender": self.means.name, "life": life, "acts_on": acts_on,
+            "rev": self.means.listed.get(), "floor": self.agreement.floor });
+        let grant: Grant =
+            asking::ask(address, Method::POST, "/v1/lease", Some(question), ANSWER, BODY_MOST).await?;
         let (tag, lease) = (grant.tag, Duration::from_micros(grant.lease));
         let leased = bounds(&grant.rules);
         match self.holder.granted(ask, grant, self.means.now()) {
@@ -262,26 +252,6 @@
         Ok(lease)
     }
 
-    async fn question(&self, address: SocketAddr, ask: Ask) -> Result<Grant, LeaseError> {
-        let Ask { life, acts_on, .. } = ask;
-        let question = json!({ "sender": self.means.name, "life": life, "acts_on": acts_on,
-            "rev": self.means.listed.get(), "floor": self.agreement.floor });
-        let request = Request::post("/v1/lease")
-            .header(HOST, address.to_string())
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::<Bytes>::from(question.to_string()))?;
-        let response = call(address, request, ANSWER).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), BODY_MOST).collect().await;
-        let body = body.map_err(|_| LeaseError::Body)?.to_bytes();
-        if status != StatusCode::OK {
-            let text = String::from_utf8_lossy(&body);
-            let line = text.lines().next().unwrap_or_default().chars().take(200).collect();
-            return Err(LeaseError::Refused(status, line));
-        }
-        Ok(serde_json::from_slice(&body)?)
-    }
-
     fn report(&self) -> String {
         let now = self.means.now();
         let left = self.holder.until(now).map(|until| until.saturating_sub(now) / 1000);
--- a/src/net/freeze/mod.rs
+++ b/src/net/freeze/mod.rs
@@ -3,22 +3,18 @@
 
 pub mod settings;
 
-use super::discovery::{CallError, call};
+use super::asking::{ask, whose_turn};
 use super::events::{Clock, Freezing, Input};
 use super::log;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::Method;
 use milletturn_ledger::gate::News;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use settings::FreezeSettings;
 use std::net::SocketAddr;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// One question, its answer read whole, takes no longer.
 const ANSWER: Duration = Duration::from_secs(1);
@@ -36,20 +32,6 @@
     pub agent: watch::Receiver<SocketAddr>,
 }
 
-#[derive(Debug, Error)]
-enum PollError {
-    #[error(transparent)]
-    Call(#[from] CallError),
-    #[error("{0}; see GET /v1/freeze of the registry")]
-    Refused(StatusCode),
-    #[error("the answer can't be read: {0}; is the registry of this version?")]
-    Json(#[from] serde_json::Error),
-    #[error("the answer did not come whole in time; see GET /v1/status of each replica")]
-    Body,
-    #[error("bad request: {0}")]
-    Request(#[from] hyper::http::Error),
-}
-
 /// Follows the calendar for as long as the settings want it, until the process stops or hands over.
 pub async fn follow(
     mut means: Means, mut wanted: watch::Receiver<Option<FreezeSettings>>,
@@ -86,13 +68,9 @@
     let (mut turn, mut told) = (0, None);
     let every = Duration::from_millis(settings.poll_ms);
     loop {
-        let all = 1 + settings.others.len();
-        let address = match turn % all {
-            0 => *means.agent.borrow_and_update(),
-            other => settings.others[other - 1],
-        };
+        let address = whose_turn(turn, *means.agent.borrow_and_update(), &settings.others);
         let asked = means.clock.at(Instant::now());
-        match timeout(ANSWER, question(address)).await.map_err(|_| PollError::Body).and_then(|news| news) {
+        match ask::<News>(address, Method::GET, "/v1/freeze", None, ANSWER, ANSWER_MOST).await {
             Ok(news) => {
                 if told.take().is_some() {
                     log(format_args!("freeze: the calendar is known again"));
@@ -116,13 +94,3 @@
         sleep(every.mul_f64(0.75 + 0.25 * part)).await;
     }
 }
-
-async fn question(address: SocketAddr) -> Result<News, PollError> {
-    let request = Request::get("/v1/freeze").header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
-    let response = call(address, request, ANSWER).await?;
-    if response.status() != StatusCode::OK {
-        return Err(PollError::Refused(response.status()));
-    }
-    let body = Limited::new(response.into_body(), ANSWER_MOST).collect().await;
-    Ok(serde_json::from_slice(&body.map_err(|_| PollError::Body)?.to_bytes())?)
-}
--- a/src/net/ledger/mod.rs
+++ b/src/net/ledger/mod.rs
@@ -3,15 +3,12 @@
 
 pub mod settings;
 
-use super::discovery::{CallError, call};
+use super::asking::{AskError, ask, whose_turn};
 use super::events::{Clock, Input, Query};
 use super::log;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Request, StatusCode};
+use hyper::Method;
 use milletturn::{Demand, MILLISECOND, Micros, Quota, Quotas, Share};
-use milletturn_ledger::{Dealt, Floors, Holder, Key, Want, Wanted, What};
+use milletturn_ledger::{Dealt, Floors, Holder, Key, Wanted, What};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use serde::Deserialize;
@@ -20,9 +17,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 /// One question, its answer read whole, takes no longer.
 const ANSWER: Duration = Duration::from_millis(700);
@@ -49,20 +45,6 @@
     pub agent: watch::Receiver<SocketAddr>,
 }
 
-#[derive(Debug, Error)]
-enum PartsError {
-    #[error(transparent)]
-    Call(#[from] CallError),
-    #[error("{0}: {1}")]
-    Refused(StatusCode, String),
-    #[error("the answer can't be read: {0}; is the registry of this version?")]
-    Json(#[from] serde_json::Error),
-    #[error("the answer did not come whole in time; see GET /v1/status of each replica")]
-    Body,
-    #[error("bad request: {0}")]
-    Request(#[from] hyper::http::Error),
-}
-
 #[derive(Deserialize)]
 struct Answer {
     lease: u64,
@@ -293,22 +275,20 @@
     }
 
     /// Asks one replica for parts, and has them bind.
-    async fn ask(&mut self, turn: usize, demand: &BTreeMap<u64, Demand>) -> Result<(), PartsError> {
+    async fn ask(&mut self, turn: usize, demand: &BTreeMap<u64, Demand>) -> Result<(), AskError> {
         let wants = wanted(self.holder.floors(), demand, &self.before, self.lease);
         if self.counted.elapsed() >= self.lease {
             self.counted = Instant::now();
             self.before = demand.iter().map(|(destination, demand)| (*destination, demand.sent)).collect();
         }
         self.destinations = demand.keys().copied().collect();
-        let all = 1 + self.ledger.others.len();
-        let address = match turn % all {
-            0 => *self.means.agent.borrow_and_update(),
-            other => self.ledger.others[other - 1],
-        };
+        let address = whose_turn(turn, *self.means.agent.borrow_and_update(), &self.ledger.others);
         let (number, wants) = self.holder.ask(self.means.now(), wants);
         self.asked += 1;
-        let answer = timeout(ANSWER, self.question(address, number, wants)).await;
-        let Answer { lease, dealt } = answer.map_err(|_| PartsError::Body)??;
+        let question = json!({ "sender": self.means.name, "life": self.life, "number": number,
+            "floors": self.holder.floors(), "wants": wants });
+        let Answer { lease, dealt } =
+            ask(address, Method::POST, "/v1/parts", Some(question), ANSWER, ANSWER_MOST).await?;
         self.lease = Duration::from_micros(lease).max(Duration::from_millis(100));
         self.holder.granted(number, lease, dealt);
         // the next question says that it acts on this: it must by then
@@ -317,27 +297,6 @@
         Ok(())
     }
 
-    async fn question(
-        &self, address: SocketAddr, number: u64, wants: Vec<Want>,
-    ) -> Result<Answer, PartsError> {
-        let question = json!({ "sender": self.means.name, "life": self.life, "number": number,
-            "floors": self.holder.floors(), "wants": wants });
-        let request = Request::post("/v1/parts")
-            .header(HOST, address.to_string())
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::<Bytes>::from(question.to_string()))?;
-        let response = call(address, request, ANSWER).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_MOST).collect().await;
-        let body = body.map_err(|_| PartsError::Body)?.to_bytes();
-        if status != StatusCode::OK {
-            let text = String::from_utf8_lossy(&body);
-            let line = text.lines().next().unwrap_or_default().chars().take(300).collect();
-            return Err(PartsError::Refused(status, line));
-        }
-        Ok(serde_json::from_slice(&body)?)
-    }
-
     fn report(&self) -> String {
         let now = self.means.now();
         let parts = self.holder.parts(now).map(|(dealt, part, until)| {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The real sender round the decision module: sockets in, calls out, one job a file.
 
 pub mod agreement;
+pub mod asking;
 pub mod calls;
 pub mod config;
 pub mod control;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Plain records that the decisions keep. No rule, table or tuned value is here: those are in `decide.rs`.
 
-use crate::interface::{DestinationId, EndpointId, MessageId, Micros, SECOND};
+use crate::interface::{DestinationId, EndpointId, MessageId, Micros, SECOND, Share};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -221,6 +221,19 @@
         (self.tokens, self.at) = (self.tokens.saturating_add(come).min(most), now);
     }
 
+    /// Another share of the rate holds. What has come so far came by the one before; a larger part may be used up at its
+    /// beginning.
+    pub fn change(&mut self, now: Micros, [before, after]: [Option<Share>; 2], burst: Micros) {
+        let rate = before.and_then(|share| share.at(now)).unwrap_or(0);
+        self.refill(now, rate, burst);
+        let part = |share: Option<Share>| share.and_then(|share| share.part_at(now));
+        if let Some((Some(more), until)) = part(after) {
+            let had = part(before).map_or(0, |(part, _)| part.unwrap_or(more));
+            let more = i64::try_from(more.saturating_sub(had)).unwrap_or(0);
+            self.tokens = self.tokens.saturating_add(more.saturating_mul(until - now));
+        }
+    }
+
     /// How long until there is a whole call.
     pub fn rest(&self, rate: u64) -> Micros {
         let rate = i64::try_from(rate).unwrap_or(i64::MAX).max(1);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -393,3 +393,37 @@
     rig.run(T0 + 20 * SECOND);
     assert_eq!(rig.sends_of(1).len(), 2, "nothing goes after the first window");
 }
+
+#[test]
+fn a_shared_limit_binds_each_call_and_a_part_ends_by_the_passed_time() {
+    let quotas = |part, until| {
+        let rate = Some(Share { floor: 0, part: Some((part, until)) });
+        let quota = Quota { rate, ..Quota::default() };
+        Event::Shared(Some(Box::new(Quotas { named: [(7, quota)].into(), ..Quotas::default() })))
+    };
+    let mut rig = Rig::new(settings(40), pool(5));
+    let sent = |rig: &mut Rig| {
+        // each call ends well at once
+        for send in rig.sends.clone() {
+            rig.tell(vec![ended(send.1, send.3, send.2, Outcome::Success, 10 * MILLISECOND)]);
+        }
+        rig.sends.len()
+    };
+    rig.tell(vec![quotas(Some(0), T0 + 10 * SECOND)]);
+    rig.tell((1..7).map(|id| message(id, UNSAFE, 7)).collect());
+    assert_eq!(sent(&mut rig), 1, "one that was never made is saved");
+    rig.run(T0 + 2 * SECOND);
+    assert_eq!(sent(&mut rig), 1, "the next one waits for a part");
+    // two calls a second for a second bring one at once, since no more are saved, and another after half of it
+    rig.tell(vec![quotas(Some(2000), rig.now + SECOND)]);
+    assert_eq!(sent(&mut rig), 2);
+    rig.run(T0 + 2600 * MILLISECOND);
+    assert_eq!(sent(&mut rig), 3);
+    rig.run(T0 + 10 * SECOND);
+    assert_eq!(sent(&mut rig), 3, "nothing once the part has ended");
+    // the time without a part brought nothing, also where a small one comes then
+    rig.tell(vec![quotas(Some(1), rig.now + SECOND)]);
+    assert_eq!(sent(&mut rig), 3);
+    rig.tell(vec![quotas(None, rig.now + SECOND)]);
+    assert_eq!(sent(&mut rig), 6, "without a limit all go");
+}
