Verdicts: a destination is out or back for the fleet once more senders agree than may lie

Cause: each sender found an outage and a return by its own calls alone, seconds after others had. Epochs make verdicts a lattice: merges commute and old ones do not return. The module holds back where it has no fresh success, tries at once what is back, and never takes what it was told for a word of its own.

Measured by real processes: one sender whose calls fail is not believed, two are, and the third sender, which never called, knows; all know when it is back.

--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod parts;
 pub mod splits;
+pub mod verdicts;
 
 pub use book::{Book, BookError, Entry, Shard};
 pub use holder::{Holder, Wanted};
--- a/registry/src/replica/keeping.rs
+++ b/registry/src/replica/keeping.rs
@@ -3,10 +3,11 @@
 
 use super::Answer;
 use crate::state::Refused;
-use milletturn_ledger::{Book, BookError, Dealt, Floors, Keeper, Micros, Want};
+use milletturn_ledger::verdicts::{EPOCHS, Tallies, Verdict, Word};
+use milletturn_ledger::{Book, BookError, Dealt, Floors, Keeper, Key, Micros, Want, What};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Lives of senders that may hold parts at once, and wants of one question.
 const LIVES_MOST: usize = 16_384;
@@ -28,6 +29,12 @@
     pub floors: Floors,
     /// What it wants.
     pub wants: Vec<Want>,
+    /// Its zone, and what it says of destinations.
+    #[serde(default)]
+    pub zone: String,
+    /// What it says of destinations by its own calls.
+    #[serde(default)]
+    pub words: Vec<Word>,
 }
 
 /// The answer: of the ranges that could be asked.
@@ -39,6 +46,9 @@
     pub rev: u64,
     /// The parts.
     pub dealt: Vec<Dealt>,
+    /// What enough senders agree on, of the destinations that something was wanted of.
+    #[serde(default)]
+    pub verdicts: Vec<Verdict>,
     /// Which replicas keep the rest of what was wanted.
     #[serde(skip)]
     pub elsewhere: BTreeMap<u64, Vec<Want>>,
@@ -49,6 +59,8 @@
 pub(super) struct Keeping {
     /// By first places, with their epochs.
     ranges: BTreeMap<u64, (u64, Keeper)>,
+    /// What senders say of their destinations, for as long as the range is kept.
+    tallies: BTreeMap<u64, Tallies>,
     numbers: BTreeMap<(String, u64), (u64, Micros)>,
     next: u64,
     forgot: Micros,
@@ -64,6 +76,8 @@
             && own()
                 .all(|(first, shard)| self.ranges.get(first).is_some_and(|(epoch, _)| *epoch == shard.epoch));
         if !same {
+            // another keeper's words, or of another range: senders say theirs again within a lease
+            self.tallies.clear();
             let mut before = std::mem::take(&mut self.ranges);
             for (first, shard) in own() {
                 let kept = match before.remove(first) {
@@ -94,6 +108,7 @@
         if now >= self.forgot + FORGET {
             self.forgot = now;
             self.ranges.values_mut().for_each(|(_, keeper)| keeper.forget(now));
+            self.tallies.values_mut().for_each(|tallies| tallies.forget(now));
             self.numbers.retain(|_, (_, until)| *until > now);
         }
     }
@@ -101,15 +116,15 @@
     /// Deals what is kept here, a majority having said that what is applied here was current.
     pub fn deal(&mut self, now: Micros, question: PartsQuestion, id: u64, book: Option<&Book>) -> Answer {
         let Some(book) = book else { return Answer::Refused(Refused::Ledger(BookError::None)) };
-        let PartsQuestion { sender, life, floors, wants, .. } = question;
+        let PartsQuestion { sender, life, floors, wants, zone, words, .. } = question;
         if &floors != book.floors() {
             return Answer::OtherFloor;
         }
-        if wants.len() > WANTS_MOST {
+        if wants.len() > WANTS_MOST || words.len() > WANTS_MOST {
             return Answer::Refused(Refused::Size("more than 4096 wants at once"));
         }
         let until = now + 2 * book.terms().longest() + book.linger_most() * 1000;
-        let known = (sender, life);
+        let known = (sender.clone(), life);
         if self.numbers.len() >= LIVES_MOST && !self.numbers.contains_key(&known) {
             return Answer::Busy("too many senders hold parts");
         }
@@ -121,6 +136,16 @@
         entry.1 = until;
         let holder = entry.0;
         let mut answer = PartsAnswer { lease: book.terms().lease, rev: book.rev(), ..PartsAnswer::default() };
+        let destinations: BTreeSet<u64> = wants.iter().map(|want| want.key.place()).collect();
+        for word in words {
+            let (first, _) = book.shard_of(&Key::of(word.destination, What::Rate));
+            if let Some((epoch, _)) = self.ranges.get(&first) {
+                let tallies = self.tallies.entry(first).or_default();
+                tallies.hear(now, &sender, &zone, word, epoch * EPOCHS);
+            }
+        }
+        let kept = self.tallies.iter().filter(|(first, _)| self.ranges.contains_key(first));
+        answer.verdicts = kept.flat_map(|(_, tallies)| tallies.on(destinations.iter().copied())).collect();
         for want in wants {
             let (first, keeper) = book.shard_of(&want.key);
             match (self.ranges.get_mut(&first), book.limit(&want.key)) {
--- a/registry/src/server/ledger.rs
+++ b/registry/src/server/ledger.rs
@@ -65,6 +65,7 @@
     while let Some(answer) = others.join_next().await {
         if let Ok(Some(answer)) = answer {
             whole.dealt.extend(answer.dealt);
+            whole.verdicts.extend(answer.verdicts);
         }
     }
     Ok(json(&serde_json::to_value(whole).map_err(No::busy)?))
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,8 +43,7 @@
 /// Higher retries sooner, lower spares a destination that hundreds of senders share.
 const PACE_FIRST: f64 = 0.35;
 const PACE_LEAST: f64 = 1.5;
-/// Least pace of one sender, whatever number of senders the settings tell: a call a minute starves nobody for
-/// good.
+/// Least pace of one sender in a fleet of any size: a call a minute starves nobody for good.
 const PACE_SELDOM: f64 = 1.0 / 60.0;
 /// Burst of the pace, as a span of it. Longer takes clumps faster, shorter draws fewer refusals.
 const PACE_BURST: f64 = 0.4;
@@ -107,8 +106,7 @@
 const LIST_MOST: Micros = 4 * SECOND;
 /// Span of a tenant's token bucket, seconds of its share.
 const TENANT_BURST: f64 = 2.0;
-/// Messages beyond that which a tenant may send to one in a crowd by chance. More sees excess later, fewer
-/// see excess where there is none.
+/// Messages beyond that which chance may bring one in a crowd: more sees excess late, fewer where none is.
 const TENANT_CHANCE: f64 = 4.0;
 
 /// The decisions of one sender. All that it knows can be written down and read back by the next process.
@@ -202,17 +200,13 @@
     /// One turn: takes in all events, then appends what to do. The time never goes backwards.
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if self.alarm <= self.now {
-            self.alarm = Micros::MAX;
-        }
+        self.alarm = if self.alarm <= self.now { Micros::MAX } else { self.alarm };
         for event in events {
             self.learn(event, actions);
         }
         self.due = Micros::MAX;
         self.count_senders();
-        if self.list_retry.take_if(|at| *at <= self.now).is_some() {
-            actions.push(Action::Subscribe);
-        }
+        actions.extend(self.list_retry.take_if(|at| *at <= self.now).map(|_| Action::Subscribe));
         self.look_for_silence(actions);
         self.end_hopeless(actions);
         self.send_due(actions);
@@ -224,6 +218,7 @@
             Event::Agreed(agreed) => self.agreed = agreed.clone(),
             Event::Blind(blind) => self.blind = *blind,
             Event::Shared(quotas) => self.share(quotas.clone()),
+            Event::Word { destination, out } => self.hear(*destination, *out, actions),
             Event::Fleet(view) => {
                 // who holds a view may grow; what is seen must stand
                 let seen = |view: FleetView| FleetView { holders: 0, ..view };
@@ -251,20 +246,16 @@
             Event::Resumed { message, attempts } => self.resume(message, attempts),
             Event::Unnoticed(message) => {
                 self.accept(message);
-                if let Some(held) = self.messages.get_mut(&message.id) {
-                    (held.open, held.unnoticed) = (false, true);
-                }
+                let ended = |held: &mut Held| (held.open, held.unnoticed) = (false, true);
+                self.messages.entry(message.id).and_modify(ended);
             }
             Event::Noticed(message) => {
-                if let Some(held) = self.messages.get_mut(message) {
-                    held.unnoticed = false;
-                }
+                self.messages.entry(*message).and_modify(|held| held.unnoticed = false);
                 self.forget_if_done(*message);
             }
             Event::Retuned(settings) => {
-                if settings.senders != self.settings.senders {
-                    self.counted = settings.senders;
-                }
+                let same = settings.senders == self.settings.senders;
+                self.counted = if same { self.counted } else { settings.senders };
                 self.settings = (**settings).clone();
                 self.tenant_tokens.resize(self.settings.tenants.len(), (f64::MAX, 0));
             }
@@ -422,9 +413,8 @@
             Attempt { out: false, may_have_run: past.may_have_run, overlapped: true, ..attempt }
         }));
         let unsure = attempts.iter().any(|past| past.may_have_run);
-        if let Some(line) = held.key.filter(|_| unsure).and_then(|key| self.keys.get_mut(&key)) {
-            line.rest_until = line.rest_until.max(rest_until);
-        }
+        let line = held.key.filter(|_| unsure).and_then(|key| self.keys.get_mut(&key));
+        line.into_iter().for_each(|line| line.rest_until = line.rest_until.max(rest_until));
     }
 
     fn learn_outcome(
@@ -446,9 +436,8 @@
             message.retry_at = self.now + if refused { 0 } else { rest };
         }
         let rests = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
-        if let Some(line) = message.key.filter(|_| rests).and_then(|key| self.keys.get_mut(&key)) {
-            line.rest_until = line.rest_until.max(self.now + key_rest);
-        }
+        let line = message.key.filter(|_| rests).and_then(|key| self.keys.get_mut(&key));
+        line.into_iter().for_each(|line| line.rest_until = line.rest_until.max(self.now + key_rest));
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         let (unit_id, first, copy) = (call.unit, call.left == call.size, call.copy);
         call.left -= 1;
@@ -935,6 +924,23 @@
         }
     }
 
+    /// Heeds what enough others agree on. Guards slots against a destination that is out for others; could
+    /// hold back one that is well, so own successes go before it. One that is back is tried at once.
+    fn hear(&mut self, destination: DestinationId, out: bool, actions: &mut Vec<Action>) {
+        let (now, span) = (self.now, self.settings.safety.fall_span);
+        let all = (destination, None)..=(destination, Some(EndpointId(u32::MAX)));
+        for id in self.units.range(all).map(|(id, _)| *id).collect::<Vec<_>>() {
+            let unit = self.unit(id);
+            match unit.health {
+                Health::Well if out && now - unit.alive_at > span => {
+                    self.fall_sick(id, true, "told", actions)
+                }
+                Health::Sick { .. } if !out => unit.tokens = unit.tokens.max(1.0),
+                _ => {}
+            }
+        }
+    }
+
     /// What this sender could use at each destination that it knows.
     pub fn demand(&self) -> BTreeMap<DestinationId, Demand> {
         let mut all: BTreeMap<DestinationId, Demand> =
@@ -946,6 +952,9 @@
             let demand = all.entry(*destination).or_default();
             (demand.out, demand.sent) = (demand.out + unit.in_flight as u64, demand.sent + unit.sent);
             demand.sick |= unit.health != Health::Well;
+            demand.failing |= matches!(unit.health, Health::Sick { .. })
+                && (unit.failed_at > unit.alive_at || unit.quiet > 0);
+            demand.alive |= unit.succeeded && self.now - unit.alive_at < self.settings.safety.fall_span;
         }
         all
     }
@@ -1029,12 +1038,9 @@
             unit.tokens -= 1.0;
             unit.in_flight += 1;
             unit.sent += 1;
-            if let Some(bucket) = self.buckets.get_mut(&unit_id.0) {
-                bucket.tokens -= Bucket::CALL;
-            }
-            if let Some(warmup) = self.endpoints.get_mut(&endpoint).and_then(|known| known.warmup.as_mut()) {
-                warmup.tokens -= 1.0;
-            }
+            self.buckets.entry(unit_id.0).and_modify(|bucket| bucket.tokens -= Bucket::CALL);
+            let warmup = self.endpoints.get_mut(&endpoint).and_then(|known| known.warmup.as_mut());
+            warmup.into_iter().for_each(|warmup| warmup.tokens -= 1.0);
         }
         let silence = self.unit(unit_id).silence_limit();
         let offset = self.unit(unit_id).offset.unwrap_or(FIRST_COPY_DELAY);
@@ -1065,21 +1071,16 @@
     fn close(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(message) = self.messages.get_mut(&id).filter(|message| message.open) else { return };
         message.open = false;
-        if self.settings.may_cancel {
-            for (attempt, _) in message.attempts.iter().enumerate().filter(|(_, attempt)| attempt.out) {
-                actions.push(Action::Cancel { message: id, attempt });
-            }
-        }
+        let cancels = self.settings.may_cancel;
+        let out = message.attempts.iter().enumerate().filter(|(_, attempt)| cancels && attempt.out);
+        actions.extend(out.map(|(attempt, _)| Action::Cancel { message: id, attempt }));
     }
 
     fn forget_if_done(&mut self, id: MessageId) {
         let done = |held: &&Held| !held.open && !held.unnoticed && !held.is_out();
         let Some(message) = self.messages.get(&id).filter(done) else { return };
-        if let Some(key) = message.key
-            && let Some(line) = self.keys.get_mut(&key)
-        {
-            line.turn.retain(|&other| other != id);
-        }
+        let line = message.key.and_then(|key| self.keys.get_mut(&key));
+        line.into_iter().for_each(|line| line.turn.retain(|&other| other != id));
         self.messages.remove(&id);
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -164,6 +164,10 @@
     pub sent: u64,
     /// It is not well.
     pub sick: bool,
+    /// It is not, by own calls that failed or are not answered.
+    pub failing: bool,
+    /// Its last call succeeded, a short while ago.
+    pub alive: bool,
 }
 
 /// A class of message.
@@ -600,6 +604,13 @@
     Agreed(Option<Box<Agreed>>),
     /// What this sender may use of limits that hold for all; none: no such limits.
     Shared(Option<Box<Quotas>>),
+    /// Enough other senders agree that a destination is out, or is back.
+    Word {
+        /// Which.
+        destination: DestinationId,
+        /// It is out.
+        out: bool,
+    },
     /// What is known of the other senders; none where nothing is.
     Fleet(Option<FleetView>),
     /// News of the endpoint list.
--- a/src/main.rs
+++ b/src/main.rs
@@ -116,6 +116,7 @@
         _ = terminate.recv() => return Ok(()),
     };
     let senders = config.settings.senders;
+    let zone = config.names.zones.get(usize::from(config.settings.zone)).cloned().unwrap_or_default();
     let span = |micros| Duration::from_micros(u64::try_from(micros).unwrap_or(0));
     let (ask_lists, safety) = (config.settings.list_on_request, &config.settings.safety);
     let agents = discovery::Shared { senders, asked: ask_lists, ask_every: span(safety.ask_every) };
@@ -208,6 +209,7 @@
         clock,
         name: config.name.clone(),
         seed: config.seed,
+        zone,
         inputs: inputs.clone(),
         agent: agent.clone(),
     };
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -321,6 +321,7 @@
                 self.binding.push(binds);
             }
             Input::Freezing(freezing) => self.freeze(freezing),
+            Input::Word { destination, out } => self.events.push(Event::Word { destination, out }),
             Input::Wanted(reply) => {
                 // a part that is off by now asks no more
                 let _ = reply.send(self.sender.demand());
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -36,6 +36,11 @@
     Shared(Option<Box<Quotas>>, oneshot::Sender<()>),
     /// Of the freeze calendar.
     Freezing(Freezing),
+    /// Enough other senders agree that a destination is out, or back.
+    Word {
+        destination: u64,
+        out: bool,
+    },
     /// Tells what could be used at each destination.
     Wanted(oneshot::Sender<BTreeMap<u64, Demand>>),
     /// What is seen of the other senders; none where nothing is.
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -104,6 +104,7 @@
             | Input::Agreed(..)
             | Input::Shared(..)
             | Input::Freezing(_)
+            | Input::Word { .. }
             | Input::Wanted(_)
             | Input::Fleet(_)
             | Input::Linked(_)
--- a/src/net/ledger/mod.rs
+++ b/src/net/ledger/mod.rs
@@ -8,6 +8,7 @@
 use super::log;
 use hyper::Method;
 use milletturn::{Demand, MILLISECOND, Micros, Quota, Quotas, Share};
+use milletturn_ledger::verdicts::{Verdict, Word};
 use milletturn_ledger::{Dealt, Floors, Holder, Key, Wanted, What};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
@@ -40,6 +41,8 @@
     pub clock: Clock,
     pub name: String,
     pub seed: u64,
+    /// The zone that it is in, by name.
+    pub zone: String,
     pub inputs: mpsc::UnboundedSender<Input>,
     /// Where the registry is.
     pub agent: watch::Receiver<SocketAddr>,
@@ -49,6 +52,8 @@
 struct Answer {
     lease: u64,
     dealt: Vec<Dealt>,
+    #[serde(default)]
+    verdicts: Vec<Verdict>,
 }
 
 /// What holds by the floors alone.
@@ -116,6 +121,15 @@
     all
 }
 
+/// What this sender says of destinations by its own calls: nothing of those that it knows nothing of now.
+fn words(demand: &BTreeMap<u64, Demand>) -> Vec<Word> {
+    let word = |(destination, demand): (&u64, &Demand)| {
+        let said = demand.sent > 0 && (demand.failing || demand.alive);
+        said.then_some(Word { destination: *destination, out: demand.failing })
+    };
+    demand.iter().filter_map(word).collect()
+}
+
 /// Holds parts for as long as the settings want it, until the process stops or hands over.
 pub async fn hold(
     mut means: Means, mut wanted: watch::Receiver<Option<Ledger>>, mut queries: mpsc::Receiver<Query>,
@@ -154,6 +168,7 @@
             destinations: BTreeSet::new(),
             before: BTreeMap::new(),
             counted: Instant::now(),
+            verdicts: BTreeMap::new(),
             told: None,
             asked: 0,
             granted: 0,
@@ -200,6 +215,8 @@
     /// Calls sent to each destination when that was last counted, once a lease.
     before: BTreeMap<u64, u64>,
     counted: Instant,
+    /// What was agreed of destinations, the last of each.
+    verdicts: BTreeMap<u64, Verdict>,
     /// The last fault that was logged.
     told: Option<String>,
     asked: u64,
@@ -286,12 +303,22 @@
         let (number, wants) = self.holder.ask(self.means.now(), wants);
         self.asked += 1;
         let question = json!({ "sender": self.means.name, "life": self.life, "number": number,
-            "floors": self.holder.floors(), "wants": wants });
-        let Answer { lease, dealt } =
+            "floors": self.holder.floors(), "wants": wants, "zone": self.means.zone, "words": words(demand) });
+        let Answer { lease, dealt, verdicts } =
             ask(address, Method::POST, "/v1/parts", Some(question), ANSWER, ANSWER_MOST).await?;
         self.lease = Duration::from_micros(lease).max(Duration::from_millis(100));
         self.holder.granted(number, lease, dealt);
-        // the next question says that it acts on this: it must by then
+        for verdict in verdicts {
+            let known = self.verdicts.get(&verdict.destination).copied();
+            let held = known.map_or(verdict, |known| known.join(verdict));
+            if known.map(|known| known.epoch) != Some(held.epoch) {
+                let Verdict { destination, out, observers, .. } = held;
+                let state = if out { "out" } else { "back" };
+                log(format_args!("ledger: destination {destination} is {state}, {observers} senders say"));
+                let _ = self.means.inputs.send(Input::Word { destination, out });
+            }
+            self.verdicts.insert(verdict.destination, held);
+        }
         let quotas = quotas(&self.holder, &self.destinations, self.means.now());
         self.means.bind(Some(quotas)).await;
         Ok(())
@@ -306,7 +333,7 @@
         });
         json!({
             "sender": self.means.name, "parts": parts.collect::<Vec<_>>(), "floors": self.holder.floors(),
-            "lease_ms": self.lease.as_millis() as u64, "now_us": now,
+            "verdicts": self.verdicts.values().collect::<Vec<_>>(), "lease_ms": self.lease.as_millis() as u64, "now_us": now,
             "asked": self.asked, "granted": self.granted, "failed": self.failed, "fault": self.told,
         })
         .to_string()
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -143,3 +143,45 @@
     assert_eq!(status, 409);
     assert_eq!(registry.ask("PUT", "/v1/limits/out/7", &json!({ "total": 9 })).expect("an answer").0, 400);
 }
+
+#[test]
+fn senders_that_agree_on_an_outage_tell_one_that_did_not_call() {
+    let up = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let here = up.clone();
+    let endpoint = Endpoint::new(move |_, _| match here.load(Ordering::SeqCst) {
+        true => OK,
+        false => Reply::Close,
+    });
+    let registry = registry();
+    registry.list("s-1", &endpoint, 7);
+    let nodes = ["a", "b", "c"].map(|name| sender(&registry, name));
+    let verdict = |node: &Node| {
+        let report = report(node);
+        report["verdicts"].as_array().and_then(|all| all.first().map(|verdict| verdict["out"].clone()))
+    };
+    // one alone is not believed
+    up.store(false, Ordering::SeqCst);
+    let fail = |nodes: &[Node]| {
+        for node in nodes {
+            let number = MESSAGES.fetch_add(1, Ordering::SeqCst);
+            node.hand_in("webhook", &format!("v{number}"), 7, 900, b"x");
+        }
+        std::thread::sleep(Duration::from_millis(40));
+    };
+    wait_until("the first knows by itself", || {
+        fail(&nodes[..1]);
+        nodes[0].logged("destination 7 sick")
+    });
+    std::thread::sleep(2 * LEASE);
+    assert_eq!(nodes.iter().filter_map(verdict).count(), 0);
+    wait_until("two agree, and the third knows", || {
+        fail(&nodes[..2]);
+        verdict(&nodes[2]) == Some(json!(true))
+    });
+    assert!(nodes[2].logged("ledger: destination 7 is out"));
+    up.store(true, Ordering::SeqCst);
+    wait_until("all know that it is back", || {
+        fail(&nodes[..2]);
+        nodes.iter().all(|node| verdict(node) == Some(json!(false)))
+    });
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -427,3 +427,29 @@
     rig.tell(vec![quotas(None, rig.now + SECOND)]);
     assert_eq!(sent(&mut rig), 6, "without a limit all go");
 }
+
+#[test]
+fn a_word_of_others_holds_back_where_nothing_was_heard_and_never_where_calls_succeed() {
+    let word = |out| Event::Word { destination: 7, out };
+    let mut rig = Rig::new(settings(40), pool(2));
+    rig.tell(vec![message(1, FREE, 7)]);
+    rig.end(1, Outcome::Success, 10 * MILLISECOND);
+    let before = rig.sender.demand()[&7];
+    assert!(before.alive && !before.sick);
+    // it has just succeeded: a word changes nothing
+    rig.tell(vec![word(true)]);
+    assert!(!rig.sender.demand()[&7].sick);
+    rig.run(T0 + 20 * SECOND);
+    rig.tell(vec![word(true)]);
+    let told = rig.sender.demand()[&7];
+    assert!(told.sick && !told.failing && !told.alive, "what others told is no word of its own: {told:?}");
+    // few are tried, until it is said to be back, and one success ends it
+    rig.tell((10..20).map(|id| message(id, FREE, 7)).collect());
+    assert!(rig.sends.len() <= 3, "{:?}", rig.sends);
+    rig.tell(vec![word(false)]);
+    let (_, id, ..) = *rig.sends.last().expect("one is tried at once");
+    rig.end(id, Outcome::Success, 10 * MILLISECOND);
+    assert!(!rig.sender.demand()[&7].sick);
+    rig.run(rig.now + 2 * SECOND);
+    assert!(rig.sends.len() > 3, "{:?}", rig.sends);
+}
