--- a/ledger/src/parts.rs
+++ b/ledger/src/parts.rs
@@ -148,21 +148,11 @@
         Dealt { key: key.clone(), part: Some(part), total: Some(limit.total), linger_ms: limit.linger_ms }
     }
 
-    /// What senders may still use of a limit beside their floors.
-    pub fn out(&mut self, now: Micros, key: &Key) -> u64 {
-        let Some(account) = self.accounts.get_mut(key) else { return 0 };
-        account.lapse(now);
-        account.out
-    }
-
     /// Takes over what another keeper of the same replica has dealt of these keys, whose range is this one's now.
-    pub fn take_over(&mut self, mut other: Keeper, theirs: impl Fn(&Key) -> bool) -> Keeper {
-        let all = std::mem::take(&mut other.accounts);
-        let (mine, rest): (BTreeMap<_, _>, _) = all.into_iter().partition(|(key, _)| theirs(key));
-        self.accounts.extend(mine);
+    pub fn take_over(&mut self, other: &mut Keeper, theirs: impl Fn(&Key) -> bool) {
+        self.accounts.extend(other.accounts.extract_if(.., |key, _| theirs(key)));
         // this one knows all that was dealt of its keys
         self.from = other.from;
-        Keeper { accounts: rest, ..other }
     }
 
     /// Forgets what has lapsed.
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -236,13 +236,18 @@
 
     /// What the two clocks show that a calendar goes by; none while no clock was told.
     pub fn clocks(&self, now: Micros) -> Option<Clocks> {
-        let carried = self.clock.map(|(ms, at)| ms + now.saturating_sub(at) / 1000);
+        let carried = self.carried_ms(now);
         (self.wall_ms > 0).then(|| Clocks { wall_ms: self.wall_ms, log_ms: carried.unwrap_or(self.wall_ms) })
     }
 
+    /// The log's clock, carried on by the time that has passed since it showed.
+    fn carried_ms(&self, now: Micros) -> Option<u64> {
+        self.clock.map(|(ms, at)| ms + now.saturating_sub(at) / 1000)
+    }
+
     /// The log's clock was written. One that is read again after a start is as old as that.
     fn hear_clock(&mut self, now: Micros, ms: u64) {
-        let carried = self.clock.map(|(ms, at)| ms + now.saturating_sub(at) / 1000);
+        let carried = self.carried_ms(now);
         if carried.is_some() || self.wall_ms.abs_diff(ms) <= SKEW_MS {
             self.clock = Some((carried.unwrap_or(ms).max(ms), now));
         }
@@ -359,10 +364,10 @@
         Some(rows)
     }
 
-    /// What dual reads here have found, for the log.
+    /// What dual reads here have found, for the log, which this one leads.
     fn tell_reads(&mut self) {
         let (flags, queries) = &mut self.dual;
-        if queries.iter().sum::<u64>() == 0 || !self.raw.raft.leader_id.eq(&self.id) {
+        if queries.iter().sum::<u64>() == 0 {
             return;
         }
         let (mut flags, queries) = (std::mem::take(flags), std::mem::take(queries));
@@ -576,9 +581,11 @@
         let ready = |batch: &mut Batch| batch.index.is_some_and(|index| index <= applied);
         for batch in self.asked.extract_if(.., ready) {
             output.answers.extend(batch.reads.into_iter().map(|ticket| (ticket, Answer::Fresh)));
-            for (ticket, question) in batch.parts {
+            if !batch.parts.is_empty() {
                 // whoever keeps a range now did so when the question came, or is asked with a later word
                 self.keeping.follow(now, self.id, self.state.ledger.as_ref());
+            }
+            for (ticket, question) in batch.parts {
                 let answer = self.keeping.deal(now, question, self.id, self.state.ledger.as_ref());
                 output.answers.push((ticket, answer));
             }
--- a/registry/src/replica/keeping.rs
+++ b/registry/src/replica/keeping.rs
@@ -80,28 +80,13 @@
             self.tallies.clear();
             let mut before = std::mem::take(&mut self.ranges);
             for (first, shard) in own() {
-                let kept = match before.remove(first) {
-                    Some((epoch, keeper)) if epoch == shard.epoch => keeper,
-                    // the other child may be still to come: what it does not take over is kept for it
-                    Some((epoch, keeper)) if shard.from == Some((*first, epoch)) => {
-                        let mut own = Keeper::new(book.terms(), now);
-                        let rest = own.take_over(keeper, |key| book.shard_of(key).0 == *first);
-                        before.insert(*first, (epoch, rest));
-                        own
+                let mut kept = Keeper::new(book.terms(), now);
+                // after a cut-over the parent's keeper knows its keys; what one child does not take stays for the other
+                for (from, epoch) in [Some((*first, shard.epoch)), shard.from].into_iter().flatten() {
+                    if let Some((_, keeper)) = before.get_mut(&from).filter(|(known, _)| *known == epoch) {
+                        kept.take_over(keeper, |key| book.shard_of(key).0 == *first);
                     }
-                    other => {
-                        other.into_iter().for_each(|other| drop(before.insert(*first, other)));
-                        let mut own = Keeper::new(book.terms(), now);
-                        let from = shard.from.filter(|(from, _)| from != first);
-                        let parent =
-                            from.and_then(|(from, epoch)| before.remove(&from).filter(|(e, _)| *e == epoch));
-                        if let (Some((from, epoch)), Some((_, keeper))) = (from, parent) {
-                            let rest = own.take_over(keeper, |key| book.shard_of(key).0 == *first);
-                            before.insert(from, (epoch, rest));
-                        }
-                        own
-                    }
-                };
+                }
                 self.ranges.insert(*first, (shard.epoch, kept));
             }
         }
--- a/registry/src/server.rs
+++ b/registry/src/server.rs
@@ -256,6 +256,14 @@
     }
 }
 
+/// Makes sure that what is applied here is as late as the question; an answer if another gave it in this one's place.
+async fn elsewhere(asked: &Asked, server: &Server) -> Result<Option<Response<Body>>, No> {
+    match server.core.ask(crate::core::Asked::Read).await? {
+        Answer::Fresh => Ok(None),
+        other => server.otherwise(asked, other).await.map(Some),
+    }
+}
+
 /// Asks another replica the same.
 async fn pass_on(place: SocketAddr, asked: &Asked) -> Result<Response<Body>, No> {
     let path = match asked.query.as_str() {
--- a/registry/src/server/freeze.rs
+++ b/registry/src/server/freeze.rs
@@ -1,7 +1,7 @@
 //! What clients ask of the freeze: the calendar, the windows that are on, the glass.
 
 use super::ledger::explained;
-use super::{Asked, Body, No, Server, json, routes::read, routes::wanted};
+use super::{Asked, Body, No, Server, elsewhere, json, routes::read, routes::wanted};
 use crate::core::Asked as Question;
 use crate::replica::Answer;
 use crate::state::Command;
@@ -54,9 +54,8 @@
 }
 
 async fn show(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
-    match server.core.ask(Question::Read).await? {
-        Answer::Fresh => {}
-        other => return server.otherwise(asked, other).await,
+    if let Some(response) = elsewhere(asked, server).await? {
+        return Ok(response);
     }
     let report = server.core.look(|replica, now| {
         let mut report = replica.freeze_report(now);
--- a/registry/src/server/ledger.rs
+++ b/registry/src/server/ledger.rs
@@ -1,6 +1,6 @@
 //! What clients ask of the ledger: parts, limits.
 
-use super::{Asked, Body, HOP, No, Server, json, routes::read, routes::wanted};
+use super::{Asked, Body, HOP, No, Server, elsewhere, json, routes::read, routes::wanted};
 use crate::core::Asked as Question;
 use crate::exchange::exchange;
 use crate::replica::{Answer, PartsAnswer, PartsQuestion};
@@ -136,13 +136,11 @@
                 });
                 Some(value!({ "under_way": under_way, "ended": ended.collect::<Vec<_>>() }))
             };
-            return match server.core.ask(Question::Read).await? {
-                Answer::Fresh => {
-                    let report = server.core.look(move |replica, _| report(replica)).await?;
-                    report.map(|report| json(&report)).ok_or_else(|| no(&BookError::None))
-                }
-                other => server.otherwise(asked, other).await,
-            };
+            if let Some(response) = elsewhere(asked, server).await? {
+                return Ok(response);
+            }
+            let report = server.core.look(move |replica, _| report(replica)).await?;
+            return report.map(|report| json(&report)).ok_or_else(|| no(&BookError::None));
         }
         Method::POST => {
             let Wish { first, at, rehearse } = read(asked)?;
@@ -168,18 +166,16 @@
         let leader = server.core.seen.borrow().leader;
         return server.otherwise(asked, Answer::NotLeader(leader)).await;
     }
-    match server.core.ask(Question::Read).await? {
-        Answer::Fresh => {}
-        other => return server.otherwise(asked, other).await,
+    if let Some(response) = elsewhere(asked, server).await? {
+        return Ok(response);
     }
     let rows = server.core.look(move |replica, now| replica.query(now, &query)).await?;
     rows.map(|rows| json(&value!({ "rows": rows }))).ok_or_else(|| no(&BookError::None))
 }
 
 async fn list(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
-    match server.core.ask(Question::Read).await? {
-        Answer::Fresh => {}
-        other => return server.otherwise(asked, other).await,
+    if let Some(response) = elsewhere(asked, server).await? {
+        return Ok(response);
     }
     let report = server.core.look(|replica, now| {
         let mut report = replica.ledger_report(now);
--- a/registry/src/server/routes.rs
+++ b/registry/src/server/routes.rs
@@ -1,6 +1,6 @@
 //! Which request is what.
 
-use super::{Asked, Body, No, Server, count, json, text, watch};
+use super::{Asked, Body, No, Server, count, elsewhere, json, text, watch};
 use crate::core::Asked as Question;
 use crate::replica::{Answer, ReplicaChange};
 use crate::state::{Change, Command, Place, State};
@@ -149,11 +149,12 @@
         pair("from").map(|from| from.parse().map_err(|_| No::bad("from is no version"))).transpose()?;
     match pair("fresh").as_deref() {
         None => {}
-        Some("1") => match server.core.ask(Question::Read).await? {
+        Some("1") => {
             // the feed has what was applied before this was answered
-            Answer::Fresh => {}
-            other => return server.otherwise(asked, other).await,
-        },
+            if let Some(response) = elsewhere(asked, server).await? {
+                return Ok(response);
+            }
+        }
         Some(_) => return Err(No::bad("fresh is not 1")),
     }
     match pair("watch").as_deref() {
@@ -202,9 +203,9 @@
 async fn fresh<T: Send + 'static>(
     asked: &Asked, server: &Server, look: impl FnOnce(&State) -> T + Send + 'static,
 ) -> Result<Found<T>, No> {
-    match server.core.ask(Question::Read).await? {
-        Answer::Fresh => Ok(Found::Here(server.core.look(move |replica, _| look(replica.state())).await?)),
-        other => server.otherwise(asked, other).await.map(Found::Elsewhere),
+    match elsewhere(asked, server).await? {
+        None => Ok(Found::Here(server.core.look(move |replica, _| look(replica.state())).await?)),
+        Some(response) => Ok(Found::Elsewhere(response)),
     }
 }
 
@@ -215,9 +216,8 @@
         let leader = server.core.seen.borrow().leader;
         return server.otherwise(asked, Answer::NotLeader(leader)).await;
     }
-    match server.core.ask(Question::Read).await? {
-        Answer::Fresh => {}
-        other => return server.otherwise(asked, other).await,
+    if let Some(response) = elsewhere(asked, server).await? {
+        return Ok(response);
     }
     let report = server.core.look(|replica, now| {
         let mut report = replica.rules_report(now);
--- a/src/net/driver/frozen.rs
+++ b/src/net/driver/frozen.rs
@@ -1,7 +1,7 @@
 //! What a freeze holds of the lists: such entries are not used, counted, shown, and admitted one after another after the thaw.
 //! What a list takes away is always obeyed.
 
-use super::Driver;
+use super::{Driver, Route};
 use crate::net::events::{Freezing, ListUpdate, Listed};
 use crate::net::freeze::settings::FreezeSettings;
 use milletturn::{Micros, Status};
@@ -27,6 +27,12 @@
     Seen { up: *status == Status::Serving, destination: *destination, zone: zone.clone(), weight: *weight }
 }
 
+/// What is known of an endpoint that the last list had.
+fn known(route: &Route) -> Option<Seen> {
+    let Route { up, destination, zone, weight, listed, .. } = route;
+    listed.then(|| Seen { up: *up, destination: *destination, zone: zone.clone(), weight: *weight })
+}
+
 impl Driver {
     pub(super) fn freeze(&mut self, freezing: Freezing) {
         let now = self.now();
@@ -68,12 +74,7 @@
         for mut listed in update.targets {
             frozen.held.remove(&listed.uid);
             let route = self.by_uid.get(&listed.uid).and_then(|endpoint| self.routes.get(endpoint));
-            let before = route.filter(|route| route.listed).map(|route| Seen {
-                up: route.up,
-                destination: route.destination,
-                zone: route.zone.clone(),
-                weight: route.weight,
-            });
+            let before = route.and_then(known);
             let matter = widens(before.as_ref(), &seen(&listed));
             let Some(Err(error)) = matter.map(|matter| frozen.gate.judge(now, &matter)) else {
                 taken.push(listed);
@@ -114,12 +115,7 @@
         let (routes, by_uid) = (&self.routes, &self.by_uid);
         let free = frozen.held.iter().find(|(uid, listed)| {
             let route = by_uid.get(*uid).and_then(|endpoint| routes.get(endpoint));
-            let before = route.filter(|route| route.listed).map(|route| Seen {
-                up: route.up,
-                destination: route.destination,
-                zone: route.zone.clone(),
-                weight: route.weight,
-            });
+            let before = route.and_then(known);
             widens(before.as_ref(), &seen(listed))
                 .is_none_or(|matter| frozen.gate.judge(now, &matter).is_ok())
         });
