A repeat begins only within its window, however long its connection takes to come

Cause: may_send looked at the window when a repeat was decided; calls::exchange then waited for a connection, for up to the dial time-out, and wrote whenever one came. Ruled out: returned messages, which clients hand in again only within the window. Change: Action::Send carries start_by, the end of the window of the first attempt that may have run; the call waits for its connection no longer than that and ends unsent. The window is now looked at in one place (is_harmless, Held::window_ends).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -693,15 +693,11 @@
         {
             return false;
         }
-        let mut risky = message.at_risk();
-        let repeatable = match self.effect(message.class) {
-            Effect::Repeatable => true,
-            Effect::Unsafe => risky.next().is_none(),
-            Effect::Keyed { window, zone_only } => risky.all(|attempt| {
-                let zone = self.endpoints.get(&attempt.endpoint).map(|known| known.zone);
-                self.now + MARGIN < attempt.sent + window && (!zone_only || zone == Some(target.zone))
-            }),
-        };
+        let (effect, zone) =
+            (self.effect(message.class), |id| self.endpoints.get(&id).map(|known| known.zone));
+        let apart = |past: &Attempt| zone(past.endpoint) != Some(target.zone);
+        let zone_only = matches!(effect, Effect::Keyed { zone_only: true, .. });
+        let repeatable = self.is_harmless(message, effect) && !(zone_only && message.at_risk().any(apart));
         let turn = message.key.and_then(|key| self.keys.get(&key)).is_none_or(|line| {
             line.turn.front() == Some(&id) && (self.now >= line.rest_until || !message.attempts.is_empty())
         });
@@ -721,12 +717,19 @@
 
     /// True if the message may be refused: it is certain that a retry does no harm.
     fn may_refuse(&self, message: &Held) -> bool {
-        let mut risky = message.at_risk();
         match self.effect(message.class) {
+            Effect::Keyed { zone_only: true, .. } => message.at_risk().next().is_none(),
+            effect => self.is_harmless(message, effect),
+        }
+    }
+
+    /// True if the message may run once more now: it never ran, or a repeat has no effect.
+    fn is_harmless(&self, message: &Held, effect: Effect) -> bool {
+        match effect {
             Effect::Repeatable => true,
-            Effect::Unsafe => risky.next().is_none(),
-            Effect::Keyed { window, zone_only } => {
-                risky.all(|attempt| !zone_only && self.now + MARGIN < attempt.sent + window)
+            Effect::Unsafe => message.at_risk().next().is_none(),
+            Effect::Keyed { window, .. } => {
+                message.window_ends(window - MARGIN).is_none_or(|ends| self.now < ends)
             }
         }
     }
@@ -777,13 +780,8 @@
 
     /// True if no later send can be legal: it may have run and cannot be repeated, or no attempt is left.
     fn is_spent(&self, message: &Held) -> bool {
-        let mut risky = message.at_risk();
         // what rules forbid for now they may allow again
-        let closed = match self.own_effect(message.class) {
-            Effect::Repeatable => false,
-            Effect::Unsafe => risky.next().is_some(),
-            Effect::Keyed { window, .. } => risky.any(|attempt| self.now + MARGIN >= attempt.sent + window),
-        };
+        let closed = !self.is_harmless(message, self.own_effect(message.class));
         closed || message.attempts.len() >= message.most_attempts
     }
 
@@ -1047,10 +1045,12 @@
         self.calls.entry(call_id).and_modify(|call| (call.left, call.size) = (call.left + 1, call.size + 1));
         let effect = self.effect(self.messages[&id].class);
         let Some(message) = self.messages.get_mut(&id) else { return };
-        let expires = match effect {
-            Effect::Unsafe => message.deadline,
-            Effect::Keyed { window, .. } => message.deadline.min(now + window),
-            Effect::Repeatable => message.deadline.min(now + offset * 10),
+        let (expires, start_by) = match effect {
+            Effect::Unsafe => (message.deadline, None),
+            Effect::Keyed { window, .. } => {
+                (message.deadline.min(now + window), message.window_ends(window - MARGIN))
+            }
+            Effect::Repeatable => (message.deadline.min(now + offset * 10), None),
         };
         let longest = self.quotas.as_ref().and_then(|quotas| quotas.of(unit_id.0).out);
         let expires = longest.map_or(expires, |(_, longest)| expires.min(now + longest));
@@ -1064,7 +1064,7 @@
         self.due = self.due.min(message.copy_at).min(now + silence + MILLISECOND);
         message.attempts.iter_mut().for_each(|attempt| attempt.overlapped |= attempt.out);
         message.attempts.push(Attempt::new(endpoint, now, call_id));
-        actions.push(Action::Send { message: id, endpoint, expires });
+        actions.push(Action::Send { message: id, endpoint, expires, start_by });
     }
 
     /// Marks a message as ended and calls off what is still out.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -713,6 +713,8 @@
         endpoint: EndpointId,
         /// When the attempt times out.
         expires: Micros,
+        /// It may begin only before this time, however long its connection takes to come up; none: at any time.
+        start_by: Option<Micros>,
     },
     /// Call off an attempt.
     Cancel {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// Longest time for the rest of an answer whose first line has come.
 const DRAIN: Duration = Duration::from_secs(1);
@@ -49,6 +49,8 @@
     pub place: Place,
     pub items: Vec<Item>,
     pub expires: Instant,
+    /// A repeat whose connection comes up only then would leave the window in which it is dropped.
+    pub start_by: Option<Instant>,
 }
 
 /// The connections to the endpoints and what calls have in common.
@@ -154,9 +156,18 @@
 async fn exchange(shared: &Rc<Shared>, call: &Call, end: &Rc<Cell<Cause>>) -> Answer {
     let (address, items) = (call.place.address, &call.items[..]);
     loop {
-        let mut lease = match shared.connections.lease(call.place, end).await {
+        let lease = shared.connections.lease(call.place, end);
+        let lease = match call.start_by {
+            Some(by) => timeout_at(by, lease).await.unwrap_or(Err(NoLease::Late)),
+            None => lease.await,
+        };
+        let mut lease = match lease {
+            Ok(lease) if call.start_by.is_some_and(|by| by <= Instant::now()) => {
+                lease.give_back();
+                return Outcome::Unsent { no_slot: false }.into();
+            }
             Ok(lease) => lease,
-            Err(NoLease::Denied(Denied::Wait | Denied::Retired | Denied::Leaving)) => {
+            Err(NoLease::Late | NoLease::Denied(Denied::Wait | Denied::Retired | Denied::Leaving)) => {
                 return Outcome::Unsent { no_slot: false }.into();
             }
             Err(_) => return Outcome::NoConnection.into(),
@@ -351,7 +362,7 @@
         let id = HeaderValue::from_static("m1");
         let items = vec![Item { id, key: None, body: Bytes::from_static(b"body") }];
         let expires = Instant::now() + Duration::from_secs(10);
-        (calls.0, Call { number: 0, place, items, expires })
+        (calls.0, Call { number: 0, place, items, expires, start_by: None })
     }
 
     /// Reads up to so many bytes, one at a time, so that the other side has written one more at most.
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -62,6 +62,8 @@
 struct Bundle {
     endpoint: EndpointId,
     expires: Micros,
+    /// None of them may begin later.
+    start_by: Option<Micros>,
     sends: Vec<(MessageId, usize)>,
     size: usize,
 }
@@ -369,8 +371,8 @@
         let mut bundles: Vec<Bundle> = Vec::new();
         for action in actions {
             match action {
-                Action::Send { message, endpoint, expires } => {
-                    self.send(now, message, endpoint, expires, &mut bundles);
+                Action::Send { message, endpoint, expires, start_by } => {
+                    self.send(now, message, endpoint, (expires, start_by), &mut bundles);
                 }
                 Action::Cancel { message, attempt } => self.cancel(message, attempt),
                 Action::Refuse { message, wait } => {
--- a/src/net/driver/outcomes.rs
+++ b/src/net/driver/outcomes.rs
@@ -91,8 +91,8 @@
     }
 
     pub(super) fn send(
-        &mut self, now: Micros, message: MessageId, endpoint: EndpointId, expires: Micros,
-        bundles: &mut Vec<Bundle>,
+        &mut self, now: Micros, message: MessageId, endpoint: EndpointId,
+        (expires, start_by): (Micros, Option<Micros>), bundles: &mut Vec<Bundle>,
     ) {
         let Some(held) = self.messages.get_mut(&message) else { return };
         let attempt = held.attempts.len();
@@ -119,9 +119,13 @@
             Some(bundle) => {
                 bundle.sends.push((message, attempt));
                 bundle.expires = bundle.expires.max(expires);
+                bundle.start_by = [bundle.start_by, start_by].into_iter().flatten().min();
                 bundle.size += size;
             }
-            None => bundles.push(Bundle { endpoint, expires, sends: vec![(message, attempt)], size }),
+            None => {
+                let sends = vec![(message, attempt)];
+                bundles.push(Bundle { endpoint, expires, start_by, sends, size });
+            }
         }
     }
 
@@ -160,7 +164,8 @@
         let left = bundle.sends.len();
         self.out.insert(number, CallOut { cancels: Some(cancels), items: bundle.sends, left });
         let expires = self.clock.instant(bundle.expires);
-        self.calls.start(Call { number, place, items, expires }, receiver);
+        let start_by = bundle.start_by.map(|by| self.clock.instant(by));
+        self.calls.start(Call { number, place, items, expires, start_by }, receiver);
     }
 
     pub(super) fn cancel(&mut self, message: MessageId, attempt: usize) {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -82,6 +82,8 @@
 pub enum NoLease {
     #[error("none came up in time")]
     Time,
+    #[error("none came up before the call had to begin")]
+    Late,
     #[error("no connection: {0:?}")]
     Denied(Denied),
     #[error("the pool has ended")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,6 +114,11 @@
         let any = self.attempts.iter().any(|attempt| attempt.out || attempt.may_have_run);
         self.attempts.iter().filter(move |a| any && (a.out || a.may_have_run || a.overlapped))
     }
+
+    /// When the first attempt that may have run leaves a key's window; none where there is no such attempt.
+    pub fn window_ends(&self, window: Micros) -> Option<Micros> {
+        self.at_risk().map(|attempt| attempt.sent.saturating_add(window)).min()
+    }
 }
 
 /// One call in flight, with one message or a bundle.
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -145,7 +145,7 @@
         events.clear();
         for action in &actions {
             match action {
-                Action::Send { message, endpoint, expires } => {
+                Action::Send { message, endpoint, expires, start_by } => {
                     sends += 1;
                     let (id, endpoint) = (message.0, endpoint.0);
                     let earlier_open = |id: u64, key: u64| {
@@ -165,8 +165,10 @@
                         Effect::Repeatable => {}
                         Effect::Unsafe => assert!(book.risky.is_empty(), "unsafe sent twice"),
                         Effect::Keyed { window, .. } => assert!(
-                            book.risky.values().all(|&(o, at)| o % 2 == endpoint % 2 && now < at + window),
-                            "keyed left its group or window"
+                            book.risky.values().all(|&(o, at)| o % 2 == endpoint % 2
+                                && now < at + window
+                                && start_by.is_some_and(|by| now < by && by < at + window)),
+                            "keyed left its group or window, or may do so later"
                         ),
                     }
                     if let Some(key) = book.key {
