After any failed call to discovery changes count after 6 s, and each sender asks in time

Sight::missed was called for a silence alone, so a watch that ended, a reset, 503, a refused or a given-up call left the list as good for as long as nobody answered. Change: Freshness (before: Sight) has one clock for all of these. A no of discovery itself begins it anew, since what can't be reached can't count; a call without an answer does not, nor does a silence. From a start it runs too, after a move by SIGHUP with 4 s, also for two moves in a row and a move during a silence.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -139,7 +139,7 @@
     fleet_since: Micros,
     agreed: Option<Box<Agreed>>,
     /// The list may be older than what counts as told.
-    blind: bool,
+    stale: bool,
     /// What limits that all senders share leave to this one, and the calls that they allow now.
     quotas: Option<Box<Quotas>>,
     buckets: BTreeMap<DestinationId, Bucket>,
@@ -162,7 +162,7 @@
             fleet: None,
             fleet_since: 0,
             agreed: None,
-            blind: false,
+            stale: false,
             quotas: None,
             buckets: BTreeMap::new(),
             settings,
@@ -216,7 +216,7 @@
     fn learn(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::Agreed(agreed) => self.agreed = agreed.clone(),
-            Event::Blind(blind) => self.blind = *blind,
+            Event::Stale(stale) => self.stale = *stale,
             Event::Shared(quotas) => self.share(quotas.clone()),
             Event::Word { destination, out } => self.hear(*destination, *out, actions),
             Event::Fleet(view) => {
@@ -684,7 +684,7 @@
         let allowed = self.bound(message.class).map_or(usize::MAX, |bound| bound.attempts);
         let out = message.attempts.iter().filter(|attempt| attempt.out).count();
         if !message.open
-            || self.blind
+            || self.stale
             || !target.is_open()
             || target.destination != message.destination
             || message.attempts.len() >= message.most_attempts.min(allowed)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -623,7 +623,7 @@
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
     /// The list may be older than what counts as told: nothing is sent by it, until it is known to be good again.
-    Blind(bool),
+    Stale(bool),
     /// A message came in.
     Accepted(NewMessage),
     /// A message taken before a restart is back, with all attempts that it had. Its time may be up.
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 use net::calls::Calls;
 use net::config::Config;
 use net::control::Control;
-use net::discovery::{Backoff, Sight};
+use net::discovery::{Backoff, Freshness};
 use net::driver::{Driver, Shared};
 use net::events::{Clock, Freezing, Input};
 use net::freeze::settings::FreezeSettings;
@@ -189,11 +189,11 @@
     let listener = upgrade::listener(config.passed, config.listen).await?;
     net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
     let until_handed = |task| upgrade::until_handed(handed_seen.clone(), task);
-    let (sight, tells) = Sight::new(!ask_lists, grace, inputs.clone());
+    let (freshness, tells) = Freshness::new(!ask_lists, grace, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(tells) as Task));
     let backoff = Backoff::new(agents, config.seed);
     let watch =
-        discovery::watch(agent.clone(), driver.list_version(), agents, backoff, sight, inputs.clone());
+        discovery::watch(agent.clone(), driver.list_version(), agents, backoff, freshness, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(watch) as Task));
     let holds = agreement::Means {
         clock,
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -1,13 +1,14 @@
 //! The platform's agent: the watch of the endpoint list. Beside it: `reading` lists from bytes, `rests` between tries,
-//! `sight` when a silence makes the sender blind, `notices` that end undelivered messages.
+//! `freshness` when the list is too old to send by, `notices` that end undelivered messages.
 
+mod freshness;
 mod notices;
 mod reading;
 mod rests;
-mod sight;
 
 use super::events::Input;
 use bytes::Bytes;
+pub use freshness::Freshness;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Body;
 use hyper::client::conn::http1;
@@ -17,10 +18,10 @@
 pub use notices::{Notice, post_notices};
 use reading::Reading;
 pub use reading::parse_list;
+use rests::SILENCE;
 pub use rests::{Backoff, Shared};
-use rests::{SILENCE, TOLD};
-pub use sight::Sight;
 use std::error::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -62,12 +63,26 @@
     Time,
 }
 
+impl CallError {
+    /// Discovery itself said no, or nobody is there: so a call ends while it is down. One that had no answer may
+    /// have met a discovery that others reach, and one that never left says nothing of it.
+    fn is_refusal(&self) -> bool {
+        match self {
+            CallError::Io(error) => {
+                matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+            }
+            CallError::Http(error) => !error.is_parse(),
+            CallError::Request(_) | CallError::Time => false,
+        }
+    }
+}
+
 /// Watches the list for ever, wherever the agent is, and hands each change on.
 pub async fn watch(
-    agent: Receiver<SocketAddr>, version: u64, shared: Shared, backoff: Backoff, sight: Sight,
+    agent: Receiver<SocketAddr>, version: u64, shared: Shared, backoff: Backoff, freshness: Freshness,
     inputs: mpsc::UnboundedSender<Input>,
 ) {
-    Watch { agent, version, shared, backoff, sight, inputs, whole: false, open: false }.run().await;
+    Watch { agent, version, shared, backoff, freshness, inputs, whole: false, open: false }.run().await;
 }
 
 struct Watch {
@@ -75,7 +90,7 @@
     version: u64,
     shared: Shared,
     backoff: Backoff,
-    sight: Sight,
+    freshness: Freshness,
     inputs: mpsc::UnboundedSender<Input>,
     /// Something could not be read: the next watch asks for the whole list, and takes of it what can be read.
     whole: bool,
@@ -97,6 +112,7 @@
             let ended = tokio::select! {
                 ended = self.once(address) => ended,
                 Ok(()) = moves.changed() => {
+                    self.freshness.moved();
                     self.backoff.advance(false);
                     told.clear();
                     continue;
@@ -113,15 +129,18 @@
                 told = text;
             }
             // a process that starts has waited for its agent once
-            self.sight.started();
+            self.freshness.started();
             if matches!(error, WatchError::Gap) {
                 continue;
             }
-            let rest = match self.sight.silent_since() {
-                Some(_) => self.backoff.owed(matches!(error, WatchError::Silent)),
-                None => self.backoff.spread(),
+            let rest = match error {
+                WatchError::Silent => self.backoff.after_silence(),
+                _ => self.backoff.spread(),
             };
             let moved = rest_or_move(rest, &mut self.agent).await;
+            if moved {
+                self.freshness.moved();
+            }
             self.backoff.advance(!moved);
         }
     }
@@ -132,30 +151,44 @@
         let from = if whole { 0 } else { self.version };
         let path = format!("/v1/endpoints?watch=1&from={from}");
         let request = Request::get(path).header(HOST, agent.to_string()).body(Empty::<Bytes>::new());
-        let response = match call(agent, request.map_err(CallError::from)?, self.patience()).await {
+        let began = Instant::now();
+        let response = call(agent, request.map_err(CallError::from)?, self.patience()).await;
+        let response = response.inspect_err(|error| match error {
             // an agent of one's own that refuses is down, and learns nothing
-            Err(CallError::Io(error)) if !self.shared.asked => {
-                self.sight.told();
-                return Err(WatchError::Connect(CallError::Io(error)));
+            CallError::Io(_) if !self.shared.asked => self.freshness.told(),
+            error if error.is_refusal() => self.freshness.refused(began),
+            _ => self.freshness.silent(began),
+        })?;
+        match response.status() {
+            StatusCode::OK => {}
+            // so it ends calls while it is down
+            status @ StatusCode::SERVICE_UNAVAILABLE => {
+                self.freshness.refused(began);
+                return Err(WatchError::Status(status));
+            }
+            status => {
+                self.freshness.silent(began);
+                return Err(WatchError::Status(status));
             }
-            other => other?,
-        };
-        if response.status() != StatusCode::OK {
-            return Err(WatchError::Status(response.status()));
         }
         let mut body = response.into_body();
         let (mut reading, mut last, mut settling) = (Reading::default(), Instant::now(), !self.shared.asked);
         loop {
             let wait = if settling { SETTLE } else { SILENCE };
             let frame = match timeout_at(last + wait, body.frame()).await {
-                Ok(frame) => frame.ok_or(WatchError::Ended)??,
+                Ok(Some(Ok(frame))) => frame,
+                // so it ends watches when it goes down
+                Ok(ended) => {
+                    self.freshness.refused(last);
+                    return Err(ended.and_then(Result::err).map_or(WatchError::Ended, WatchError::Http));
+                }
                 Err(_) if settling => {
                     settling = false;
-                    self.sight.told();
+                    self.freshness.told();
                     continue;
                 }
                 Err(_) => {
-                    self.sight.missed(last);
+                    self.freshness.silent(last);
                     return Err(WatchError::Silent);
                 }
             };
@@ -181,20 +214,21 @@
             // what changed meanwhile was never read; a second time what can be read must do
             if gap && !whole {
                 self.whole = true;
+                self.freshness.silent(last);
                 return Err(WatchError::Gap);
             }
             if told {
                 self.open = true;
-                self.sight.told();
+                self.freshness.told();
             }
         }
     }
 
     /// How long a call may take: what was missed is to be here by the time that it counts as told.
     fn patience(&self) -> Duration {
-        match self.sight.silent_since() {
-            Some(since) => (since + TOLD).saturating_duration_since(Instant::now()).clamp(ANSWER, SILENCE),
-            None if self.sight.is_starting() => ANSWER,
+        match self.freshness.counts() {
+            Some(counts) => counts.saturating_duration_since(Instant::now()).clamp(ANSWER, SILENCE),
+            None if self.freshness.is_starting() => ANSWER,
             None => SILENCE,
         }
     }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -330,7 +330,7 @@
             }
             Input::Fleet(view) => self.events.push(Event::Fleet(view)),
             Input::Listed(update) => self.list(update, false),
-            Input::Blind(blind) => self.events.push(Event::Blind(blind)),
+            Input::Stale(stale) => self.events.push(Event::Stale(stale)),
             Input::Retuned(new) => {
                 let (settings, names, pool) = *new;
                 self.pool = pool;
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -27,7 +27,7 @@
     Ended(Ended),
     Listed(ListUpdate),
     /// The list may be older than what counts as told, or is good again.
-    Blind(bool),
+    Stale(bool),
     /// Notices that the platform has taken, by number of message.
     Noticed(Vec<u64>),
     /// Rules on which the senders agree, and who is to be told once they bind all that is sent.
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -109,7 +109,7 @@
             | Input::Fleet(_)
             | Input::Linked(_)
             | Input::Listed(_)
-            | Input::Blind(_)
+            | Input::Stale(_)
             | Input::Noticed(_)
             | Input::Stopping(_) => Ok(()),
         }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -133,3 +133,73 @@
     wait_until("it says why", || node.logged("the whole list is asked for"));
     sent(&node, "m2", 7);
 }
+
+/// All open watches end.
+fn end_watches(agent: &Agent) -> usize {
+    let watches = agent.watches.load(Ordering::SeqCst);
+    agent.ended.store(watches, Ordering::SeqCst);
+    watches
+}
+
+#[test]
+fn one_of_hundreds_finds_a_discovery_that_is_back_before_what_it_has_counts_as_told() {
+    let (old, new) = (Endpoint::new(|_, _| OK), Endpoint::new(|_, _| OK));
+    let agent = Agent::new(vec![one_of("s-1", old.address, "up")]);
+    let node = asking(&agent, 300);
+    sent(&node, "before", 7);
+    agent.down.store(true, Ordering::SeqCst);
+    let watches = end_watches(&agent);
+    // its rests have grown by then
+    wait_until("two calls are refused", || agent.refused.load(Ordering::SeqCst) >= 2);
+    set_lines(
+        &agent,
+        vec![list(&[("s-1", old.address, "one", 7, "draining"), ("s-2", new.address, "one", 7, "up")])],
+    );
+    agent.down.store(false, Ordering::SeqCst);
+    let back = Instant::now();
+    wait_until("a new watch", || agent.watches.load(Ordering::SeqCst) > watches);
+    let after = back.elapsed();
+    assert!(after < Duration::from_secs(5), "a new watch after {after:?}");
+    wait_until("the new list binds", || {
+        sent(&node, &format!("t{}", old.count()), 7);
+        new.count() > 0
+    });
+}
+
+#[test]
+fn after_a_watch_that_ended_and_calls_without_an_answer_nothing_is_sent_by_what_may_have_changed() {
+    let (old, new) = (Endpoint::new(|_, _| OK), Endpoint::new(|_, _| OK));
+    let agent = Agent::new(vec![one_of("s-1", old.address, "up")]);
+    let node = asking(&agent, 1);
+    sent(&node, "before", 7);
+    set_lines(
+        &agent,
+        vec![list(&[("s-1", old.address, "one", 7, "removed"), ("s-2", new.address, "one", 7, "up")])],
+    );
+    agent.held.store(true, Ordering::SeqCst);
+    end_watches(&agent);
+    wait_until("it says so", || node.logged("nothing is sent until it tells"));
+    assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(old.count(), 1);
+    agent.held.store(false, Ordering::SeqCst);
+    wait_until("all is delivered", || new.times("m1") == 1);
+    assert_eq!(old.count(), 1);
+}
+
+#[test]
+fn a_discovery_that_says_no_for_long_keeps_no_message_waiting() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = Agent::new(vec![one_of("s-1", endpoint.address, "up")]);
+    let node = asking(&agent, 1);
+    sent(&node, "before", 7);
+    agent.down.store(true, Ordering::SeqCst);
+    end_watches(&agent);
+    let (down, mut sent_so_far) = (Instant::now(), 0);
+    while down.elapsed() < Duration::from_secs(9) {
+        sent(&node, &format!("m{sent_so_far}"), 7);
+        sent_so_far += 1;
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(!node.logged("nothing is sent until it tells"));
+}
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -173,6 +173,13 @@
     pub watches: Arc<AtomicUsize>,
     /// So many of the first watches tell nothing more.
     pub muted: Arc<AtomicUsize>,
+    /// So many of the first watches have ended.
+    pub ended: Arc<AtomicUsize>,
+    /// Further watches are answered 503, as while discovery is down, and how many were.
+    pub down: Arc<AtomicBool>,
+    pub refused: Arc<AtomicUsize>,
+    /// Further watches are accepted and not answered, as by one that is cut off.
+    pub held: Arc<AtomicBool>,
     /// How long a watch waits before it tells anything.
     pub late: Arc<Mutex<Duration>>,
     /// So many requests with notices are answered 500 first.
@@ -189,6 +196,10 @@
             changes: Arc::default(),
             watches: Arc::default(),
             muted: Arc::default(),
+            ended: Arc::default(),
+            down: Arc::default(),
+            refused: Arc::default(),
+            held: Arc::default(),
             late: Arc::default(),
             faults: Arc::default(),
         };
@@ -233,6 +244,14 @@
         return;
     }
     assert!(request.line.starts_with("GET /v1/endpoints?watch=1&from="), "{}", request.line);
+    if agent.down.load(Ordering::SeqCst) {
+        agent.refused.fetch_add(1, Ordering::SeqCst);
+        let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
+    while agent.held.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(10));
+    }
     let number = watches.fetch_add(1, Ordering::SeqCst);
     thread::sleep(*agent.late.lock().expect("not poisoned"));
     let mut told = lines.lock().expect("not poisoned").clone();
@@ -253,6 +272,9 @@
         }
         let until = Instant::now() + Duration::from_millis(500);
         while told.is_empty() && Instant::now() < until {
+            if number < agent.ended.load(Ordering::SeqCst) {
+                return;
+            }
             thread::sleep(Duration::from_millis(10));
             told.extend(changes.lock().expect("not poisoned")[seen..].iter().cloned());
         }
