A connection closes only with nothing unread, and what crosses its close is read and dropped

Read, then shown by tests that let bytes, timers and signals meet the process at one moment (it is stopped meanwhile): - an eviction ended the connection's future in an unbiased select!: of ten rounds with a request on each idle connection one lost its answer in the first or third round; - graceful_shutdown and the head's timer closed resting connections over requests that had come: of 16, none or few were answered; - an answer before the end of its request (413) was followed by a close over unread bytes, a reset (seen as a broken pipe). Cause of the second, found on the way: after a stop the runtime's timers come before it has asked the system what is readable, so a connection that looks empty need not be. The system itself is asked now, at the moment of the end. Change: net/connection.rs serves each accepted connection. To leave is a phase: once nothing is there to read and no request is open, hyper is told the end; then the sending side is shut and what crosses is read, for 250 ms and 256 KiB at most, less if the place is wanted. A head that has begun is waited for, 250 ms. idle connections end by this too, not by hyper's timer. A seat is now a slot. socket2 (already below tokio) asks the system without unsafe code. The test of the window waited for a call that the module may hold back; it is forced by a stop now.

--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,8 +1,9 @@
 //! The operators' address: one call a connection, answered beside whatever else goes on.
 
+use super::connection::{self, Slot};
 use super::events::Query;
 use super::events::{Order, Verdict};
-use super::server::{Seat, accept};
+use super::server::accept;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -10,7 +11,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::cell::Cell;
@@ -56,32 +56,27 @@
 pub async fn serve(listener: TcpListener, control: Rc<Control>) {
     let places = Arc::new(Semaphore::new(CALLERS));
     let (_lasts, end) = watch::channel(false);
-    accept("control", listener, places, end, move |stream, seat| {
+    accept("control", listener, places, end, move |stream, slot| {
         let control = control.clone();
-        async move { serve_one(stream, control, &seat).await }
+        async move { serve_one(stream, control, &slot).await }
     })
     .await;
 }
 
-async fn serve_one(stream: TcpStream, control: Rc<Control>, seat: &Rc<Seat>) {
-    // without it answers still come, only later
-    let _ = stream.set_nodelay(true);
+async fn serve_one(stream: TcpStream, control: Rc<Control>, slot: &Rc<Slot>) {
     let service = service_fn(move |request| {
         let control = control.clone();
-        async move { Ok::<_, Infallible>(answer(request, &control, seat).await) }
+        async move { Ok::<_, Infallible>(answer(request, &control, slot).await) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
-        .keep_alive(false)
-        .max_buf_size(16 * 1024)
-        .serve_connection(TokioIo::new(stream), service);
+    let mut http = http1::Builder::new();
+    http.keep_alive(false).max_buf_size(16 * 1024);
+    let served = connection::serve(stream, slot, http, HEAD_TIME, service, std::future::pending::<()>());
     // how a caller leaves is its own affair
-    let _ = timeout(ALL_TIME, connection).await;
+    let _ = timeout(ALL_TIME, served).await;
 }
 
-async fn answer(request: Request<Incoming>, control: &Control, seat: &Rc<Seat>) -> Response<Full<Bytes>> {
-    let (status, what) = match handle(request, control, seat).await {
+async fn answer(request: Request<Incoming>, control: &Control, slot: &Rc<Slot>) -> Response<Full<Bytes>> {
+    let (status, what) = match handle(request, control, slot).await {
         Ok(what) => (StatusCode::OK, what),
         Err((status, why)) => (status, why.into()),
     };
@@ -96,7 +91,7 @@
 
 const ONLY_GET: &str = "only GET";
 
-async fn handle(request: Request<Incoming>, control: &Control, seat: &Seat) -> Result<Cow<'static, str>, No> {
+async fn handle(request: Request<Incoming>, control: &Control, slot: &Slot) -> Result<Cow<'static, str>, No> {
     let out = match (request.uri().path(), request.method()) {
         ("/ready", &Method::GET) => {
             return if *control.ready.borrow() && !control.draining.get() {
@@ -106,27 +101,27 @@
             };
         }
         ("/pools", &Method::GET) => {
-            seat.set_idle(false);
+            slot.set_idle(false);
             let ending = (StatusCode::SERVICE_UNAVAILABLE, "ending");
             return report(&control.orders, |reply| Order::Pools { reply }, ending).await;
         }
         ("/freeze", &Method::GET) => {
-            seat.set_idle(false);
+            slot.set_idle(false);
             let off = (StatusCode::NOT_FOUND, "the freeze is off");
             return report(&control.orders, |reply| Order::Frozen { reply }, off).await;
         }
         ("/members", &Method::GET) => {
-            seat.set_idle(false);
+            slot.set_idle(false);
             return report(&control.members, |reply| reply, (StatusCode::NOT_FOUND, "membership is off"))
                 .await;
         }
         ("/agreement", &Method::GET) => {
-            seat.set_idle(false);
+            slot.set_idle(false);
             return report(&control.agreement, |reply| reply, (StatusCode::NOT_FOUND, "agreement is off"))
                 .await;
         }
         ("/ledger", &Method::GET) => {
-            seat.set_idle(false);
+            slot.set_idle(false);
             return report(&control.ledger, |reply| reply, (StatusCode::NOT_FOUND, "the ledger is off"))
                 .await;
         }
@@ -146,7 +141,7 @@
         .map_err(|_| (StatusCode::BAD_REQUEST, "the body is malformed or too long"))?;
     let Target { target: uid } = serde_json::from_slice(&body.to_bytes())
         .map_err(|_| (StatusCode::BAD_REQUEST, "the body is not {\"target\":\"ID\"}"))?;
-    seat.set_idle(false);
+    slot.set_idle(false);
     let (reply, verdict) = oneshot::channel();
     ask(&control.orders, Order::SetOut { uid, out, reply })?;
     match verdict.await {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod asking;
 pub mod calls;
 pub mod config;
+pub mod connection;
 pub mod control;
 pub mod discovery;
 pub mod driver;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,7 @@
 //! The clients' side: reads messages that are handed in, and answers as the driver decides.
 
 use super::Seldom;
+use super::connection::{self, Slot};
 use super::events::{Answer, Arrival, BODY_MOST, Input};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -9,7 +10,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use milletturn::{MILLISECOND, Micros};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,18 +18,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-/// Longest time for the head of a request, also on a connection that stands idle: one without a request may be
-/// closed after 2 s, and with what a body may take after it, a peer that sends no proper request must have its
-/// end within 3 s.
-const HEAD_TIME: Duration = Duration::from_millis(2100);
+/// Longest time without a request: such a connection may be closed after 2 s. A head that has begun by then gets
+/// [`connection::SPARE`] more, and with what a body may take after it, a peer that sends no proper request must have
+/// its end within 3 s.
+const IDLE_TIME: Duration = Duration::from_millis(2100);
 /// Longest time for a body: clients wait 400 ms for their answer.
 const BODY_TIME: Duration = Duration::from_millis(600);
-/// A connection without a request for this long may be closed to make room: what its client last got has
-/// arrived by then, and a new connection's first request too.
-const SPARE: Duration = Duration::from_millis(250);
 /// How often room is looked for while a client waits for a place.
 const LOOK: Duration = Duration::from_millis(25);
 /// Longest id or key.
@@ -76,9 +73,9 @@
 /// Accepts clients for ever.
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
     let (places, handed) = (server.places.clone(), server.handed.clone());
-    accept("clients", listener, places, handed, move |stream, seat| {
+    accept("clients", listener, places, handed, move |stream, slot| {
         let server = server.clone();
-        async move { serve_one(stream, server, &seat).await }
+        async move { serve_one(stream, server, &slot).await }
     })
     .await;
 }
@@ -86,12 +83,12 @@
 /// Accepts connections until told to end, as many at once as there are places, and has each handled.
 pub async fn accept<F>(
     who: &'static str, listener: TcpListener, places: Arc<Semaphore>, mut end: watch::Receiver<bool>,
-    handle: impl Fn(TcpStream, Rc<Seat>) -> F,
+    handle: impl Fn(TcpStream, Rc<Slot>) -> F,
 ) where
     F: Future<Output = ()> + 'static,
 {
     let faults = Seldom::default();
-    let seats = Rc::new(Seats::default());
+    let slots = Rc::new(Slots::default());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -105,23 +102,20 @@
                     if let Ok(place) = places.clone().try_acquire_owned() {
                         break place;
                     }
-                    if let Some(seat) = seats.longest_idle(Instant::now()) {
+                    if let Some(slot) = slots.longest_idle(Instant::now()) {
                         faults.log(format_args!("{who}: all places taken, idle ones leave"));
-                        seat.leave();
+                        slot.leave();
                     }
                     let Ok(place) = timeout(LOOK, places.clone().acquire_owned()).await else { continue };
                     let Ok(place) = place else { return };
                     break place;
                 };
-                let seats = seats.clone();
-                let (number, seat) = seats.take(Instant::now());
-                let handled = handle(stream, seat.clone());
+                let slots = slots.clone();
+                let (number, slot) = slots.take(Instant::now());
+                let handled = handle(stream, slot.clone());
                 tokio::task::spawn_local(async move {
-                    tokio::select! {
-                        () = handled => {}
-                        () = seat.left() => {}
-                    }
-                    seats.give_back(number);
+                    handled.await;
+                    slots.give_back(number);
                     drop(place);
                 });
             }
@@ -133,86 +127,50 @@
     }
 }
 
-/// The clients' connections, in the order in which they came.
+/// The connections that are open, in the order in which they came.
 #[derive(Default)]
-struct Seats {
-    taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
+struct Slots {
+    taken: RefCell<BTreeMap<u64, Rc<Slot>>>,
     next: Cell<u64>,
 }
 
-impl Seats {
-    fn take(&self, now: Instant) -> (u64, Rc<Seat>) {
+impl Slots {
+    fn take(&self, now: Instant) -> (u64, Rc<Slot>) {
         let number = self.next.get();
         self.next.set(number + 1);
-        let seat = Rc::new(Seat { idle_since: Cell::new(Some(now)), leave: Notify::new() });
-        self.taken.borrow_mut().insert(number, seat.clone());
-        (number, seat)
+        let slot = Rc::new(Slot::new(now));
+        self.taken.borrow_mut().insert(number, slot.clone());
+        (number, slot)
     }
 
     fn give_back(&self, number: u64) {
         self.taken.borrow_mut().remove(&number);
     }
 
-    /// The connection that has been without a request the longest, if it may be closed.
-    fn longest_idle(&self, now: Instant) -> Option<Rc<Seat>> {
+    /// The connection that may be closed soonest: one that ends already, or has been without a request the longest.
+    fn longest_idle(&self, now: Instant) -> Option<Rc<Slot>> {
         let taken = self.taken.borrow();
-        let idle = taken.values().filter_map(|seat| Some((seat.idle_since.get()?, seat)));
-        let (_, seat) = idle.filter(|(since, _)| now - *since >= SPARE).min_by_key(|(since, _)| *since)?;
-        Some(seat.clone())
+        let spare = taken.values().filter_map(|slot| Some((slot.spare(now)?, slot)));
+        let (_, slot) = spare.min_by_key(|(spare, _)| *spare)?;
+        Some(slot.clone())
     }
 }
 
-/// One connection that was accepted.
-pub struct Seat {
-    /// Since when no request is open on it.
-    idle_since: Cell<Option<Instant>>,
-    leave: Notify,
-}
-
-impl Seat {
-    /// A whole request has come, or its answer is out.
-    pub fn set_idle(&self, idle: bool) {
-        self.idle_since.set(idle.then(Instant::now));
-    }
-
-    fn leave(&self) {
-        // not asked twice
-        self.idle_since.set(None);
-        self.leave.notify_one();
-    }
-
-    async fn left(&self) {
-        self.leave.notified().await;
-    }
-}
-
-async fn serve_one(stream: TcpStream, server: Rc<Server>, seat: &Rc<Seat>) {
-    // without it answers still come, only later
-    let _ = stream.set_nodelay(true);
+async fn serve_one(stream: TcpStream, server: Rc<Server>, slot: &Rc<Slot>) {
     let mut closing = server.closing.clone();
     let service = service_fn(move |request| {
         let server = server.clone();
+        // at once: no end may come between a head and its handling
+        slot.set_idle(false);
         async move {
-            seat.set_idle(false);
             let answer = answer(request, server).await;
-            seat.set_idle(true);
+            slot.set_idle(true);
             answer
         }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
-        .max_buf_size(32 * 1024)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        // how a client leaves is its own affair; a message it left behind is withdrawn by its guard
-        _ = &mut connection => {}
-        _ = closing.wait_for(|closing| *closing) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-        }
-    }
+    let mut http = http1::Builder::new();
+    http.max_buf_size(32 * 1024);
+    connection::serve(stream, slot, http, IDLE_TIME, service, closing.wait_for(|closing| *closing)).await;
 }
 
 async fn answer(request: Request<Incoming>, server: Rc<Server>) -> Result<Response<Full<Bytes>>, Infallible> {
@@ -413,24 +371,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn room_is_made_by_the_longest_idle_and_never_by_one_with_a_request() {
-        let (seats, start) = (Seats::default(), Instant::now());
-        let at = |ms| start + Duration::from_millis(ms);
-        let (_, busy) = seats.take(at(0));
-        busy.idle_since.set(None);
-        let (number, first) = seats.take(at(10));
-        let (_, second) = seats.take(at(20));
-        first.idle_since.set(Some(at(30))); // it has had an answer
-        assert!(seats.longest_idle(at(20) + SPARE - LOOK).is_none(), "its first request may be on the way");
-        let leaves = |at| seats.longest_idle(at).expect("room");
-        assert!(Rc::ptr_eq(&leaves(at(1000)), &second));
-        second.leave();
-        assert!(Rc::ptr_eq(&leaves(at(1000)), &first));
-        seats.give_back(number);
-        assert!(seats.longest_idle(at(1000)).is_none());
-    }
-}
+mod tests;
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -510,8 +510,26 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends the process a signal, by its name.
+    pub fn signal(&self, name: &str) {
         let id = self.process.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        let name = format!("-{name}");
+        assert!(Command::new("kill").args([&name, &id]).status().expect("kill runs").success());
+    }
+
+    /// Has all of this meet the process at one moment: it stands still meanwhile.
+    pub fn at_one_moment(&self, all: impl FnOnce()) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.process.id());
+        wait_until("it stands still", || {
+            let stat = std::fs::read_to_string(&stat).expect("it runs");
+            stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+        });
+        all();
+        self.signal("CONT");
     }
 
     /// Has the configuration name another address for discovery, and tells the process.
@@ -524,8 +542,7 @@
     }
 
     pub fn hang_up(&self) {
-        let id = self.process.id().to_string();
-        assert!(Command::new("kill").args(["-HUP", &id]).status().expect("kill runs").success());
+        self.signal("HUP");
     }
 
     /// Kills it if it runs, and starts it again with the same folder.
@@ -620,13 +637,25 @@
 
     /// True if the sender has ended the connection.
     pub fn has_ended(&mut self) -> bool {
-        self.0.get_ref().set_nonblocking(true).expect("set");
-        matches!(self.0.get_mut().read(&mut [0]), Ok(0))
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).expect("set");
+        let ended = matches!(stream.peek(&mut [0]), Ok(0));
+        stream.set_nonblocking(false).expect("set");
+        ended
     }
 
     /// The answer's status and head; none if the connection ends first.
     pub fn send(&mut self, bytes: &[u8]) -> Option<(u16, Request)> {
-        self.0.get_mut().write_all(bytes).ok()?;
+        self.write(bytes).ok()?;
+        self.answer()
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.0.get_mut().write_all(bytes)
+    }
+
+    /// The next answer's status and head; none if the connection ends first.
+    pub fn answer(&mut self) -> Option<(u16, Request)> {
         let answer = read_http(&mut self.0)?;
         let status = answer.line.split(' ').nth(1)?.parse().ok()?;
         Some((status, answer))
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -60,17 +60,24 @@
     let gate = Gate::new();
     let agent = gate.listed();
     let node = Node::configured_with(&agent, |text| {
-        with_part(&text.replace(r#""window":12.0"#, r#""window":1.0"#), r#""pool":{"per_endpoint":1},"#)
+        let text = text.replace(r#""window":12.0"#, r#""window":1.0"#);
+        with_part(
+            &text.replace(r#""dialTimeout":0.5"#, r#""dialTimeout":4.0"#),
+            r#""pool":{"per_endpoint":1},"#,
+        )
     });
     let node = node.ready();
     let mut first = gate.well_known(&node);
-    assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"body"), 202);
+    let mut client = Client::new(&node);
+    assert_eq!(client.send(&message("webhook", "m1", 7, 20_000, b"body")).expect("answered").0, 202);
     assert!(read_call(&mut first).contains("x-request-id: m1"));
     let (sent, window) = (Instant::now(), Duration::from_secs(1));
-    assert_eq!(node.hand_in("order", "m2", 7, 20_000, b"body"), 202);
-    wait_until("the other waits for the one connection", || pools(&node)["totals"]["waiting"] == 1);
-    // it may have run: a repeat may be made until a second after its sending, and is dropped until then
-    drop(first);
+    // m1 may have run: a repeat is dropped until a second after its sending, and may be made for so long, but
+    // rests a while before it; another message has the one connection by then
+    node.at_one_moment(|| {
+        drop(first);
+        client.write(&message("order", "m2", 7, 20_000, b"body")).expect("written");
+    });
     let mut second = gate.accept();
     assert!(read_call(&mut second).contains("x-request-id: m2"));
     wait_until("the repeat waits for the other", || pools(&node)["totals"]["waiting"] == 1);
@@ -82,3 +89,114 @@
     let call = read_call(&mut second);
     assert!(call.contains("x-request-id: m3"), "{call}");
 }
+
+const READY: &[u8] = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n";
+
+#[test]
+fn a_connection_that_is_to_make_room_answers_the_request_that_has_come() {
+    let gate = Gate::new();
+    // twenty places for clients
+    let node = Node::with_sockets(gate.listed().address, 3.0, 5.0, 60).ready();
+    for round in 0..10 {
+        let mut clients: Vec<Client> = (0..20).map(|_| Client::new(&node)).collect();
+        clients.iter_mut().for_each(|client| assert_eq!(client.send(READY).expect("answered").0, 200));
+        // all have been idle for so long that each may be closed
+        std::thread::sleep(Duration::from_millis(300));
+        let mut next = None;
+        node.at_one_moment(|| {
+            next = Some(Client::new(&node));
+            clients.iter_mut().for_each(|client| client.write(READY).expect("written"));
+        });
+        for (number, client) in clients.iter_mut().enumerate() {
+            let answer = client.answer().map(|(status, _)| status);
+            assert_eq!(answer, Some(200), "round {round}, client {number}");
+        }
+        assert_eq!(next.expect("connected").send(READY).expect("has its turn").0, 200);
+    }
+}
+
+/// Requests on resting connections come just as the process would close these; each gets its answer. False if the
+/// machine was so slow that they had ended before.
+fn meet_the_end(node: &Node, clients: &mut [Client], status: u16) -> bool {
+    let mut in_time = false;
+    node.at_one_moment(|| {
+        in_time = !clients.iter_mut().any(Client::has_ended);
+        std::thread::sleep(Duration::from_millis(600));
+        clients.iter_mut().for_each(|client| drop(client.write(READY)));
+    });
+    for (number, client) in clients.iter_mut().enumerate().filter(|_| in_time) {
+        let answer = client.answer().map(|(status, _)| status);
+        assert_eq!(answer, Some(status), "client {number}");
+    }
+    in_time
+}
+
+#[test]
+fn requests_that_meet_the_end_of_resting_connections_in_a_drain_are_answered() {
+    let gate = Gate::new();
+    let agent = gate.listed();
+    let met = || {
+        let node = Node::new(&agent).ready();
+        node.terminate();
+        wait_until("draining", || node.logged("draining"));
+        // resting connections are closed 2.5 s after the signal
+        std::thread::sleep(Duration::from_millis(1500));
+        let mut clients: Vec<Client> = (0..16).map(|_| Client::new(&node)).collect();
+        std::thread::sleep(Duration::from_millis(500));
+        meet_the_end(&node, &mut clients, 503)
+    };
+    assert!((0..5).any(|_| met()), "never in time");
+}
+
+#[test]
+fn requests_that_meet_the_end_of_connections_that_have_been_idle_for_too_long_are_answered() {
+    let gate = Gate::new();
+    let node = Node::new(&gate.listed()).ready();
+    let met = || {
+        let mut clients: Vec<Client> = (0..16).map(|_| Client::new(&node)).collect();
+        clients.iter_mut().for_each(|client| assert_eq!(client.send(READY).expect("answered").0, 200));
+        // they are closed after 2.1 s
+        std::thread::sleep(Duration::from_millis(1700));
+        meet_the_end(&node, &mut clients, 200)
+    };
+    assert!((0..5).any(|_| met()), "never in time");
+}
+
+#[test]
+fn a_request_that_crosses_the_end_of_its_connection_is_taken_by_nobody() {
+    let gate = Gate::new();
+    let agent = gate.listed();
+    let node = Node::new(&agent).ready();
+    let mut client = Client::new(&node);
+    assert_eq!(client.send(READY).expect("answered").0, 200);
+    node.terminate();
+    wait_until("its resting connection has ended", || client.has_ended());
+    // the client hands it in elsewhere
+    let _ = client.write(&message("webhook", "m1", 7, 20_000, b"body"));
+    let mut node = node;
+    assert!(node.process.wait().expect("it ends").success());
+    let next = node.restart().ready();
+    wait_until("it is told", || !next.logged("messages owed") || next.logged(" 0 messages owed"));
+    assert_eq!(next.hand_in("webhook", "m2", 7, 20_000, b"body"), 202);
+    assert!(read_call(&mut gate.accept()).contains("x-request-id: m2"));
+}
+
+#[test]
+fn an_answer_before_the_end_of_its_request_is_read_whole() {
+    let gate = Gate::new();
+    let node = Node::new(&gate.listed()).ready();
+    let head = b"POST /webhook HTTP/1.1\r\nHost: a\r\nX-Request-ID: m1\r\nX-Priority-Class: webhook\r\n\
+        X-Timeout: 900m\r\nIdempotency-Key: k\r\nContent-Length: 100000\r\nEnvelope: dest=7\r\n\r\n";
+    let mut stream = TcpStream::connect(node.address).expect("the sender accepts");
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("set");
+    node.at_one_moment(|| {
+        stream.write_all(head).expect("written");
+        stream.write_all(&vec![b'x'; 90_000]).expect("written");
+    });
+    let mut answer = String::new();
+    let end = stream.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    std::thread::sleep(Duration::from_millis(50));
+    let reset = stream.take_error().expect("asked");
+    assert!(end.is_ok() && reset.is_none(), "the connection is reset: {end:?}, {reset:?}");
+}
