--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -5,7 +5,7 @@
 
 use super::Seldom;
 use super::events::{BODY_MOST, Ended, Input};
-use super::pool::{Connections, Lease, NoLease};
+use super::pool::{Connections, Lease, NoLease, Then, Traffic};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -17,12 +17,16 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// Longest time for the rest of an answer whose first line has come.
 const DRAIN: Duration = Duration::from_secs(1);
+/// How long a call that was given up is listened to where waits are told: calls within so long of a told wait are let
+/// through, and its connection holds a slot meanwhile.
+const LATE: Duration = Duration::from_millis(100);
 
 /// One message in a call.
 #[derive(Debug, Clone)]
@@ -61,11 +65,15 @@
     connections: Connections,
     report_fields: RefCell<Vec<String>>,
     faults: Seldom,
+    /// Some endpoint has told a wait.
+    tells_waits: Cell<bool>,
     inputs: mpsc::UnboundedSender<Input>,
 }
 
 /// What came of the whole call.
 struct Answer {
+    /// The endpoint has said so.
+    heard: bool,
     ends: Ends,
     report: Vec<f64>,
     wait: Option<Micros>,
@@ -76,9 +84,16 @@
     Each(Vec<(Outcome, bool)>),
 }
 
+impl Answer {
+    /// The one message of a call was served, whatever else its answer was to tell.
+    fn served() -> Self {
+        Answer { heard: true, ends: Ends::All(Outcome::Success, true), ..Outcome::Success.into() }
+    }
+}
+
 impl From<Outcome> for Answer {
     fn from(outcome: Outcome) -> Self {
-        Answer { ends: Ends::All(outcome, false), report: Vec::new(), wait: None }
+        Answer { heard: false, ends: Ends::All(outcome, false), report: Vec::new(), wait: None }
     }
 }
 
@@ -89,6 +104,7 @@
             connections,
             report_fields: RefCell::default(),
             faults: Seldom::default(),
+            tells_waits: Cell::default(),
             inputs,
         }))
     }
@@ -110,6 +126,13 @@
     }
 }
 
+/// What others see of a call on its way.
+#[derive(Default)]
+struct Under {
+    /// The connection that it is on, once it has one.
+    traffic: RefCell<Option<Arc<Traffic>>>,
+}
+
 async fn run(shared: Rc<Shared>, call: Call, mut cancels: mpsc::UnboundedReceiver<usize>) {
     let mut left: Vec<bool> = vec![true; call.items.len()];
     let tell = |item: usize, outcome, closed, report, wait| {
@@ -117,27 +140,51 @@
         // nobody listens any more only when the process ends
         let _ = shared.inputs.send(Input::Ended(end));
     };
-    let end = Rc::new(Cell::new(Cause::CalledOff));
-    let answer = {
-        let exchange = exchange(&shared, &call, &end);
-        tokio::pin!(exchange);
-        loop {
-            tokio::select! {
-                // an answer that is there counts more than a cancel
-                biased;
-                answer = &mut exchange => break answer,
-                () = sleep_until(call.expires) => {
-                    end.set(Cause::TimedOut);
-                    break Outcome::TimedOut.into();
+    let (end, under) = (Rc::new(Cell::new(Cause::CalledOff)), Under::default());
+    let exchange = exchange(&shared, &call, &end, &under);
+    tokio::pin!(exchange);
+    let ended = loop {
+        tokio::select! {
+            // an answer that is there counts more than a cancel
+            biased;
+            answer = &mut exchange => break Ok(answer),
+            () = sleep_until(call.expires) => {
+                end.set(Cause::TimedOut);
+                break Err(Outcome::TimedOut);
+            }
+            Some(item) = cancels.recv() => {
+                let Some(left_here) = left.get_mut(item).filter(|left| **left) else { continue };
+                *left_here = false;
+                if !left.contains(&true) {
+                    // its end is not told yet
+                    left[item] = true;
+                    break Err(Outcome::Cancelled);
                 }
-                Some(item) = cancels.recv() => {
-                    if left.get_mut(item).is_some_and(std::mem::take) {
-                        tell(item, Outcome::Cancelled, false, Vec::new(), None);
-                    }
-                    if !left.contains(&true) {
-                        return;
-                    }
+                tell(item, Outcome::Cancelled, false, Vec::new(), None);
+            }
+        }
+    };
+    let (answer, given_up) = match ended {
+        Ok(answer) => (answer, None),
+        Err(outcome) => {
+            let traffic = under.traffic.borrow().clone();
+            let then = if shared.tells_waits.get() { Then::Listen } else { Then::Close };
+            let looked = async {
+                // a message that is called off has no use for an answer, but where waits are told these hold
+                let useless = outcome == Outcome::Cancelled && then == Then::Close;
+                if let Some(traffic) = traffic.as_ref().filter(|_| !useless) {
+                    let _ = timeout(LATE, traffic.read_out(then)).await;
                 }
+            };
+            tokio::select! {
+                biased;
+                // an answer that had come before the end; any other end is what the call was given up for
+                answer = &mut exchange => (if answer.heard { answer } else { outcome.into() }, None),
+                () = looked => match traffic {
+                    // a first line is true also where its head never ends
+                    Some(traffic) if call.items.len() == 1 && traffic.says_ok() => (Answer::served(), None),
+                    on => (outcome.into(), on.filter(|_| then == Then::Listen)),
+                },
             }
         }
     };
@@ -150,10 +197,24 @@
         let carried = matches!(outcome, Outcome::Refused { wait: Some(_) });
         tell(item, outcome, closed, answer.report.clone(), wait.take_if(|_| !carried));
     }
+    // what crosses the end changes nothing for the messages, but a wait that it tells holds
+    if let Some(traffic) = given_up {
+        let heard = async {
+            sleep(LATE).await;
+            traffic.read_out(Then::Close).await;
+        };
+        tokio::select! {
+            biased;
+            late = &mut exchange => if let Some(wait) = late.wait {
+                let _ = shared.inputs.send(Input::ToldWait { endpoint: call.place.endpoint, wait });
+            },
+            () = heard => {}
+        }
+    }
 }
 
 /// Makes the call on one connection and reads its answer. Dropping this closes the connection.
-async fn exchange(shared: &Rc<Shared>, call: &Call, end: &Rc<Cell<Cause>>) -> Answer {
+async fn exchange(shared: &Rc<Shared>, call: &Call, end: &Rc<Cell<Cause>>, under: &Under) -> Answer {
     let (address, items) = (call.place.address, &call.items[..]);
     loop {
         let lease = shared.connections.lease(call.place, end);
@@ -178,6 +239,7 @@
         };
         let connection = lease.connection();
         let traffic = connection.traffic.clone();
+        under.traffic.replace(Some(traffic.clone()));
         let before = traffic.written();
         traffic.forget_answer();
         let response = match connection.sender.try_send_request(request).await {
@@ -185,12 +247,13 @@
             // what makes the rest unreadable takes nothing from a first line that tells the one message's end
             Err(_) if items.len() == 1 && traffic.says_ok() => {
                 lease.spoil(Cause::Unreadable);
-                return Answer { ends: Ends::All(Outcome::Success, true), ..Outcome::Success.into() };
+                return Answer::served();
             }
             Err(_) => {
                 let written = traffic.written() - before;
                 // an idle connection that had closed before a byte was written carried no call at all
                 if lease.rested.is_some() && written == 0 {
+                    under.traffic.take();
                     lease.spoil(Cause::Peer);
                     continue;
                 }
@@ -216,6 +279,7 @@
     });
     let report = report_of(&head.headers, &shared.report_fields.borrow());
     let wait = wait_of(&head.headers);
+    shared.tells_waits.set(shared.tells_waits.get() || wait.is_some());
     let refused = Outcome::Refused { wait };
     let (outcome, closed) = match head.status {
         StatusCode::OK if items.len() > 1 => {
@@ -224,11 +288,11 @@
                 Ok(text) => ends_of(&text.to_bytes(), items, wait),
                 Err(_) => {
                     lease.spoil(Cause::Unreadable);
-                    return Answer { ends: Ends::All(Outcome::Reset, false), report, wait };
+                    return Answer { heard: true, ends: Ends::All(Outcome::Reset, false), report, wait };
                 }
             };
             lease.give_back();
-            return Answer { ends: Ends::Each(ends), report, wait };
+            return Answer { heard: true, ends: Ends::Each(ends), report, wait };
         }
         StatusCode::OK => (Outcome::Success, true),
         StatusCode::TOO_MANY_REQUESTS => (refused, false),
@@ -256,7 +320,7 @@
             _ => lease.spoil(Cause::Unreadable),
         }
     });
-    Answer { ends: Ends::All(outcome, closed), report, wait }
+    Answer { heard: true, ends: Ends::All(outcome, closed), report, wait }
 }
 
 /// The request, and the fewest bytes that it takes on the wire.
@@ -343,135 +407,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::super::pool::limits;
-    use super::*;
-    use milletturn::pool::PoolSettings;
-    use milletturn::{EndpointId, SECOND, Settings};
-    use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
-
-    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-
-    fn shared(streams: Vec<DuplexStream>) -> (Rc<Shared>, Call) {
-        let settings = Settings { connection_idle: 60 * SECOND, ..Settings::new(8, 100) };
-        let limits = limits(&PoolSettings::default(), 100, &settings);
-        let connections = Connections::ready(streams, limits);
-        let place = Place { address: ([127, 0, 0, 1], 9).into(), endpoint: EndpointId(0) };
-        connections.serve(place, true);
-        let calls = Calls::new(mpsc::unbounded_channel().0, connections);
-        let id = HeaderValue::from_static("m1");
-        let items = vec![Item { id, key: None, body: Bytes::from_static(b"body") }];
-        let expires = Instant::now() + Duration::from_secs(10);
-        (calls.0, Call { number: 0, place, items, expires, start_by: None })
-    }
-
-    /// Reads up to so many bytes, one at a time, so that the other side has written one more at most.
-    async fn read_bytes(stream: &mut DuplexStream, most: usize) -> Vec<u8> {
-        let mut bytes = Vec::new();
-        while bytes.len() < most && !bytes.ends_with(b"\r\n\r\nbody") {
-            match stream.read_u8().await {
-                Ok(byte) => bytes.push(byte),
-                Err(_) => break,
-            }
-        }
-        bytes
-    }
-
-    /// A call whose endpoint reads so many bytes of the request and writes so many of the answer, on a new
-    /// connection or on one that has carried a call; its outcome and all that the endpoint and a spare one saw.
-    fn cut(reused: bool, request: usize, answer: &[u8]) -> (Outcome, Vec<u8>, Vec<u8>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-        let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime.expect("a runtime"), async move {
-            let ((here, mut there), (spare, mut beyond)) = (duplex(1), duplex(1));
-            let (shared, mut call) = shared(vec![here, spare]);
-            let end = Rc::new(Cell::new(Cause::CalledOff));
-            let answer = answer.to_vec();
-            let endpoint = tokio::task::spawn_local(async move {
-                if reused {
-                    read_bytes(&mut there, usize::MAX).await;
-                    there.write_all(ANSWER).await.expect("taken");
-                }
-                let seen = read_bytes(&mut there, request).await;
-                let _ = there.write_all(&answer).await;
-                seen
-            });
-            let other = tokio::task::spawn_local(async move {
-                let seen = read_bytes(&mut beyond, usize::MAX).await;
-                let _ = beyond.write_all(ANSWER).await;
-                seen
-            });
-            if reused {
-                assert!(matches!(
-                    exchange(&shared, &call, &end).await.ends,
-                    Ends::All(Outcome::Success, true)
-                ));
-                // the rest of that answer is read and its connection given back
-                tokio::time::sleep(Duration::from_millis(1)).await;
-                call.expires += Duration::from_millis(1); // the request says how long is left
-            }
-            let Ends::All(outcome, _) = exchange(&shared, &call, &end).await.ends else {
-                panic!("one message has one end");
-            };
-            drop(shared);
-            let seen = endpoint.await.expect("it ends");
-            (outcome, seen, timeout(DRAIN, other).await.map_or(Vec::new(), |seen| seen.expect("it ends")))
-        })
-    }
-
-    #[test]
-    fn a_call_cut_at_any_byte_has_the_tables_outcome_and_goes_over_one_connection() {
-        let (_, whole, _) = cut(false, usize::MAX, ANSWER);
-        assert!(whole.starts_with(b"POST /inbox HTTP/1.1\r\n") && whole.ends_with(b"body"));
-        for reused in [false, true] {
-            for length in 1..=whole.len() {
-                let (outcome, seen, spare) = cut(reused, length, b"");
-                assert_eq!((seen, spare), (whole[..length].to_vec(), vec![]), "reused {reused}, {length}");
-                // whoever read less than all can't have run it, and one byte more was on its way at most
-                match outcome {
-                    Outcome::NoConnection => assert!(length < whole.len(), "reused {reused}, {length}"),
-                    Outcome::Reset => assert!(length + 1 >= whole.len(), "reused {reused}, {length}"),
-                    other => panic!("reused {reused}, {length}: {other:?}"),
-                }
-            }
-            for length in 0..=ANSWER.len() {
-                let (outcome, seen, spare) = cut(reused, usize::MAX, &ANSWER[..length]);
-                assert_eq!((seen, spare), (whole.clone(), vec![]), "reused {reused}, answer {length}");
-                let told = length > b"HTTP/1.1 200".len();
-                let wanted = if told { Outcome::Success } else { Outcome::Reset };
-                assert_eq!(outcome, wanted, "reused {reused}, answer {length}");
-            }
-        }
-    }
-
-    #[test]
-    fn a_call_without_a_connection_ends_unsent_once_its_destination_tells_to_wait() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-        let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime.expect("a runtime"), async move {
-            let (here, mut there) = duplex(1);
-            let (shared, call) = shared(vec![here]);
-            let end = Rc::new(Cell::new(Cause::CalledOff));
-            let told = async {
-                // the call has asked, its dial is under way
-                shared.connections.told_wait(call.place, SECOND);
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            };
-            let (answer, ()) = tokio::join!(timeout(DRAIN, exchange(&shared, &call, &end)), told);
-            let answer = answer.expect("it has its end at once");
-            assert!(matches!(answer.ends, Ends::All(Outcome::Unsent { no_slot: false }, false)));
-            // the connection came up and stays idle, with nothing written
-            assert!(timeout(DRAIN, there.read_u8()).await.is_err());
-        });
-    }
-
-    #[test]
-    fn a_call_on_a_connection_that_closed_before_its_first_byte_takes_another() {
-        // nothing of it was written, so this is no second time; a new one that closes so is none to be had
-        let (outcome, seen, spare) = cut(true, 0, b"");
-        assert_eq!((outcome, seen.len()), (Outcome::Success, 0));
-        assert!(spare.ends_with(b"body"));
-        let (outcome, seen, spare) = cut(false, 0, b"");
-        assert_eq!((outcome, seen.len(), spare.len()), (Outcome::NoConnection, 0, 0));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/calls/tests.rs
@@ -0,0 +1,133 @@
+//! A call cut at any byte.
+
+use super::super::pool::limits;
+use super::*;
+use milletturn::pool::PoolSettings;
+use milletturn::{EndpointId, SECOND, Settings};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+fn shared(streams: Vec<DuplexStream>) -> (Rc<Shared>, Call) {
+    let settings = Settings { connection_idle: 60 * SECOND, ..Settings::new(8, 100) };
+    let limits = limits(&PoolSettings::default(), 100, &settings);
+    let connections = Connections::ready(streams, limits);
+    let place = Place { address: ([127, 0, 0, 1], 9).into(), endpoint: EndpointId(0) };
+    connections.serve(place, true);
+    let calls = Calls::new(mpsc::unbounded_channel().0, connections);
+    let id = HeaderValue::from_static("m1");
+    let items = vec![Item { id, key: None, body: Bytes::from_static(b"body") }];
+    let expires = Instant::now() + Duration::from_secs(10);
+    (calls.0, Call { number: 0, place, items, expires, start_by: None })
+}
+
+/// Reads up to so many bytes, one at a time, so that the other side has written one more at most.
+async fn read_bytes(stream: &mut DuplexStream, most: usize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    while bytes.len() < most && !bytes.ends_with(b"\r\n\r\nbody") {
+        match stream.read_u8().await {
+            Ok(byte) => bytes.push(byte),
+            Err(_) => break,
+        }
+    }
+    bytes
+}
+
+/// A call whose endpoint reads so many bytes of the request and writes so many of the answer, on a new
+/// connection or on one that has carried a call; its outcome and all that the endpoint and a spare one saw.
+fn cut(reused: bool, request: usize, answer: &[u8]) -> (Outcome, Vec<u8>, Vec<u8>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.expect("a runtime"), async move {
+        let ((here, mut there), (spare, mut beyond)) = (duplex(1), duplex(1));
+        let (shared, mut call) = shared(vec![here, spare]);
+        let end = Rc::new(Cell::new(Cause::CalledOff));
+        let answer = answer.to_vec();
+        let endpoint = tokio::task::spawn_local(async move {
+            if reused {
+                read_bytes(&mut there, usize::MAX).await;
+                there.write_all(ANSWER).await.expect("taken");
+            }
+            let seen = read_bytes(&mut there, request).await;
+            let _ = there.write_all(&answer).await;
+            seen
+        });
+        let other = tokio::task::spawn_local(async move {
+            let seen = read_bytes(&mut beyond, usize::MAX).await;
+            let _ = beyond.write_all(ANSWER).await;
+            seen
+        });
+        if reused {
+            assert!(matches!(
+                exchange(&shared, &call, &end, &Under::default()).await.ends,
+                Ends::All(Outcome::Success, true)
+            ));
+            // the rest of that answer is read and its connection given back
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            call.expires += Duration::from_millis(1); // the request says how long is left
+        }
+        let Ends::All(outcome, _) = exchange(&shared, &call, &end, &Under::default()).await.ends else {
+            panic!("one message has one end");
+        };
+        drop(shared);
+        let seen = endpoint.await.expect("it ends");
+        (outcome, seen, timeout(DRAIN, other).await.map_or(Vec::new(), |seen| seen.expect("it ends")))
+    })
+}
+
+#[test]
+fn a_call_cut_at_any_byte_has_the_tables_outcome_and_goes_over_one_connection() {
+    let (_, whole, _) = cut(false, usize::MAX, ANSWER);
+    assert!(whole.starts_with(b"POST /inbox HTTP/1.1\r\n") && whole.ends_with(b"body"));
+    for reused in [false, true] {
+        for length in 1..=whole.len() {
+            let (outcome, seen, spare) = cut(reused, length, b"");
+            assert_eq!((seen, spare), (whole[..length].to_vec(), vec![]), "reused {reused}, {length}");
+            // whoever read less than all can't have run it, and one byte more was on its way at most
+            match outcome {
+                Outcome::NoConnection => assert!(length < whole.len(), "reused {reused}, {length}"),
+                Outcome::Reset => assert!(length + 1 >= whole.len(), "reused {reused}, {length}"),
+                other => panic!("reused {reused}, {length}: {other:?}"),
+            }
+        }
+        for length in 0..=ANSWER.len() {
+            let (outcome, seen, spare) = cut(reused, usize::MAX, &ANSWER[..length]);
+            assert_eq!((seen, spare), (whole.clone(), vec![]), "reused {reused}, answer {length}");
+            let told = length > b"HTTP/1.1 200".len();
+            let wanted = if told { Outcome::Success } else { Outcome::Reset };
+            assert_eq!(outcome, wanted, "reused {reused}, answer {length}");
+        }
+    }
+}
+
+#[test]
+fn a_call_without_a_connection_ends_unsent_once_its_destination_tells_to_wait() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.expect("a runtime"), async move {
+        let (here, mut there) = duplex(1);
+        let (shared, call) = shared(vec![here]);
+        let end = Rc::new(Cell::new(Cause::CalledOff));
+        let under = Under::default();
+        let told = async {
+            // the call has asked, its dial is under way
+            shared.connections.told_wait(call.place, SECOND);
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        };
+        let (answer, ()) = tokio::join!(timeout(DRAIN, exchange(&shared, &call, &end, &under)), told);
+        let answer = answer.expect("it has its end at once");
+        assert!(matches!(answer.ends, Ends::All(Outcome::Unsent { no_slot: false }, false)));
+        // the connection came up and stays idle, with nothing written
+        assert!(timeout(DRAIN, there.read_u8()).await.is_err());
+    });
+}
+
+#[test]
+fn a_call_on_a_connection_that_closed_before_its_first_byte_takes_another() {
+    // nothing of it was written, so this is no second time; a new one that closes so is none to be had
+    let (outcome, seen, spare) = cut(true, 0, b"");
+    assert_eq!((outcome, seen.len()), (Outcome::Success, 0));
+    assert!(spare.ends_with(b"body"));
+    let (outcome, seen, spare) = cut(false, 0, b"");
+    assert_eq!((outcome, seen.len(), spare.len()), (Outcome::NoConnection, 0, 0));
+}
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -313,6 +313,10 @@
             }
             Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
             Input::Ended(ended) => self.ended(ended),
+            Input::ToldWait { endpoint, wait } => {
+                self.told_wait(endpoint, wait);
+                self.events.push(Event::ToldWait { endpoint, wait });
+            }
             Input::Agreed(agreed, binds) => {
                 self.agreed = agreed.is_some();
                 self.events.push(Event::Agreed(agreed));
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -5,7 +5,7 @@
 use hyper::header::HeaderValue;
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
-use milletturn::{Agreed, Demand, FleetView, Micros, Outcome, Quotas, Settings, Status};
+use milletturn::{Agreed, Demand, EndpointId, FleetView, Micros, Outcome, Quotas, Settings, Status};
 use milletturn_ledger::gate::News;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -25,6 +25,11 @@
     /// The process ends at this time.
     Stopping(Instant),
     Ended(Ended),
+    /// An answer that came after its call was given up told to wait.
+    ToldWait {
+        endpoint: EndpointId,
+        wait: Micros,
+    },
     Listed(ListUpdate),
     /// The list may be older than what counts as told, or is good again.
     Stale(bool),
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -99,6 +99,8 @@
                 Ok(())
             }
             Input::LinkLost => Err(LinkError::Unexpected),
+            // no word of the link carries a wait without its call's end (docs/ROADMAP.md)
+            Input::ToldWait { .. } => Ok(()),
             // the new one reads lists and settings itself, and posts notices
             Input::Retuned(_)
             | Input::Agreed(..)
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -12,20 +12,22 @@
 };
 use milletturn::{EndpointId, MILLISECOND, Micros, SECOND, Settings};
 use serde_json::json;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::io;
+use std::io::{self, Read};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout};
 
 /// Endpoints in one report.
@@ -50,6 +52,27 @@
     written: AtomicU64,
     /// The first bytes that came since the last request.
     first: Mutex<Vec<u8>>,
+    ending: Mutex<Ending>,
+    looked: Notify,
+}
+
+/// What follows once the system has nothing more to read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Then {
+    /// Whoever asked closes the connection.
+    Close,
+    /// The sending side is shut, which gives a call up; what comes is read on.
+    Listen,
+}
+
+/// How far a call is given up. It ends at the one moment at which the system has nothing more to read: an answer that
+/// has come by then counts.
+#[derive(Default)]
+struct Ending {
+    wanted: Option<Then>,
+    shut: bool,
+    /// Who reads, and waits for more.
+    reader: Option<Waker>,
 }
 
 impl Traffic {
@@ -58,6 +81,26 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    fn ending(&self) -> MutexGuard<'_, Ending> {
+        self.ending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until all that is there has been read, for a call that is given up then.
+    pub async fn read_out(&self, then: Then) {
+        let reader = {
+            let mut ending = self.ending();
+            ending.wanted = Some(then);
+            ending.reader.take()
+        };
+        reader.into_iter().for_each(Waker::wake);
+        self.looked.notified().await;
+    }
+
+    /// True if nothing can be sent any more.
+    fn is_shut(&self) -> bool {
+        self.ending().shut
+    }
+
     /// What comes from now on is another answer.
     pub fn forget_answer(&self) {
         self.first.lock().unwrap_or_else(PoisonError::into_inner).clear();
@@ -404,7 +447,7 @@
 /// The connection, and what drives it until it ends.
 async fn handshake<S>(stream: S) -> io::Result<(Connection, Driven)>
 where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    S: AsyncRead + AsyncWrite + Now + Unpin + Send + 'static,
 {
     let traffic = Arc::new(Traffic::default());
     let counted = Counted { stream, traffic: traffic.clone() };
@@ -456,6 +499,8 @@
         let now = self.layer.now();
         let cause = match &self.end {
             Some(end) => end.get(),
+            // an answer that came too late leaves it as it was given up
+            None if connection.traffic.is_shut() => Cause::CalledOff,
             None if connection.sender.is_closed() => Cause::Peer,
             // nothing is on it
             None => {
@@ -482,12 +527,63 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+/// What the system itself tells of a socket. The runtime asks it only between turns, in which a timer may come first.
+trait Now {
+    /// Reads what is there.
+    fn read_now(&self, room: &mut [u8]) -> io::Result<usize>;
+
+    /// Nothing more is sent; what comes can still be read.
+    fn end_sending(&self);
+}
+
+impl Now for TcpStream {
+    fn read_now(&self, room: &mut [u8]) -> io::Result<usize> {
+        (&mut &*SockRef::from(self)).read(room)
+    }
+
+    fn end_sending(&self) {
+        // a connection that has ended sends nothing either
+        let _ = SockRef::from(self).shutdown(Shutdown::Write);
+    }
+}
+
+#[cfg(test)]
+impl Now for tokio::io::DuplexStream {
+    fn read_now(&self, _: &mut [u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::WouldBlock.into())
+    }
+
+    fn end_sending(&self) {}
+}
+
+impl<S: AsyncRead + Now + Unpin> AsyncRead for Counted<S> {
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let mut result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if result.is_pending() {
+            let mut ending = self.traffic.ending();
+            ending.reader = Some(context.waker().clone());
+            if let Some(then) = ending.wanted.take() {
+                match self.stream.read_now(buffer.initialize_unfilled()) {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                        if then == Then::Listen {
+                            self.stream.end_sending();
+                            ending.shut = true;
+                        }
+                        self.traffic.looked.notify_one();
+                    }
+                    Err(error) => result = Poll::Ready(Err(error)),
+                    Ok(read) => {
+                        buffer.advance(read);
+                        // there may be more, and the reader comes again
+                        ending.wanted = Some(then);
+                        result = Poll::Ready(Ok(()));
+                    }
+                }
+            }
+        }
         self.traffic.keep_answer(&buffer.filled()[before..]);
         result
     }
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -200,3 +200,65 @@
     let reset = stream.take_error().expect("asked");
     assert!(end.is_ok() && reset.is_none(), "the connection is reset: {end:?}, {reset:?}");
 }
+
+/// A sender whose keyed calls are given up after a second, and a call of it that is under way: its connection.
+fn under_way(gate: &Gate, agent: &Agent) -> (Node, TcpStream, Instant) {
+    let node =
+        Node::configured_with(agent, |text| text.replace(r#""window":12.0"#, r#""window":1.0"#)).ready();
+    let mut stream = gate.well_known(&node);
+    let mut client = Client::new(&node);
+    assert_eq!(client.send(&message("webhook", "m1", 7, 20_000, b"body")).expect("answered").0, 202);
+    assert!(read_call(&mut stream).contains("x-request-id: m1"));
+    (node, stream, Instant::now())
+}
+
+#[test]
+fn an_answer_that_is_there_as_its_call_times_out_counts() {
+    let gate = Gate::new();
+    let agent = gate.listed();
+    // a head without an end is true too, by its first line
+    for (answer, rest) in [(ANSWER, &b""[..]), (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x")] {
+        let (node, mut stream, sent) = under_way(&gate, &agent);
+        node.at_one_moment(|| {
+            std::thread::sleep(Duration::from_millis(1300).saturating_sub(sent.elapsed()));
+            stream.write_all(answer).expect("taken");
+        });
+        if !rest.is_empty() {
+            // its connection is closed: the call is given up
+            while stream.read(&mut [0; 64]).expect("it ends") > 0 {}
+            let _ = stream.write_all(rest);
+        }
+        wait_until("delivered", || node.hand_in("webhook", "m1", 7, 20_000, b"body") == 200);
+        assert!(!agent.notices().iter().any(|notice| notice.contains("m1")), "{:?}", agent.notices());
+    }
+}
+
+#[test]
+fn a_wait_that_is_told_after_its_call_timed_out_holds() {
+    let gate = Gate::new();
+    let agent = gate.listed();
+    let told = || {
+        let (node, mut stream, _) = under_way(&gate, &agent);
+        // a first wait, so that they are listened for
+        stream.write_all(&full("0.010")).expect("taken");
+        assert!(read_call(&mut stream).contains("x-request-id: m1"));
+        // the sending side is shut: the call is given up
+        assert_eq!(stream.read(&mut [0]).expect("it ends"), 0);
+        let told = Instant::now();
+        let written = stream.write_all(&full("3"));
+        wait_until("it is read", || pools(&node)["totals"]["leased"] == 0);
+        // false if the machine was so slow that nobody listened any more
+        (written.is_ok() && stream.take_error().expect("asked").is_none()).then_some((node, told))
+    };
+    let (node, told) = (0..5).find_map(|_| told()).expect("never in time");
+    assert_eq!(node.hand_in("webhook", "m2", 7, 20_000, b"body"), 202);
+    let mut next = gate.accept();
+    let after = told.elapsed();
+    assert!(read_call(&mut next).contains("x-request-id: m2"));
+    assert!(after >= Duration::from_millis(2900), "a call {after:?} after a wait of 3 s was told");
+}
+
+/// An answer that tells to wait.
+fn full(seconds: &str) -> Vec<u8> {
+    format!("HTTP/1.1 429 Full\r\nRetry-After: {seconds}\r\nContent-Length: 0\r\n\r\n").into_bytes()
+}
