--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -179,7 +179,10 @@
             tokio::select! {
                 biased;
                 // an answer that had come before the end; any other end is what the call was given up for
-                answer = &mut exchange => (if answer.heard { answer } else { outcome.into() }, None),
+                answer = &mut exchange => {
+                    traffic.iter().for_each(|traffic| traffic.keep());
+                    (if answer.heard { answer } else { outcome.into() }, None)
+                }
                 () = looked => match traffic {
                     // a first line is true also where its head never ends
                     Some(traffic) if call.items.len() == 1 && traffic.says_ok() => (Answer::served(), None),
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -70,6 +70,7 @@
 #[derive(Default)]
 struct Ending {
     wanted: Option<Then>,
+    looked: bool,
     shut: bool,
     /// Who reads, and waits for more.
     reader: Option<Waker>,
@@ -89,11 +90,18 @@
     pub async fn read_out(&self, then: Then) {
         let reader = {
             let mut ending = self.ending();
-            ending.wanted = Some(then);
+            (ending.wanted, ending.looked) = (Some(then), false);
             ending.reader.take()
         };
         reader.into_iter().for_each(Waker::wake);
-        self.looked.notified().await;
+        while !self.ending().looked {
+            self.looked.notified().await;
+        }
+    }
+
+    /// An answer has come first: the connection goes on.
+    pub fn keep(&self) {
+        self.ending().wanted = None;
     }
 
     /// True if nothing can be sent any more.
@@ -572,6 +580,7 @@
                             self.stream.end_sending();
                             ending.shut = true;
                         }
+                        ending.looked = true;
                         self.traffic.looked.notify_one();
                     }
                     Err(error) => result = Poll::Ready(Err(error)),
