A returning destination counts as warm for a crowd only so long after its first success

Cause: in a crowd the return is taken to lie between the last failure and the first success, which suits the slow start; the same guess also ended it, so each sender turned to its full pace, with all that waited, while the destination was cold. Change: the end counts from the later bound (Health::Returning in learn_outcome). Few senders (crowd 0) act as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -497,14 +497,15 @@
                 // one in a crowd makes too few calls in a span to tell a rate by
                 let rate = unit.served_rate(now, span) * (1.0 - crowd) + unit.own_rate(now) * crowd;
                 // what is served while returning must not raise the budget of the return itself
-                let seen = if unit.health == Health::Well { rate } else { 0.0 };
-                unit.best_rate = unit.best_rate.max(seen);
+                unit.best_rate = unit.best_rate.max(if unit.health == Health::Well { rate } else { 0.0 });
                 unit.window = (unit.window + 1.0 / unit.window).min(WINDOW_MOST * slots);
+                let (trusted, failed_at) = (unit.fails < FAIL_TRUST, unit.failed_at);
+                // its return lies between the last failure and the first success: surely warm is later
+                let late =
+                    |since: Micros| cold + ((since - failed_at).clamp(0, cold) as f64 * crowd) as Micros;
                 match unit.health {
                     // answers at the first trial after refusals or silence alone: throttled or slow, not out
-                    Health::Sick { silent, since }
-                        if unit.fails < FAIL_TRUST && (silent || now - since < 2 * span) =>
-                    {
+                    Health::Sick { silent, since } if trusted && (silent || now - since < 2 * span) => {
                         unit.health = Health::Well;
                     }
                     Health::Sick { since, .. } => {
@@ -521,7 +522,7 @@
                         }
                         actions.push(Action::Log(format!("destination {} returns", unit_id.0)));
                     }
-                    Health::Returning { since } if now - since > cold => unit.health = Health::Well,
+                    Health::Returning { since } if now - since > late(since) => unit.health = Health::Well,
                     _ => {}
                 }
             }
@@ -1047,8 +1048,8 @@
         let Some(message) = self.messages.get_mut(&id) else { return };
         let (expires, start_by) = match effect {
             Effect::Unsafe => (message.deadline, None),
-            Effect::Keyed { window, .. } => {
-                (message.deadline.min(now + window), message.window_ends(window - MARGIN))
+            Effect::Keyed { window: w, .. } => {
+                (message.deadline.min(now + w), message.window_ends(w - MARGIN))
             }
             Effect::Repeatable => (message.deadline.min(now + offset * 10), None),
         };
