--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -204,7 +204,7 @@
     if let Some(traffic) = given_up {
         let heard = async {
             sleep(LATE).await;
-            traffic.read_out(Then::Close).await;
+            let _ = timeout(LATE, traffic.read_out(Then::Close)).await;
         };
         tokio::select! {
             biased;
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -24,6 +24,12 @@
     *agent.lines.lock().expect("not poisoned") = lines;
 }
 
+/// From the next watch on the old endpoint of destination 7 is in this state, and the new one is up.
+fn replace(agent: &Agent, old: &Endpoint, state: &str, new: &Endpoint) {
+    let entries = [("s-1", old.address, "one", 7, state), ("s-2", new.address, "one", 7, "up")];
+    set_lines(agent, vec![list(&entries)]);
+}
+
 /// No open watch tells anything more; the number of watches so far.
 fn mute(agent: &Agent) -> usize {
     let watches = agent.watches.load(Ordering::SeqCst);
@@ -38,10 +44,7 @@
     let node = asking(&agent, 300);
     sent(&node, "before", 7);
     let (watches, silent) = (mute(&agent), Instant::now());
-    set_lines(
-        &agent,
-        vec![list(&[("s-1", old.address, "one", 7, "draining"), ("s-2", new.address, "one", 7, "up")])],
-    );
+    replace(&agent, &old, "draining", &new);
     wait_until("a new watch", || agent.watches.load(Ordering::SeqCst) > watches);
     let after = silent.elapsed();
     assert!(after < Duration::from_millis(5500), "a new watch after {after:?}");
@@ -64,10 +67,7 @@
     let agent = Agent::new(vec![one_of("s-1", old.address, "up")]);
     let node = asking(&agent, 1);
     sent(&node, "before", 7);
-    set_lines(
-        &agent,
-        vec![list(&[("s-1", old.address, "one", 7, "removed"), ("s-2", new.address, "one", 7, "up")])],
-    );
+    replace(&agent, &old, "removed", &new);
     // new watches open and tell nothing
     agent.muted.store(usize::MAX, Ordering::SeqCst);
     wait_until("it says so", || node.logged("nothing is sent until it tells"));
@@ -93,10 +93,7 @@
     wait_until("it is tried", || old.count() > 0);
     node.kill();
     let tried = old.count();
-    set_lines(
-        &agent,
-        vec![list(&[("s-1", old.address, "one", 7, "draining"), ("s-2", new.address, "one", 7, "up")])],
-    );
+    replace(&agent, &old, "draining", &new);
     *agent.late.lock().expect("not poisoned") = Duration::from_millis(150);
     let _next = node.successor_as_configured();
     wait_until("delivered", || new.times("m1") == 1);
@@ -151,10 +148,7 @@
     let watches = end_watches(&agent);
     // its rests have grown by then
     wait_until("two calls are refused", || agent.refused.load(Ordering::SeqCst) >= 2);
-    set_lines(
-        &agent,
-        vec![list(&[("s-1", old.address, "one", 7, "draining"), ("s-2", new.address, "one", 7, "up")])],
-    );
+    replace(&agent, &old, "draining", &new);
     agent.down.store(false, Ordering::SeqCst);
     let back = Instant::now();
     wait_until("a new watch", || agent.watches.load(Ordering::SeqCst) > watches);
@@ -172,10 +166,7 @@
     let agent = Agent::new(vec![one_of("s-1", old.address, "up")]);
     let node = asking(&agent, 1);
     sent(&node, "before", 7);
-    set_lines(
-        &agent,
-        vec![list(&[("s-1", old.address, "one", 7, "removed"), ("s-2", new.address, "one", 7, "up")])],
-    );
+    replace(&agent, &old, "removed", &new);
     agent.held.store(true, Ordering::SeqCst);
     end_watches(&agent);
     wait_until("it says so", || node.logged("nothing is sent until it tells"));
