Registry's replica in files by job; membership's record apart, no cap under 1,024 members

Cause: registry/src/replica.rs held 707 lines and five jobs, membership's table knew the wire's layout; the table of members began at 64 names, so a fleet of many senders lost some. Change: replica in files by job (messages, role, confirmations, dual reads, proposals, applying, clock), inputs and locks of their own, beats are heartbeats; record apart from table and wire; members_most is 1,024 at least by default. Formats unchanged.

--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -22,13 +22,15 @@
 
 mod gossip;
 mod node;
+mod record;
 mod settings;
 mod table;
 mod wire;
 
 pub use node::{Change, Counts, Node, Output, Remembered, View};
+pub use record::State;
 pub use settings::{Settings, SettingsError};
-pub use table::{Listed, State};
+pub use table::Listed;
 pub use wire::{Dropped, LONGEST};
 
 /// Microseconds, on whatever clock the host passes in; it must not run backwards.
--- a/membership/src/node/learn.rs
+++ b/membership/src/node/learn.rs
@@ -3,8 +3,9 @@
 
 use super::{Change, FORGET_PERIODS, Node, Output};
 use crate::Micros;
-use crate::table::{OBSERVERS, Peer, State, Suspicion, Window, rank};
-use crate::wire::{INCARNATION_MOST, Record};
+use crate::record::{Record, State, rank};
+use crate::table::{OBSERVERS, Peer, Suspicion, Window};
+use crate::wire::INCARNATION_MOST;
 use std::collections::BTreeSet;
 
 /// Least and most observers that must agree on a death.
--- a/membership/src/node/mod.rs
+++ b/membership/src/node/mod.rs
@@ -7,9 +7,10 @@
 
 use crate::Micros;
 use crate::gossip::Gossip;
+use crate::record::{Record, State};
 use crate::settings::{Settings, SettingsError};
-use crate::table::{Listed, Peer, State, Table};
-use crate::wire::{self, Dropped, Message, Packet, Record};
+use crate::table::{Listed, Peer, Table};
+use crate::wire::{self, Dropped, Message, Packet};
 use probe::{Probe, Relay};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
--- a/membership/src/node/probe.rs
+++ b/membership/src/node/probe.rs
@@ -3,7 +3,7 @@
 
 use super::{DOUBT, Node, Output};
 use crate::Micros;
-use crate::table::State;
+use crate::record::State;
 use crate::wire::{Dropped, Message};
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
--- a/membership/src/node/sync.rs
+++ b/membership/src/node/sync.rs
@@ -4,9 +4,9 @@
 
 use super::{Node, Output};
 use crate::Micros;
+use crate::record::{Record, State};
 use crate::settings::NAME_MOST;
-use crate::table::State;
-use crate::wire::{self, Dropped, Message, Record};
+use crate::wire::{self, Dropped, Message};
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use std::net::SocketAddr;
--- a/membership/src/settings.rs
+++ b/membership/src/settings.rs
@@ -8,6 +8,8 @@
 pub const NAME_MOST: usize = 64;
 /// Most members that a table may hold: their bitmap takes an eighth of that in each datagram.
 pub const MEMBERS_MOST: usize = 2048;
+/// A table has room for so many at least, however few the fleet is said to have: the memory is taken by those that come.
+const MEMBERS_LEAST: usize = 1024;
 
 /// Why the settings make no sense: the setting's name and what it has to be.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -71,7 +73,7 @@
             retransmit: 4,
             sync: 5,
             lifeguard: true,
-            most: (4 * configured as usize).clamp(64, MEMBERS_MOST),
+            most: (4 * configured as usize).clamp(MEMBERS_LEAST, MEMBERS_MOST),
             key: None,
         }
     }
--- a/membership/src/table.rs
+++ b/membership/src/table.rs
@@ -1,8 +1,8 @@
 //! The members as one of them knows them, and how records of one member are ordered.
 
 use crate::Micros;
-use crate::wire::Record;
-use serde::{Deserialize, Serialize};
+use crate::record::{Record, State, rank};
+use serde::Serialize;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -13,27 +13,6 @@
 /// Observers of one suspicion that are remembered: more change nothing.
 pub const OBSERVERS: usize = 4;
 
-/// How a member stands. The order is that of precedence within one incarnation (SWIM, section IV-B).
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum State {
-    /// It answers, as far as is known.
-    Alive,
-    /// Some observer has had no answer; it counts as living.
-    Suspect,
-    /// Several observers had no answer for the time of a suspicion.
-    Dead,
-    /// It said so itself.
-    Left,
-}
-
-impl State {
-    /// Whether the member counts as one of the fleet.
-    pub fn lives(self) -> bool {
-        matches!(self, State::Alive | State::Suspect)
-    }
-}
-
 /// A suspicion that runs.
 #[derive(Debug, Clone)]
 pub struct Suspicion {
@@ -64,12 +43,6 @@
     pub window: Window,
 }
 
-/// The place of a record among all records of its member: the greatest holds. At the same incarnation and state the
-/// elder process is the member.
-pub fn rank(incarnation: u64, state: State, instance: u64) -> (u64, State, Reverse<u64>) {
-    (incarnation, state, Reverse(instance))
-}
-
 impl Peer {
     pub fn rank(&self) -> (u64, State, Reverse<u64>) {
         rank(self.incarnation, self.state, self.instance)
--- a/membership/src/wire.rs
+++ b/membership/src/wire.rs
@@ -1,7 +1,7 @@
 //! The datagrams: written, read and checked. What can't be read is an error with its cause, never a panic.
 
+use crate::record::{Record, State};
 use crate::settings::is_name;
-use crate::table::State;
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
@@ -57,19 +57,6 @@
     Busy,
 }
 
-/// What one member says of another, or of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    pub name: String,
-    pub address: SocketAddr,
-    pub incarnation: u64,
-    /// The process's start, Unix microseconds: of two with one name the elder is the member.
-    pub instance: u64,
-    pub state: State,
-    /// Who saw it fail, where it is suspect.
-    pub observer: Option<String>,
-}
-
 /// What a datagram is for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
--- a/registry/src/core.rs
+++ b/registry/src/core.rs
@@ -2,13 +2,15 @@
 //! for every turn may wait for the disk.
 
 use crate::feed::Feed;
+pub use crate::inputs::{Asked, Input};
+use crate::locks::lock;
 use crate::peers::Peers;
-use crate::replica::{Answer, Output, PartsQuestion, Question, Replica, ReplicaChange, TICK, Ticket};
-use crate::state::{Command, Place};
+use crate::replica::{Answer, Output, Replica, TICK, Ticket};
+use crate::state::Place;
 use milletturn_agreement::Micros;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch};
 
@@ -16,39 +18,6 @@
 const WAITING: usize = 4096;
 const AT_ONCE: usize = 1024;
 
-/// Looks at the replica as it stands.
-type Look = Box<dyn FnOnce(&mut Replica, Micros) + Send>;
-
-/// What the thread is told.
-pub enum Input {
-    /// Another replica's message.
-    Peer(raft::eraftpb::Message),
-    /// A message to this replica could not be sent.
-    Unreachable(u64),
-    /// A snapshot to this replica was sent, or was not.
-    SnapshotSent(u64, bool),
-    /// Somebody asks.
-    Asked(Asked, oneshot::Sender<Answer>),
-    /// Somebody looks.
-    Look(Look),
-}
-
-/// A question.
-pub enum Asked {
-    /// For a command to be done.
-    Change(Command),
-    /// For a lease.
-    Lease(Question),
-    /// For parts of limits.
-    Parts(PartsQuestion),
-    /// For what is applied to be as late as the question.
-    Read,
-    /// An endpoint lives.
-    Beat(String),
-    /// A replica comes or goes.
-    Replicas(ReplicaChange),
-}
-
 /// What all may know without asking.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Seen {
@@ -74,11 +43,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Overloaded;
 
-/// Locks what no holder leaves half-way.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Core {
     /// Hands something to the thread.
     ///
--- a/registry/src/beats.rs
+++ b/registry/src/heartbeats.rs
@@ -15,13 +15,13 @@
 
 /// What the leader knows of heartbeats.
 #[derive(Debug, Default)]
-pub struct Beats {
+pub struct Heartbeats {
     due: BTreeMap<String, Micros>,
     /// Run out, and kept: too many did at once.
     kept: BTreeMap<String, Micros>,
 }
 
-impl Beats {
+impl Heartbeats {
     /// A heartbeat came, or the entry was put.
     pub fn beat(&mut self, now: Micros, uid: &str, target: &Target) {
         self.kept.remove(uid);
@@ -86,11 +86,11 @@
 
     #[test]
     fn one_that_is_silent_runs_out_and_those_that_beat_do_not() {
-        let (targets, mut beats) = (targets(10), Beats::default());
-        assert_eq!(beats.run_out(0, &targets), (vec![], 0));
+        let (targets, mut heartbeats) = (targets(10), Heartbeats::default());
+        assert_eq!(heartbeats.run_out(0, &targets), (vec![], 0));
         for now in [500_000, 1_000_000, 1_500_000] {
-            targets.keys().skip(1).for_each(|uid| beats.beat(now, uid, &targets[uid]));
-            let (gone, kept) = beats.run_out(now, &targets);
+            targets.keys().skip(1).for_each(|uid| heartbeats.beat(now, uid, &targets[uid]));
+            let (gone, kept) = heartbeats.run_out(now, &targets);
             let gone: Vec<&String> = gone.iter().map(|(uid, _)| uid).collect();
             assert_eq!(gone, if now == 1_000_000 { vec!["e00"] } else { vec![] }, "at {now}");
             assert_eq!(kept, 0);
@@ -99,14 +99,14 @@
 
     #[test]
     fn where_many_run_out_at_once_they_are_kept_until_they_beat_again() {
-        let (targets, mut beats) = (targets(10), Beats::default());
-        beats.run_out(0, &targets);
+        let (targets, mut heartbeats) = (targets(10), Heartbeats::default());
+        heartbeats.run_out(0, &targets);
         // half of them, a little apart
-        targets.keys().skip(5).for_each(|uid| beats.beat(900_000, uid, &targets[uid]));
-        assert_eq!(beats.run_out(1_000_000, &targets), (vec![], 5));
-        assert_eq!(beats.kept().count(), 5);
-        targets.keys().for_each(|uid| beats.beat(1_500_000, uid, &targets[uid]));
-        assert_eq!(beats.kept().count(), 0);
-        assert_eq!(beats.run_out(2_400_000, &targets), (vec![], 0));
+        targets.keys().skip(5).for_each(|uid| heartbeats.beat(900_000, uid, &targets[uid]));
+        assert_eq!(heartbeats.run_out(1_000_000, &targets), (vec![], 5));
+        assert_eq!(heartbeats.kept().count(), 5);
+        targets.keys().for_each(|uid| heartbeats.beat(1_500_000, uid, &targets[uid]));
+        assert_eq!(heartbeats.kept().count(), 0);
+        assert_eq!(heartbeats.run_out(2_400_000, &targets), (vec![], 0));
     }
 }
--- a/registry/src/peers.rs
+++ b/registry/src/peers.rs
@@ -1,7 +1,8 @@
 //! The way between replicas: one connection each way, on which messages go whole, in order or not at all.
 
-use crate::core::{Input, lock};
 use crate::frames;
+use crate::inputs::Input;
+use crate::locks::lock;
 use crate::mirror;
 use crate::state::Place;
 use raft::eraftpb::{Message, MessageType};
--- a/registry/src/replica/leading.rs
+++ b/registry/src/replica/leading.rs
@@ -1,7 +1,7 @@
 //! What a leader alone knows: leases, heartbeats, and which step it has proposed.
 
 use super::Answer;
-use crate::beats::Beats;
+use crate::heartbeats::Heartbeats;
 use crate::state::{Applied, Command, Refused, State};
 use milletturn_agreement::{Leases, Micros, Refusal, Rules, Tag, Terms};
 use milletturn_ledger::Entry;
@@ -58,7 +58,7 @@
     numbers: BTreeMap<(String, u64), u64>,
     pub known: BTreeMap<u64, Known>,
     next: u64,
-    pub beats: Beats,
+    pub heartbeats: Heartbeats,
     /// Proposed by this leader, and neither applied nor refused yet.
     advancing: Option<u64>,
     beginning: bool,
@@ -86,7 +86,7 @@
             numbers: BTreeMap::new(),
             known: BTreeMap::new(),
             next: 0,
-            beats: Beats::default(),
+            heartbeats: Heartbeats::default(),
             advancing: None,
             beginning: false,
             ledger_beginning: false,
@@ -117,7 +117,7 @@
     pub fn follow(&mut self, now: Micros, applied: &Applied, advances: bool, state: &State) {
         for (uid, target, gone) in &applied.changed {
             if !gone {
-                self.beats.beat(now, uid, target);
+                self.heartbeats.beat(now, uid, target);
             }
         }
         if advances {
@@ -246,7 +246,7 @@
             self.beginning = true;
             steps.push(begin.clone());
         }
-        let (gone, kept) = self.beats.run_out(now, &state.targets);
+        let (gone, kept) = self.heartbeats.run_out(now, &state.targets);
         if !gone.is_empty() {
             steps.push(Command::Expire(gone));
         }
--- a/registry/src/replica/report.rs
+++ b/registry/src/replica/report.rs
@@ -66,7 +66,7 @@
     }
 
     fn kept(&self) -> Vec<&String> {
-        self.leading.iter().flat_map(|leading| leading.beats.kept()).collect()
+        self.leading.iter().flat_map(|leading| leading.heartbeats.kept()).collect()
     }
 
     /// The rules' version and step, and who is waited for.
--- a/registry/src/server/watch.rs
+++ b/registry/src/server/watch.rs
@@ -1,7 +1,8 @@
 //! Watches: each has a place in the feed and takes what it lacks when it can.
 
 use super::{Body, No, Server};
-use crate::core::{Asked, lock};
+use crate::core::Asked;
+use crate::locks::lock;
 use crate::replica::Answer;
 use bytes::Bytes;
 use http_body_util::BodyExt;
