--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -14,14 +14,16 @@
 mod registry;
 mod relay;
 mod run;
+mod scale;
 mod scenario;
 mod serve;
+mod site;
 mod usage;
 mod world;
 
 use clap::{Parser, Subcommand};
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
 
@@ -67,6 +69,32 @@
         /// The history that a run left.
         history: PathBuf,
     },
+    /// Writes a deployment for the bench: a base site with single properties changed.
+    Site {
+        /// The base's site file; `real.json`, `wire.json` and `unlock.txt` beside it are copied.
+        #[arg(long)]
+        base: PathBuf,
+        /// A property to change; `axes` lists them. Later ones are made upon earlier ones.
+        #[arg(long = "set", value_name = "AXIS=VALUE")]
+        set: Vec<site::Choice>,
+        /// So many further properties are drawn.
+        #[arg(long, default_value_t = 0)]
+        draw: usize,
+        /// Seed of what is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The site's folder; its last part becomes the site's name.
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Lists the properties that `site` can change, with their values.
+    Axes,
+    /// Measures what parts of the program cost by size, and prints figures as JSON.
+    Scale {
+        /// What is measured.
+        #[command(subcommand)]
+        what: scale::Command,
+    },
     /// Becomes a program that ends with its parent; for the lab's own use.
     #[command(hide = true)]
     Exec {
@@ -109,12 +137,35 @@
             let breaches = check::check(&head, &records);
             Ok(verdict(&breaches, None))
         }
+        Command::Site { base, set, draw, seed, out } => write_site(&base, set, draw, seed, &out),
+        Command::Axes => {
+            list_axes();
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Scale { what } => scale::carry_out(&what).map(|()| ExitCode::SUCCESS),
         Command::Exec { parent, program, arguments } => {
             fleet::exec(parent, &program, &arguments).map(|()| ExitCode::SUCCESS)
         }
     }
 }
 
+fn write_site(
+    base: &Path, mut choices: Vec<site::Choice>, draw: usize, seed: u64, out: &Path,
+) -> anyhow::Result<ExitCode> {
+    choices.extend(site::drawn(seed, draw, &choices));
+    let path = site::write(base, out, &choices)?;
+    let names: Vec<String> = choices.iter().map(ToString::to_string).collect();
+    println!("{}: {}", path.display(), names.join(" "));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn list_axes() {
+    for axis in site::AXES {
+        let values: Vec<&str> = axis.values.iter().map(|value| value.name).collect();
+        println!("{} ({}): {}", axis.name, values.join(", "), axis.about);
+    }
+}
+
 fn verdict(breaches: &[check::Breach], void: Option<&str>) -> ExitCode {
     const SHOWN: usize = 20;
     for check::Breach { rule, at_us, what } in breaches.iter().take(SHOWN) {
--- /dev/null
+++ b/lab/src/site/axes.rs
@@ -0,0 +1,258 @@
+//! The properties in which deployments differ, one axis each, with the values to try.
+
+use super::edit::{Edit, Effect, Place, Setting};
+
+/// A property of a deployment.
+#[derive(Debug, PartialEq)]
+pub struct Axis {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What it is.
+    pub about: &'static str,
+    /// What it may be.
+    pub values: &'static [AxisValue],
+}
+
+impl Eq for Axis {}
+
+/// A value of an axis and how it is put into a site file.
+#[derive(Debug, PartialEq)]
+pub struct AxisValue {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// The changes, in their order.
+    pub edits: &'static [Edit],
+}
+
+const ALLOW: Place = Place::One("allow");
+const FAM: Place = Place::One("fam");
+const LOAD: Place = Place::One("load");
+const PRICES: Place = Place::One("prices");
+const DISCOVERY: Place = Place::One("discovery");
+const KIND: Place = Place::EachIn("fam", "kind");
+
+const fn axis(name: &'static str, about: &'static str, values: &'static [AxisValue]) -> Axis {
+    Axis { name, about, values }
+}
+
+const fn value(name: &'static str, edits: &'static [Edit]) -> AxisValue {
+    AxisValue { name, edits }
+}
+
+const fn whole(place: Place, key: &'static str, to: i64) -> Edit {
+    Edit::Set(place, key, Setting::Whole(to))
+}
+
+const fn range(place: Place, key: &'static str, least: f64, most: f64) -> Edit {
+    Edit::Set(place, key, Setting::Range(least, most))
+}
+
+const fn flag(place: Place, key: &'static str, to: bool) -> Edit {
+    Edit::Set(place, key, Setting::Flag(to))
+}
+
+const fn text(place: Place, key: &'static str, to: &'static str) -> Edit {
+    Edit::Set(place, key, Setting::Text(to))
+}
+
+/// All of them.
+pub static AXES: &[Axis] = &[
+    axis(
+        "deadline",
+        "time until which a message may be delivered; the aim keeps its share of it",
+        &[
+            value("500ms", &[Edit::Deadline(500)]),
+            value("2500ms", &[Edit::Deadline(2_500)]),
+            value("10s", &[Edit::Deadline(10_000)]),
+            value("60s", &[Edit::Deadline(60_000)]),
+        ],
+    ),
+    axis(
+        "aim",
+        "share of the deadline within which a message has its full worth",
+        &[value("tenth", &[Edit::Aim(0.1)]), value("all", &[Edit::Aim(1.0)])],
+    ),
+    axis(
+        "work",
+        "time of a call as a share of the deadline",
+        &[
+            value("hundredth", &[Edit::Work(0.01)]),
+            value("thirtieth", &[Edit::Work(1.0 / 30.0)]),
+            value("tenth", &[Edit::Work(0.1)]),
+        ],
+    ),
+    axis(
+        "limit",
+        "how a destination counts calls against its limit",
+        &[
+            value("none", &[text(KIND, "limit", "none")]),
+            value("rate", &[text(KIND, "limit", "rate")]),
+            value("window", &[text(KIND, "limit", "window")]),
+        ],
+    ),
+    axis(
+        "window",
+        "span in which a destination counts calls",
+        &[
+            value("200ms", &[whole(KIND, "window_ms", 200)]),
+            value("2s", &[whole(KIND, "window_ms", 2_000)]),
+            value("10s", &[whole(KIND, "window_ms", 10_000)]),
+        ],
+    ),
+    axis(
+        "headroom",
+        "limit of a destination over its mean traffic at load 1",
+        &[
+            value("none", &[range(KIND, "headroom", 1.0, 1.05)]),
+            value("little", &[range(KIND, "headroom", 1.0, 1.5)]),
+            value("ample", &[range(KIND, "headroom", 2.5, 4.0)]),
+        ],
+    ),
+    axis(
+        "refused-count",
+        "whether refused calls use the limit up",
+        &[
+            value("no", &[flag(KIND, "refused_count", false)]),
+            value("yes", &[flag(KIND, "refused_count", true)]),
+        ],
+    ),
+    axis(
+        "tells-wait",
+        "share of refusals that say for how long",
+        &[value("never", &[whole(KIND, "tells_wait", 0)]), value("always", &[whole(KIND, "tells_wait", 1)])],
+    ),
+    axis(
+        "wait",
+        "waits that refusals name",
+        &[
+            value("short", &[range(KIND, "wait_ms", 50.0, 200.0)]),
+            value("long", &[range(KIND, "wait_ms", 20_000.0, 70_000.0)]),
+        ],
+    ),
+    axis(
+        "endpoints",
+        "endpoints of a destination, in the mean",
+        &[
+            value("one", &[range(FAM, "endpoints", 1.0, 1.0)]),
+            value("four", &[range(FAM, "endpoints", 4.0, 4.0)]),
+        ],
+    ),
+    axis(
+        "routes",
+        "whether a destination's endpoints have limits and paces of their own",
+        &[
+            value("apart", &[text(KIND, "routes", "apart")]),
+            value("shared", &[text(KIND, "routes", "shared")]),
+        ],
+    ),
+    axis(
+        "slots",
+        "calls that a sender may have out at once",
+        &[
+            value("one", &[range(FAM, "slots_room", 1.0, 1.0), whole(FAM, "least_slots", 1)]),
+            value("many", &[range(FAM, "slots_room", 8.0, 10.0), whole(FAM, "least_slots", 200)]),
+        ],
+    ),
+    axis(
+        "held",
+        "messages that a sender may hold, as time of its traffic at load 1",
+        &[
+            value("short", &[range(FAM, "hold_s", 0.5, 1.0), whole(FAM, "least_open", 4)]),
+            value("long", &[range(FAM, "hold_s", 30.0, 40.0)]),
+        ],
+    ),
+    axis(
+        "attempts",
+        "attempts that a message may take",
+        &[
+            value("one", &[whole(ALLOW, "max_attempts", 1)]),
+            value("two", &[whole(ALLOW, "max_attempts", 2)]),
+            value("thirty", &[whole(ALLOW, "max_attempts", 30)]),
+        ],
+    ),
+    axis("cancel", "whether calls may be cancelled", &[value("no", &[flag(ALLOW, "cancel", false)])]),
+    axis(
+        "copies",
+        "whether a second copy of a message may be out",
+        &[
+            value("no", &[flag(ALLOW, "second_copies", false)]),
+            value("yes", &[flag(ALLOW, "second_copies", true)]),
+        ],
+    ),
+    axis(
+        "effect",
+        "what a repeated delivery does, the same for all classes",
+        &[
+            value("safe", &[Edit::Effect(Effect::Safe)]),
+            value("keyed", &[Edit::Effect(Effect::Keyed)]),
+            value("unsafe", &[Edit::Effect(Effect::Unsafe)]),
+            value("in-order", &[Edit::Effect(Effect::InOrder)]),
+        ],
+    ),
+    axis(
+        "classes",
+        "number of classes, of equal shares",
+        &[value("one", &[Edit::Classes(1)]), value("eight", &[Edit::Classes(8)])],
+    ),
+    axis(
+        "tenants",
+        "tenants and their shares",
+        &[
+            value("none", &[Edit::Tenants(0)]),
+            value("ten", &[Edit::Tenants(10)]),
+            value("small", &[Edit::SmallTenant]),
+        ],
+    ),
+    axis("worth", "spread of worth over the classes", &[value("hundredfold", &[Edit::WorthSpread(100.0)])]),
+    axis("zones", "number of zones", &[value("one", &[Edit::Zones(1)]), value("six", &[Edit::Zones(6)])]),
+    axis(
+        "prices",
+        "what handshakes, waste, zones and late failures cost",
+        &[
+            value(
+                "none",
+                &[
+                    Edit::Scale(PRICES, "cross_zone", 0.0),
+                    Edit::Scale(PRICES, "waste", 0.0),
+                    Edit::Scale(PRICES, "late_fail", 0.0),
+                    Edit::Scale(PRICES, "handshake", 0.0),
+                    Edit::Scale(FAM, "refused_price", 0.0),
+                    Edit::Scale(FAM, "zone_fee", 0.0),
+                ],
+            ),
+            value(
+                "tenfold",
+                &[
+                    Edit::Scale(PRICES, "cross_zone", 10.0),
+                    Edit::Scale(PRICES, "handshake", 10.0),
+                    Edit::Scale(FAM, "zone_fee", 10.0),
+                ],
+            ),
+        ],
+    ),
+    axis(
+        "discovery",
+        "how senders come by the list",
+        &[
+            value("pushed", &[text(DISCOVERY, "mode", "push")]),
+            value("scarce", &[text(DISCOVERY, "mode", "ask"), range(DISCOVERY, "capacity", 1.0, 1.0)]),
+        ],
+    ),
+    axis(
+        "traffic",
+        "how traffic spreads over destinations",
+        &[value("steep", &[range(FAM, "zipf", 1.5, 1.8)]), value("even", &[range(FAM, "zipf", 0.0, 0.1)])],
+    ),
+    axis(
+        "load",
+        "traffic over capacity on all days",
+        &[value(
+            "near-one",
+            &[
+                range(LOAD, "quiet", 0.9, 1.0),
+                range(LOAD, "trouble", 0.95, 1.05),
+                range(LOAD, "big", 0.95, 1.05),
+            ],
+        )],
+    ),
+];
