Ledger: questions name what is used, in a compact form, within a budget of bytes

Change: ledger/src/naming.rs chooses: a list that fits into one question whole, of a longer one what waits without a quota, then what is in use and ends soon, in turns, never more than a budget of bytes leaves (ledger.bytes_a_second, 6,000); ledger/src/compact.rs is the form, with a version, differences and varints. A replica that refuses it is asked in JSON, JSON questions are read as before. Quotas name only what is allocated; counts of calls are kept only where there are any.

--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -10,6 +10,7 @@
 mod places;
 mod points;
 mod process;
+mod questions;
 mod registry;
 mod resources;
 mod simulation;
@@ -25,6 +26,8 @@
     Membership(membership::Order),
     /// Limits that all senders hold together, in process: the log's state, the allocation table, the bytes of a question.
     Ledger(ledger::Order),
+    /// One sender's questions for quotas in passed-in time: bytes, names, waits, CPU.
+    Questions(questions::Order),
     /// The endpoint list, in process: a replica's state, one change, and the lines that a watcher is sent.
     Registry(registry::Order),
     /// One sender's decisions in passed-in time: time of a turn and memory.
@@ -47,6 +50,7 @@
     match command {
         Command::Membership(order) => print(&membership::measure(order)?),
         Command::Ledger(order) => print(&ledger::measure(order)?),
+        Command::Questions(order) => print(&questions::measure(order)?),
         Command::Registry(order) => print(&registry::measure(order)?),
         Command::Decisions(order) => print(&decisions::measure(order)?),
         Command::Journal(order) => print(&journal::measure(order)?),
--- a/ledger/src/holder.rs
+++ b/ledger/src/holder.rs
@@ -81,6 +81,16 @@
         }
     }
 
+    /// Whether it may use no more of a limit now than its fallback share.
+    pub fn lacks(&self, now: Micros, key: &Key) -> bool {
+        self.floors.name(key) && self.may_use(now, key) == Some(self.floors.of(key))
+    }
+
+    /// Until when what was allocated of a limit lasts; the time that is passed in where nothing does.
+    pub fn lasts_until(&self, now: Micros, key: &Key) -> Micros {
+        self.parts.get(key).and_then(|part| part.at(now)).map_or(now, |(_, until)| until)
+    }
+
     /// The floors.
     pub fn floors(&self) -> &Floors {
         &self.floors
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -8,11 +8,13 @@
 mod book;
 #[cfg(feature = "calendar")]
 pub mod calendar;
+pub mod compact;
 pub mod freeze;
 pub mod gate;
 mod holder;
 mod keys;
 mod limits;
+pub mod naming;
 mod parts;
 pub mod splits;
 pub mod verdicts;
--- a/ledger/tests/codes.rs
+++ b/ledger/tests/codes.rs
@@ -1,6 +1,7 @@
 //! Every refusal has a code and says what an operator can do, and the on-call page lists the code.
 
 use miette::Diagnostic;
+use milletturn_ledger::compact::CompactError;
 use milletturn_ledger::freeze::{FreezeError, Widening};
 use milletturn_ledger::splits::SplitError;
 use milletturn_ledger::{BadKey, BadLimit, BookError, Key, LimitError, What};
@@ -49,6 +50,8 @@
     let books =
         [BookError::None, BookError::Begun, BookError::Ranges, BookError::Version { now: 2, wanted: 1 }];
     let mut all: Vec<Box<dyn Diagnostic>> = vec![Box::new(BadKey(text()))];
+    let forms = [CompactError::Version(None), CompactError::Malformed(text()), CompactError::Many];
+    all.extend(forms.into_iter().map(|error| Box::new(error) as Box<dyn Diagnostic>));
     all.extend(limits.into_iter().map(|error| Box::new(BookError::from(error)) as Box<dyn Diagnostic>));
     all.extend(splits.into_iter().map(|error| Box::new(BookError::from(error)) as Box<dyn Diagnostic>));
     all.extend(freezes.into_iter().map(|error| Box::new(error) as Box<dyn Diagnostic>));
--- a/registry/src/server.rs
+++ b/registry/src/server.rs
@@ -155,6 +155,7 @@
     query: String,
     if_match: Option<HeaderValue>,
     hop: bool,
+    content_type: Option<HeaderValue>,
     body: Bytes,
 }
 
@@ -201,6 +202,7 @@
         query: head.uri.query().unwrap_or_default().to_string(),
         if_match: head.headers.get(IF_MATCH).cloned(),
         hop: head.headers.contains_key(HOP),
+        content_type: head.headers.get(CONTENT_TYPE).cloned(),
         body,
     })
 }
--- a/registry/src/server/ledger.rs
+++ b/registry/src/server/ledger.rs
@@ -1,14 +1,16 @@
 //! What clients ask of the ledger: parts, limits.
 
-use super::{Asked, Body, HOP, No, Server, elsewhere, json, routes::read, routes::wanted};
+use super::{Asked, Body, HOP, No, Server, elsewhere, json, routes::read, routes::wanted, text};
 use crate::core::Asked as Question;
 use crate::exchange::exchange;
 use crate::replica::{Answer, PartsAnswer, PartsQuestion};
 use crate::state::Command;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use miette::Diagnostic;
+use milletturn_ledger::compact;
 use milletturn_ledger::splits::{Plant, Query, SplitError};
 use milletturn_ledger::{BadKey, BookError, Entry, Key, Limit, LimitError};
 use serde::Deserialize;
@@ -46,7 +48,8 @@
 /// Parts of limits: those that this replica keeps, and by one hop those that others keep. What a keeper does not answer
 /// in time is left out, and the sender goes on with what it has.
 pub(super) async fn parts(asked: &Asked, server: &Arc<Server>) -> Result<Response<Body>, No> {
-    let question: PartsQuestion = read(asked)?;
+    let compact = asked.content_type.as_ref().is_some_and(|media| media == compact::MEDIA_TYPE);
+    let question = if compact { read_compact(asked)? } else { read(asked)? };
     let mut whole = match server.core.ask(Question::Parts(question.clone())).await? {
         Answer::Parts(answer) => *answer,
         // any replica deals what it keeps: no other is asked in this one's place
@@ -68,9 +71,28 @@
             whole.verdicts.extend(answer.verdicts);
         }
     }
+    if compact {
+        return Ok(written_compact(whole));
+    }
     Ok(json(&serde_json::to_value(whole).map_err(No::busy)?))
 }
 
+/// A question in the compact form. An older replica takes it for broken JSON and refuses it in the same way, and the sender
+/// asks in JSON then.
+fn read_compact(asked: &Asked) -> Result<PartsQuestion, No> {
+    let question = compact::Question::read(&asked.body).map_err(|error| No::bad(explained(&error)))?;
+    let compact::Question { sender, life, number, floors, zone, wants, reports } = question;
+    Ok(PartsQuestion { sender, life, number, floors, wants, zone, words: reports })
+}
+
+fn written_compact(answer: PartsAnswer) -> Response<Body> {
+    let PartsAnswer { lease, rev, dealt, verdicts, .. } = answer;
+    let bytes = compact::Answer { lease, rev, quotas: dealt, verdicts }.write();
+    let mut response = text(StatusCode::OK, bytes);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(compact::MEDIA_TYPE));
+    response
+}
+
 async fn of_keeper(place: std::net::SocketAddr, question: PartsQuestion) -> Option<PartsAnswer> {
     let body = Full::new(Bytes::from(serde_json::to_vec(&question).ok()?));
     let request =
--- a/src/net/ledger/mod.rs
+++ b/src/net/ledger/mod.rs
@@ -3,11 +3,13 @@
 
 pub mod settings;
 
-use super::asking::{AskError, ask, whose_turn};
+use super::asking::{self, AskError, whose_turn};
 use super::events::{Clock, Input, Query};
 use super::log;
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use milletturn::{Demand, MILLISECOND, Micros, Quota, Quotas, Share};
+use milletturn_ledger::compact::{self, Answer, Question};
+use milletturn_ledger::naming::{self, ByteBudget, KeyDemand, Naming};
 use milletturn_ledger::verdicts::{Verdict, Word};
 use milletturn_ledger::{Dealt, Floors, Holder, Key, Wanted, What};
 use rand_pcg::Pcg32;
@@ -35,6 +37,8 @@
 /// second, and all that lost their parts at one moment ask it.
 const RETRY_EACH: Duration = Duration::from_millis(2);
 const RETRY_MOST: Duration = Duration::from_secs(5);
+/// A replica that did not read the compact form is asked in it again after this time: it may have been upgraded.
+const COMPACT_AGAIN: Duration = Duration::from_secs(30);
 
 /// What the part shares with the rest of the process.
 pub struct Means {
@@ -48,8 +52,9 @@
     pub agent: watch::Receiver<SocketAddr>,
 }
 
+/// An answer in JSON, of replicas that do not read the compact form.
 #[derive(Deserialize)]
-struct Answer {
+struct JsonAnswer {
     lease: u64,
     dealt: Vec<Dealt>,
     #[serde(default)]
@@ -58,11 +63,12 @@
 
 /// What holds by the floors alone.
 pub fn on_floors(ledger: &Ledger) -> Quotas {
-    quotas(&Holder::new(ledger.floors()), &BTreeSet::new(), 0)
+    quotas(&Holder::new(ledger.floors()), 0)
 }
 
-/// What a holder may use, in the decisions' own terms.
-fn quotas(holder: &Holder, destinations: &BTreeSet<u64>, now: u64) -> Quotas {
+/// What a holder may use, in the decisions' own terms: named are the destinations of which something is allocated or whose
+/// fallback share is their own.
+fn quotas(holder: &Holder, now: u64) -> Quotas {
     let parts: BTreeMap<&Key, _> =
         holder.parts(now).map(|(dealt, part, until)| (&dealt.key, (dealt, part, until))).collect();
     let floors = holder.floors();
@@ -78,7 +84,10 @@
         // without a word of how long calls may last they are as long as before
         if linger == 0 { Micros::MAX / 4 } else { Micros::try_from(linger).unwrap_or(0) * MILLISECOND }
     };
-    let named = destinations.iter().map(|&destination| {
+    let allocated = parts.keys().map(|key| key.place());
+    let own = floors.each.keys().filter_map(|name| Some(name.parse::<Key>().ok()?.place()));
+    let destinations: BTreeSet<u64> = allocated.chain(own).collect();
+    let named = destinations.into_iter().map(|destination| {
         let [rate, out, cold] = keys(destination);
         let quota = Quota {
             rate: share(&rate),
@@ -99,22 +108,29 @@
     [What::Rate, What::Out, What::Cold].map(|what| Key::of(destination, what))
 }
 
-/// What a sender wants of each limit: what waits and what it sent in the lease before, beyond its floors.
+/// What a sender wants of each limit: what waits and what it sent since it was last counted, beyond its fallback shares. With
+/// `whole` of its list, else of the destinations that it uses.
 fn wanted(
-    floors: &Floors, demand: &BTreeMap<u64, Demand>, before: &BTreeMap<u64, u64>, lease: Duration,
-) -> Vec<Wanted> {
+    floors: &Floors, demand: &BTreeMap<u64, Demand>, before: Option<&BTreeMap<u64, u64>>, lease: Duration,
+    whole: bool,
+) -> Vec<KeyDemand> {
     let mut all = Vec::new();
     let lease = u64::try_from(lease.as_micros()).unwrap_or(u64::MAX).max(1);
     for (destination, demand) in demand {
-        let sent = demand.sent.saturating_sub(before.get(destination).copied().unwrap_or(demand.sent));
+        let counted = before.map_or(demand.sent, |before| before.get(destination).copied().unwrap_or(0));
+        let sent = demand.sent.saturating_sub(counted);
         let calls = demand.waiting + sent;
+        if !whole && calls == 0 && demand.out == 0 {
+            continue;
+        }
         let rate = calls.saturating_mul(1_000_000_000).div_ceil(lease);
         let [rate_key, out_key, cold_key] = keys(*destination);
         let cold = if demand.sick { rate } else { 0 };
         for (key, want) in [(rate_key, rate), (out_key, demand.waiting + demand.out), (cold_key, cold)] {
             if floors.name(&key) {
                 let want = want.saturating_sub(floors.of(&key));
-                all.push(Wanted { key, want });
+                let wanted = Wanted { key, want };
+                all.push(KeyDemand { wanted, waiting: demand.waiting > 0, calls: demand.sent });
             }
         }
     }
@@ -158,6 +174,8 @@
         log(format_args!("ledger: on the floors until parts are had"));
         let random = Pcg32::seed_from_u64(means.seed ^ life);
         let holder = Holder::new(ledger.floors());
+        let lease = u64::try_from(LEASE.as_micros()).unwrap_or(u64::MAX);
+        let budget = ByteBudget::new(ledger.bytes_a_second, lease, means.now());
         let mut part = Part {
             means: &mut means,
             ledger,
@@ -165,8 +183,10 @@
             holder,
             random,
             lease: LEASE,
-            destinations: BTreeSet::new(),
-            before: BTreeMap::new(),
+            naming: Naming::default(),
+            budget,
+            json_until: BTreeMap::new(),
+            before: None,
             counted: Instant::now(),
             verdicts: BTreeMap::new(),
             told: None,
@@ -211,9 +231,12 @@
     holder: Holder,
     random: Pcg32,
     lease: Duration,
-    destinations: BTreeSet<u64>,
-    /// Calls sent to each destination when that was last counted, once a lease.
-    before: BTreeMap<u64, u64>,
+    naming: Naming,
+    budget: ByteBudget,
+    /// Replicas that do not read the compact form, and until when they are not asked in it.
+    json_until: BTreeMap<SocketAddr, Instant>,
+    /// Calls sent to each destination that had any when that was last counted, once a lease.
+    before: Option<BTreeMap<u64, u64>>,
     counted: Instant,
     /// What was agreed of destinations, the last of each.
     verdicts: BTreeMap<u64, Verdict>,
@@ -229,9 +252,11 @@
         let (mut turn, mut next) = (0, Instant::now());
         loop {
             let demand = self.means.demand().await;
-            if Instant::now() >= next || self.lacks(&demand) && self.told.is_none() {
+            let room = self.budget.room(self.means.now(), self.lease_us());
+            let early = self.told.is_none() && self.list(&demand) <= room && self.lacks(&demand);
+            if room > 0 && (Instant::now() >= next || early) {
                 let begun = Instant::now();
-                let asked = self.ask(turn, &demand).await;
+                let asked = self.ask(turn, &demand, room).await;
                 let rest = match asked {
                     Ok(()) => {
                         self.granted += 1;
@@ -254,6 +279,18 @@
         }
     }
 
+    fn lease_us(&self) -> u64 {
+        u64::try_from(self.lease.as_micros()).unwrap_or(u64::MAX)
+    }
+
+    /// Keys that a question could name.
+    fn list(&self, demand: &BTreeMap<u64, Demand>) -> usize {
+        let named = |what: &What| {
+            self.holder.floors().each.keys().any(|name| name.starts_with(Key::of(0, what.clone()).kind()))
+        };
+        demand.len() * [What::Rate, What::Out, What::Cold].iter().filter(|what| named(what)).count()
+    }
+
     fn part(&mut self) -> f64 {
         f64::from(self.random.next_u32()) / f64::from(u32::MAX)
     }
@@ -262,12 +299,8 @@
     fn lacks(&self, demand: &BTreeMap<u64, Demand>) -> bool {
         let now = self.means.now();
         demand.iter().filter(|(_, demand)| demand.waiting > 0).any(|(destination, _)| {
-            let none = |key: &Key| {
-                let part = self.holder.may_use(now, key);
-                self.holder.floors().name(key) && part == Some(self.holder.floors().of(key))
-            };
             let [rate, out, _] = keys(*destination);
-            none(&rate) || none(&out)
+            self.holder.lacks(now, &rate) || self.holder.lacks(now, &out)
         })
     }
 
@@ -291,23 +324,33 @@
         }
     }
 
-    /// Asks one replica for parts, and has them bind.
-    async fn ask(&mut self, turn: usize, demand: &BTreeMap<u64, Demand>) -> Result<(), AskError> {
-        let wants = wanted(self.holder.floors(), demand, &self.before, self.lease);
-        if self.counted.elapsed() >= self.lease {
+    /// Asks one replica for quotas of at most `room` limits, and has them bind.
+    async fn ask(
+        &mut self, turn: usize, demand: &BTreeMap<u64, Demand>, room: usize,
+    ) -> Result<(), AskError> {
+        let (now, lease, list) = (self.means.now(), self.lease_us(), self.list(demand));
+        let wants = wanted(self.holder.floors(), demand, self.before.as_ref(), self.lease, list <= room);
+        let chosen = self.naming.choose(now, &self.holder, lease, wants, list, room);
+        if self.before.is_none() || self.counted.elapsed() >= self.lease {
             self.counted = Instant::now();
-            self.before = demand.iter().map(|(destination, demand)| (*destination, demand.sent)).collect();
+            let sent = demand.iter().filter(|(_, demand)| demand.sent > 0);
+            self.before = Some(sent.map(|(destination, demand)| (*destination, demand.sent)).collect());
         }
-        self.destinations = demand.keys().copied().collect();
-        let address = whose_turn(turn, *self.means.agent.borrow_and_update(), &self.ledger.others);
-        let (number, wants) = self.holder.ask(self.means.now(), wants);
+        let (number, wants) = self.holder.ask(now, chosen);
         self.asked += 1;
-        let question = json!({ "sender": self.means.name, "life": self.life, "number": number,
-            "floors": self.holder.floors(), "wants": wants, "zone": self.means.zone, "words": words(demand) });
-        let Answer { lease, dealt, verdicts } =
-            ask(address, Method::POST, "/v1/parts", Some(question), ANSWER, ANSWER_MOST).await?;
+        let question = Question {
+            sender: self.means.name.clone(),
+            life: self.life,
+            number,
+            floors: self.holder.floors().clone(),
+            zone: self.means.zone.clone(),
+            wants,
+            reports: naming::choose_reports(words(demand), |report| report.out, room),
+        };
+        let address = whose_turn(turn, *self.means.agent.borrow_and_update(), &self.ledger.others);
+        let Answer { lease, quotas: allocated, verdicts, .. } = self.exchange(address, &question).await?;
         self.lease = Duration::from_micros(lease).max(Duration::from_millis(100));
-        self.holder.granted(number, lease, dealt);
+        self.holder.granted(number, lease, allocated);
         for verdict in verdicts {
             let known = self.verdicts.get(&verdict.destination).copied();
             let held = known.map_or(verdict, |known| known.join(verdict));
@@ -319,11 +362,41 @@
             }
             self.verdicts.insert(verdict.destination, held);
         }
-        let quotas = quotas(&self.holder, &self.destinations, self.means.now());
+        let quotas = quotas(&self.holder, self.means.now());
         self.means.bind(Some(quotas)).await;
         Ok(())
     }
 
+    /// One question and its answer, in the compact form unless this replica is known not to read it.
+    async fn exchange(&mut self, address: SocketAddr, question: &Question) -> Result<Answer, AskError> {
+        let path = "/v1/parts";
+        if self.json_until.get(&address).is_none_or(|until| *until <= Instant::now()) {
+            let body = question.write();
+            self.budget.spend(body.len() as u64);
+            let media = (compact::MEDIA_TYPE, body.into());
+            match asking::exchange(address, Method::POST, path, media, ANSWER, ANSWER_MOST).await {
+                Ok(answer) => {
+                    self.budget.spend_more(answer.len() as u64);
+                    return Ok(Answer::read(&answer)?);
+                }
+                Err(AskError::Refused(StatusCode::BAD_REQUEST | StatusCode::UNSUPPORTED_MEDIA_TYPE, _)) => {
+                    log(format_args!("ledger: {address} is asked in JSON for a while"));
+                    self.json_until.insert(address, Instant::now() + COMPACT_AGAIN);
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        let body = json!({ "sender": question.sender, "life": question.life, "number": question.number,
+            "floors": question.floors, "wants": question.wants, "zone": question.zone, "words": question.reports });
+        let body = body.to_string();
+        self.budget.spend(body.len() as u64);
+        let media = ("application/json", body.into());
+        let answer = asking::exchange(address, Method::POST, path, media, ANSWER, ANSWER_MOST).await?;
+        self.budget.spend_more(answer.len() as u64);
+        let JsonAnswer { lease, dealt, verdicts } = serde_json::from_slice(&answer)?;
+        Ok(Answer { lease, rev: 0, quotas: dealt, verdicts })
+    }
+
     fn report(&self) -> String {
         let now = self.means.now();
         let parts = self.holder.parts(now).map(|(dealt, part, until)| {
--- a/src/net/ledger/settings.rs
+++ b/src/net/ledger/settings.rs
@@ -10,15 +10,23 @@
 /// Addresses beside discovery's own.
 const OTHERS_MOST: usize = 16;
 
+/// Bytes a second for questions and answers where the settings name none: what is left of the 8 KiB for all control of a
+/// sender by membership, lists and rules.
+const BYTES: u64 = 6_000;
+/// Fewer have no room for a question and what its lease is worth.
+const BYTES_LEAST: u64 = 2_000;
+
 /// What is wrong with the object, and what to write instead.
 #[derive(Debug, Error)]
 pub enum LedgerError {
-    #[error("ledger: {0}; it has senders, floors and others")]
+    #[error("ledger: {0}; it has senders, floors, others and bytes_a_second")]
     Json(#[from] serde_json::Error),
     #[error("ledger.senders is not above zero; it is the number of senders that the registry's ledger names")]
     Senders,
     #[error("ledger.floors names '{0}'; write a kind ({kinds}) or a key like rate/7", kinds = KINDS.join(", "))]
     Floor(String),
+    #[error("ledger.bytes_a_second is {0}; write {BYTES_LEAST} or more, or leave it out for {BYTES}")]
+    Bytes(u64),
     #[error("ledger.others is not a list of up to {OTHERS_MOST} addresses")]
     Others,
 }
@@ -34,6 +42,13 @@
     /// Replicas of the registry to be asked where the one at discovery's address does not answer.
     #[serde(default)]
     pub others: Vec<SocketAddr>,
+    /// Bytes a second that questions for quotas and their answers may take, out and in together.
+    #[serde(default = "default_bytes")]
+    pub bytes_a_second: u64,
+}
+
+fn default_bytes() -> u64 {
+    BYTES
 }
 
 impl Ledger {
@@ -59,6 +74,9 @@
     if let Some(name) = ledger.floors.keys().find(|name| !named(name)) {
         return Err(LedgerError::Floor(name.clone()));
     }
+    if ledger.bytes_a_second < BYTES_LEAST {
+        return Err(LedgerError::Bytes(ledger.bytes_a_second));
+    }
     if ledger.others.len() > OTHERS_MOST {
         return Err(LedgerError::Others);
     }
@@ -80,6 +98,7 @@
             ("senders", json!(0), "ledger.senders is not"),
             ("floors", json!({ "rte": 1 }), "ledger.floors names 'rte'"),
             ("floors", json!({ "rate/x": 1 }), "ledger.floors names 'rate/x'"),
+            ("bytes_a_second", json!(1_999), "ledger.bytes_a_second is 1999"),
             ("others", json!(vec!["10.0.0.4:1"; 17]), "ledger.others is not"),
         ] {
             let mut bad = good.clone();
