Ledger: what is down waits behind what is well, and only what is in use is looked at

Change: Naming::choose names what is sick last; Sender::demand_in_use looks only where something is held, under way or has changed since the last look, by a count of what waits in the index and a set that is kept only while limits are shared; a sender with a long list looks once a question. Off without a ledger.

--- a/lab/src/scale/decisions.rs
+++ b/lab/src/scale/decisions.rs
@@ -16,6 +16,8 @@
 use std::time::Duration;
 
 /// The fleet at the target: senders, and events a second of all.
+/// Where limits are shared a sender with a long list looks at its demand a quarter of a lease of 1.5 s after the last time.
+const LOOK_EVERY_S: f64 = 0.375;
 const SENDERS: u32 = 2_100;
 const FLEET_RATE: f64 = 630_000.0;
 /// When the list comes; later than any span that the decisions look back.
@@ -75,8 +77,11 @@
     turn_max_us: f64,
     /// Processor time for each second of passed-in time.
     cores: f64,
-    /// Processor time of one look at what each destination could use.
+    /// Processor time of one look at what each destination could use, and at those that are in use, as for a long list.
     demand_us: f64,
+    demand_in_use_us: f64,
+    /// Destinations that are in use.
+    in_use: usize,
     bytes_per_destination: f64,
     bytes_per_message: f64,
     resident_kib: u64,
@@ -115,7 +120,7 @@
         let rank = ((play.turns.len() as f64 * part) as usize).min(play.turns.len().saturating_sub(1));
         play.turns.get(rank).map_or(0.0, |turn| turn.as_secs_f64() * 1e6)
     };
-    Ok(Figures {
+    let mut figures = Figures {
         measure: "decisions",
         destinations: order.destinations,
         down: play.down,
@@ -128,6 +133,8 @@
         turn_max_us: ranked(1.0),
         cores: busy.as_secs_f64() / played_s,
         demand_us,
+        demand_in_use_us: 0.0,
+        in_use: 0,
         bytes_per_destination: bytes_each(before, listed, order.destinations.into()),
         bytes_per_message: bytes_each(listed, filled, order.backlog),
         resident_kib: filled.resident_kib,
@@ -135,7 +142,9 @@
         calls_up_per_s: play.calls_up as f64 / played_s,
         delivered: play.delivered,
         held: play.messages.len(),
-    })
+    };
+    (figures.demand_in_use_us, figures.in_use) = play.demand_in_use(order);
+    Ok(figures)
 }
 
 /// A call whose end is to come: when, its message, attempt and endpoint, and when it was sent.
@@ -252,6 +261,21 @@
         }
     }
 
+    /// Microseconds of a look at the demand in use, and how many destinations that is, a quarter of a lease of arrivals after
+    /// the look before.
+    fn demand_in_use(&mut self, order: &Order) -> (f64, usize) {
+        self.turn(&[Event::Shared(Some(Box::default()))]);
+        self.sender.demand_in_use(0);
+        for _ in 0..(f64::from(order.rate) * LOOK_EVERY_S).ceil() as u32 {
+            let destination = self.random.random_range(0..order.destinations);
+            let message = self.message(destination.into());
+            self.turn(&[Event::Accepted(message)]);
+        }
+        let began = thread_time();
+        let (_, demand) = self.sender.demand_in_use(0);
+        ((thread_time() - began).as_secs_f64() * 1e6, demand.len())
+    }
+
     /// The end of the call that ends first; none if it was called off, which has been told.
     fn end_call(&mut self) -> Option<Event> {
         let Reverse((_, message, attempt, endpoint, sent)) = self.calls.pop()?;
--- a/lab/src/scale/questions.rs
+++ b/lab/src/scale/questions.rs
@@ -211,7 +211,7 @@
             let calls = used.since.len() as u64 + used.calls - used.counted;
             let want = calls.saturating_mul(1_000_000_000).div_ceil(TERMS.lease);
             let wanted = Wanted { key: key(*destination), want };
-            KeyDemand { wanted, waiting: !used.since.is_empty(), calls: used.calls }
+            KeyDemand { wanted, waiting: !used.since.is_empty(), sick: false, calls: used.calls }
         };
         self.uses.iter().map(demand).collect()
     }
--- a/ledger/src/naming.rs
+++ b/ledger/src/naming.rs
@@ -1,8 +1,8 @@
 //! Which limits a sender's next question names, so that what it costs follows the demand and not the length of the list.
 //!
 //! A list that fits into one question is named whole: a quota ahead of demand saves a first call the wait. Of a longer one
-//! a question names what waits without a quota, then what is in use and whose quota ends soon; the rest is not named, and
-//! its first message asks. What exceeds the room of a question waits for the next one, in turns, with the newest want of
+//! a question names what waits without a quota, then what is in use and whose quota ends soon, then what is sick; the rest
+//! is not named, and its first message asks. What exceeds the room of a question waits for the next one, in turns, with the newest want of
 //! each key and no queue. [`ByteBudget`] sets the room.
 
 use crate::holder::{Holder, Wanted};
@@ -31,6 +31,8 @@
     pub wanted: Wanted,
     /// Messages wait for it.
     pub waiting: bool,
+    /// Its destination is not well: its trickle of calls is within the fallback share.
+    pub sick: bool,
     /// Calls sent under it since the process started.
     pub calls: u64,
 }
@@ -40,8 +42,8 @@
 pub struct Naming {
     /// Calls that had been sent when each key was named last, for as long as a quota of it may last.
     named: BTreeMap<Key, Named>,
-    /// Where the next question begins if there was no room for all that waits, and for all that is in use.
-    turns: [Option<Key>; 2],
+    /// Where the next question begins if there was no room: for what waits, is in use, and is sick.
+    turns: [Option<Key>; 3],
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -61,19 +63,21 @@
         if list <= room {
             return demand.into_iter().map(|demand| demand.wanted).collect();
         }
-        let (mut waiting, mut in_use) = (BTreeMap::new(), BTreeMap::new());
+        let (mut waiting, mut in_use, mut sick) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         for demand in demand {
             let key = demand.wanted.key.clone();
             let lasts = holder.lasts_until(now, &key).saturating_sub(now);
             let calls = self.named.get(&key).map_or(0, |named| demand.calls.saturating_sub(named.calls));
-            if demand.waiting && holder.lacks(now, &key) {
+            if demand.sick {
+                sick.insert(key, demand);
+            } else if demand.waiting && holder.lacks(now, &key) {
                 waiting.insert(key, demand);
             } else if lasts <= lease / RENEW_AT && (demand.waiting || calls >= CALLS_IN_USE) {
                 in_use.insert(key, demand);
             }
         }
         let mut chosen = Vec::new();
-        for (demands, turn) in [waiting, in_use].into_iter().zip(&mut self.turns) {
+        for (demands, turn) in [waiting, in_use, sick].into_iter().zip(&mut self.turns) {
             take_turns(demands, turn, room, &mut chosen);
         }
         for demand in &chosen {
--- a/ledger/tests/naming.rs
+++ b/ledger/tests/naming.rs
@@ -16,7 +16,7 @@
 }
 
 fn demand(destination: u64, want: u64, waiting: bool, calls: u64) -> KeyDemand {
-    KeyDemand { wanted: Wanted { key: key(destination), want }, waiting, calls }
+    KeyDemand { wanted: Wanted { key: key(destination), want }, waiting, sick: false, calls }
 }
 
 fn places(wanted: &[Wanted]) -> Vec<u64> {
@@ -84,6 +84,20 @@
     assert_eq!(seen.keys().copied().collect::<BTreeSet<u64>>(), (0..1_000).collect());
 }
 
+#[test]
+fn thousands_that_are_down_keep_nothing_that_is_well_waiting() {
+    let mut naming = Naming::default();
+    let down = (0..7_200).map(|place| KeyDemand { sick: true, ..demand(place, 700, true, 0) });
+    let well = (10_000..10_050).map(|place| demand(place, 700, true, 0));
+    let all: Vec<KeyDemand> = down.chain(well).collect();
+    let chosen = places(&naming.choose(0, &holder(), LEASE, all.clone(), LONG, 100));
+    assert_eq!(chosen[..50], (10_000..10_050).collect::<Vec<u64>>());
+    assert_eq!(chosen[50..], (0..50).collect::<Vec<u64>>());
+    // and those that are down have their turns
+    let chosen = places(&naming.choose(1, &holder(), LEASE, all, LONG, 100));
+    assert_eq!(chosen[50..], (50..100).collect::<Vec<u64>>());
+}
+
 #[test]
 fn no_question_names_more_than_the_registry_takes() {
     let flood: Vec<KeyDemand> = (0..10_000).map(|place| demand(place, 700, true, 0)).collect();
--- a/src/backlog.rs
+++ b/src/backlog.rs
@@ -105,6 +105,10 @@
     spent: BTreeSet<(Micros, MessageId)>,
     later: BTreeSet<(Micros, MessageId)>,
     ready: BTreeMap<DestinationId, BTreeMap<Group, Members>>,
+    /// Messages with no attempt out, of each destination that has any.
+    waiting: BTreeMap<DestinationId, u64>,
+    /// Destinations for which something has changed since their demand was looked at, where that is kept.
+    pub used: Option<BTreeSet<DestinationId>>,
 }
 
 impl Index {
@@ -128,6 +132,11 @@
         self.open
     }
 
+    /// Destinations for which messages wait, with their number.
+    pub fn waiting(&self) -> &BTreeMap<DestinationId, u64> {
+        &self.waiting
+    }
+
     /// Messages with attempts out.
     pub fn out(&self) -> &BTreeSet<MessageId> {
         &self.out
@@ -180,6 +189,9 @@
             self.open -= 1;
             self.deadlines.remove(&(held.deadline, id));
         }
+        if standing.open && !standing.out {
+            self.wait_no_more(held.destination);
+        }
         self.out.remove(&id);
         self.spent.remove(&(standing.spent, id));
         match standing.queue {
@@ -189,6 +201,15 @@
         }
     }
 
+    fn wait_no_more(&mut self, destination: DestinationId) {
+        if let Some(waiting) = self.waiting.get_mut(&destination) {
+            *waiting -= 1;
+            if *waiting == 0 {
+                self.waiting.remove(&destination);
+            }
+        }
+    }
+
     fn remove_ready(&mut self, id: MessageId, held: &Held, group: Group) {
         let Some(groups) = self.ready.get_mut(&held.destination) else { return };
         let Some(members) = groups.get_mut(&group) else { return };
@@ -206,6 +227,9 @@
             self.open += 1;
             self.deadlines.insert((held.deadline, id));
         }
+        if standing.open && !standing.out {
+            *self.waiting.entry(held.destination).or_default() += 1;
+        }
         if standing.out {
             self.out.insert(id);
         }
--- a/src/decide/held.rs
+++ b/src/decide/held.rs
@@ -3,7 +3,7 @@
 use super::{AIM_RISES, Sender};
 use crate::backlog::{Group, Index, Order, Standing};
 use crate::interface::{Demand, DestinationId, Effect, EndpointId, MessageId, Micros};
-use crate::state::{Endpoint, Health, Held};
+use crate::state::{Endpoint, Health, Held, Unit, units_of};
 use std::collections::BTreeMap;
 
 impl Sender {
@@ -25,16 +25,46 @@
             all.entry(held.destination).or_default().waiting += 1;
         }
         for ((destination, _), unit) in &self.units {
-            let demand = all.entry(*destination).or_default();
-            (demand.out, demand.sent) = (demand.out + unit.in_flight as u64, demand.sent + unit.sent);
-            demand.sick |= unit.health != Health::Well;
-            demand.failing |= matches!(unit.health, Health::Sick { .. })
-                && (unit.failed_at > unit.alive_at || unit.quiet > 0);
-            demand.alive |= unit.succeeded && self.now - unit.alive_at < self.settings.safety.fall_span;
+            self.add_unit(unit, all.entry(*destination).or_default());
         }
         all
     }
 
+    /// The number of destinations that are listed, and what this sender could use: at each of them if they are `whole` at
+    /// most, else only where something is held, under way or has changed since the last look.
+    pub fn demand_in_use(&mut self, whole: usize) -> (usize, BTreeMap<DestinationId, Demand>) {
+        let listed = self.routes.len();
+        if listed <= whole {
+            return (listed, self.demand());
+        }
+        self.build_index_once();
+        let used = self.index.used.take().unwrap_or_else(|| {
+            let called = self.units.iter().filter(|(_, unit)| unit.sent > 0).map(|((id, _), _)| *id);
+            self.index.waiting().keys().copied().chain(called).collect()
+        });
+        let demand: BTreeMap<_, _> = used.into_iter().map(|id| (id, self.demand_of(id))).collect();
+        let current = demand.iter().filter(|(_, demand)| demand.is_current()).map(|(id, _)| *id);
+        self.index.used = Some(current.collect());
+        (listed, demand)
+    }
+
+    fn demand_of(&self, destination: DestinationId) -> Demand {
+        let waiting = self.index.waiting().get(&destination).copied().unwrap_or(0);
+        let mut demand = Demand { waiting, ..Demand::default() };
+        for (_, unit) in self.units.range(units_of(destination)) {
+            self.add_unit(unit, &mut demand);
+        }
+        demand
+    }
+
+    fn add_unit(&self, unit: &Unit, demand: &mut Demand) {
+        (demand.out, demand.sent) = (demand.out + unit.in_flight as u64, demand.sent + unit.sent);
+        demand.sick |= unit.health != Health::Well;
+        demand.failing |=
+            matches!(unit.health, Health::Sick { .. }) && (unit.failed_at > unit.alive_at || unit.quiet > 0);
+        demand.alive |= unit.succeeded && self.now - unit.alive_at < self.settings.safety.fall_span;
+    }
+
     /// The order in which the messages of a group are sent.
     pub(super) fn order(&self, group: Group) -> Order<impl Fn(Micros) -> f64> {
         let urgency = move |born| self.urgency(group.class, f64::from_bits(group.worth), born);
@@ -77,6 +107,10 @@
     pub(super) fn reindex(&mut self, id: MessageId) {
         let Some(held) = self.messages.get(&id) else { return };
         let standing = self.standing(id, held);
+        match &mut self.index.used {
+            Some(used) if self.quotas.is_some() => drop(used.insert(held.destination)),
+            used => *used = None,
+        }
         self.messages.entry(id).and_modify(|held| self.index.set(id, held, standing));
     }
 
@@ -98,8 +132,10 @@
         let standing: Vec<Standing> =
             self.messages.iter().map(|(&id, held)| self.standing(id, held)).collect();
         let messages = self.messages.iter_mut().zip(standing);
+        let used = self.index.used.take();
         self.index =
             Index::of(self.index.apart, messages.map(|((&id, held), standing)| (id, held, standing)));
+        self.index.used = used;
     }
 
     /// Each message stands where it is to, and the index says so too.
@@ -107,6 +143,7 @@
     pub(super) fn check_index(&mut self) {
         let index = std::mem::take(&mut self.index);
         self.index.apart = index.apart;
+        self.index.used.clone_from(&index.used);
         self.rebuild_index();
         assert_eq!(index, self.index, "a change of a message was not told to the index");
     }
--- a/src/interface/quotas.rs
+++ b/src/interface/quotas.rs
@@ -80,3 +80,10 @@
     /// Its last call succeeded, a short while ago.
     pub alive: bool,
 }
+
+impl Demand {
+    /// Whether there is anything that a later look at the demand must show again.
+    pub fn is_current(&self) -> bool {
+        self.waiting > 0 || self.out > 0 || self.sick || self.alive
+    }
+}
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -328,9 +328,9 @@
             }
             Input::Freezing(freezing) => self.freeze(freezing),
             Input::Word { destination, out } => self.events.push(Event::Word { destination, out }),
-            Input::Wanted(reply) => {
+            Input::Wanted { whole, reply } => {
                 // a part that is off by now asks no more
-                let _ = reply.send(self.sender.demand());
+                let _ = reply.send(self.sender.demand_in_use(whole));
             }
             Input::Fleet(view) => self.events.push(Event::Fleet(view)),
             Input::Listed(update) => self.list(update, false),
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -46,8 +46,12 @@
         destination: u64,
         out: bool,
     },
-    /// Tells what could be used at each destination.
-    Wanted(oneshot::Sender<BTreeMap<u64, Demand>>),
+    /// Tells how many destinations are listed and what could be used: at each of them if they are `whole` at most, else at
+    /// those that are in use.
+    Wanted {
+        whole: usize,
+        reply: oneshot::Sender<(usize, BTreeMap<u64, Demand>)>,
+    },
     /// What is seen of the other senders; none where nothing is.
     Fleet(Option<FleetView>),
     /// New settings, checked.
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -107,7 +107,7 @@
             | Input::Shared(..)
             | Input::Freezing(_)
             | Input::Word { .. }
-            | Input::Wanted(_)
+            | Input::Wanted { .. }
             | Input::Fleet(_)
             | Input::Linked(_)
             | Input::Listed(_)
--- a/src/net/ledger/mod.rs
+++ b/src/net/ledger/mod.rs
@@ -31,6 +31,7 @@
 const RENEW: u32 = 4;
 /// What waits is looked at so often in a lease, and a part that is missing asked for no sooner.
 const LOOKS: u32 = 12;
+const LOOK_LEAST: Duration = Duration::from_millis(20);
 /// The lease until an answer has told it.
 const LEASE: Duration = Duration::from_millis(1500);
 /// Rest between two tries of one sender while nobody answers, for each sender: a keeper bears some thousand questions a
@@ -130,7 +131,8 @@
             if floors.name(&key) {
                 let want = want.saturating_sub(floors.of(&key));
                 let wanted = Wanted { key, want };
-                all.push(KeyDemand { wanted, waiting: demand.waiting > 0, calls: demand.sent });
+                let (waiting, sick) = (demand.waiting > 0, demand.sick);
+                all.push(KeyDemand { wanted, waiting, sick, calls: demand.sent });
             }
         }
     }
@@ -216,9 +218,10 @@
         let _ = bound.await;
     }
 
-    async fn demand(&self) -> BTreeMap<u64, Demand> {
+    /// The number of destinations that are listed, and the demand at them: at all if they are `whole` at most.
+    async fn demand(&self, whole: usize) -> (usize, BTreeMap<u64, Demand>) {
         let (reply, demand) = oneshot::channel();
-        let _ = self.inputs.send(Input::Wanted(reply));
+        let _ = self.inputs.send(Input::Wanted { whole, reply });
         demand.await.unwrap_or_default()
     }
 }
@@ -235,7 +238,7 @@
     budget: ByteBudget,
     /// Replicas that do not read the compact form, and until when they are not asked in it.
     json_until: BTreeMap<SocketAddr, Instant>,
-    /// Calls sent to each destination that had any when that was last counted, once a lease.
+    /// Calls sent to each destination that had any when that was last counted, once a lease while it is in use.
     before: Option<BTreeMap<u64, u64>>,
     counted: Instant,
     /// What was agreed of destinations, the last of each.
@@ -251,12 +254,14 @@
     async fn run(&mut self, queries: &mut mpsc::Receiver<Query>) {
         let (mut turn, mut next) = (0, Instant::now());
         loop {
-            let demand = self.means.demand().await;
             let room = self.budget.room(self.means.now(), self.lease_us());
-            let early = self.told.is_none() && self.list(&demand) <= room && self.lacks(&demand);
+            let kinds = self.limited_kinds();
+            let (listed, demand) = self.means.demand(room / kinds).await;
+            let (list, whole) = (listed * kinds, listed <= room / kinds);
+            let early = self.told.is_none() && whole && self.lacks(&demand);
             if room > 0 && (Instant::now() >= next || early) {
                 let begun = Instant::now();
-                let asked = self.ask(turn, &demand, room).await;
+                let asked = self.ask(turn, &demand, list, room).await;
                 let rest = match asked {
                     Ok(()) => {
                         self.granted += 1;
@@ -274,8 +279,10 @@
                 };
                 next = begun + rest.mul_f64(0.75 + 0.5 * self.part());
             }
-            let look = (self.lease / LOOKS).max(Duration::from_millis(20));
-            self.rest_until(Instant::now() + look, queries).await;
+            let look = Instant::now() + (self.lease / LOOKS).max(LOOK_LEAST);
+            // of a long list nothing is asked for before its time
+            let look = if whole { look } else { look.max(next) };
+            self.rest_until(look, queries).await;
         }
     }
 
@@ -283,12 +290,11 @@
         u64::try_from(self.lease.as_micros()).unwrap_or(u64::MAX)
     }
 
-    /// Keys that a question could name.
-    fn list(&self, demand: &BTreeMap<u64, Demand>) -> usize {
-        let named = |what: &What| {
-            self.holder.floors().each.keys().any(|name| name.starts_with(Key::of(0, what.clone()).kind()))
-        };
-        demand.len() * [What::Rate, What::Out, What::Cold].iter().filter(|what| named(what)).count()
+    /// How many kinds of a destination's limits there may be, one at least.
+    fn limited_kinds(&self) -> usize {
+        let of_kind = |name: &str, key: &Key| name.split('/').next().is_some_and(|kind| kind == key.kind());
+        let floors = &self.holder.floors().each;
+        keys(0).iter().filter(|key| floors.keys().any(|name| of_kind(name, key))).count().max(1)
     }
 
     fn part(&mut self) -> f64 {
@@ -326,15 +332,16 @@
 
     /// Asks one replica for quotas of at most `room` limits, and has them bind.
     async fn ask(
-        &mut self, turn: usize, demand: &BTreeMap<u64, Demand>, room: usize,
+        &mut self, turn: usize, demand: &BTreeMap<u64, Demand>, list: usize, room: usize,
     ) -> Result<(), AskError> {
-        let (now, lease, list) = (self.means.now(), self.lease_us(), self.list(demand));
+        let (now, lease) = (self.means.now(), self.lease_us());
         let wants = wanted(self.holder.floors(), demand, self.before.as_ref(), self.lease, list <= room);
         let chosen = self.naming.choose(now, &self.holder, lease, wants, list, room);
         if self.before.is_none() || self.counted.elapsed() >= self.lease {
             self.counted = Instant::now();
             let sent = demand.iter().filter(|(_, demand)| demand.sent > 0);
-            self.before = Some(sent.map(|(destination, demand)| (*destination, demand.sent)).collect());
+            let sent = sent.map(|(destination, demand)| (*destination, demand.sent));
+            self.before.get_or_insert_default().extend(sent);
         }
         let (number, wants) = self.holder.ask(now, chosen);
         self.asked += 1;
