Endpoints short of room for connections: none is kept idle, and a 503 for it is no limit

Followed through n5's log: '(6, EndpointId(18)) Refused { wait: None } .. pace inf', then pace 0.71, 0.56, 0.45 and 'destination 6 sick: shut'; no call ever had NoConnection in any log. Cause: an endpoint at its cap answers 503 on the new connection. calls.rs reads any 503 as Refused, so the module takes it for a limit on calls and slows to a call in ten seconds, while those that hold a connection keep it idle for its next call; what gives connections back (close_idle) hears of connects that fail alone. Change: src/pool/scarcity.rs compares how often calls on new and on kept connections are turned away: a limit shows on both alike. Where they differ and there are more than four senders, no connection is kept idle and such a 503 is Unsent, which rests the one message alone.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -274,7 +274,7 @@
     shared: &Rc<Shared>, address: SocketAddr, items: &[Item], lease: Lease, response: Response<Incoming>,
 ) -> Answer {
     let (head, body) = response.into_parts();
-    lease.answered(match head.status {
+    let no_room = lease.answered(match head.status {
         StatusCode::OK => Answered::Served,
         // all slots of this sender taken has nothing to do with its connections
         StatusCode::SERVICE_UNAVAILABLE if !head.headers.contains_key("slots-taken") => Answered::TurnedAway,
@@ -283,7 +283,12 @@
     let report = report_of(&head.headers, &shared.report_fields.borrow());
     let wait = wait_of(&head.headers);
     shared.tells_waits.set(shared.tells_waits.get() || wait.is_some());
-    let refused = Outcome::Refused { wait };
+    // what found no room for its connection says nothing of a limit on calls
+    let refused = if no_room && wait.is_none() {
+        Outcome::Unsent { no_slot: false }
+    } else {
+        Outcome::Refused { wait }
+    };
     let (outcome, closed) = match head.status {
         StatusCode::OK if items.len() > 1 => {
             // the whole answer tells each message's end
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -312,8 +312,8 @@
     }
 
     /// An answer has come.
-    pub fn answered(&self, answered: Answered) {
-        self.layer.pool.borrow_mut().answered(self.layer.now(), self.number, answered);
+    pub fn answered(&self, answered: Answered) -> bool {
+        self.layer.pool.borrow_mut().answered(self.layer.now(), self.number, answered)
     }
 
     /// The call is over and the connection can carry another.
--- a/src/pool/idle.rs
+++ b/src/pool/idle.rs
@@ -2,6 +2,7 @@
 
 use super::Pool;
 use super::endpoint::State;
+use super::learned_caps::FEW_SENDERS;
 use super::messages::{Cause, Command, Place};
 use crate::{EndpointId, MILLISECOND, Micros, SECOND};
 use std::net::SocketAddr;
@@ -76,6 +77,8 @@
             self.forget_if_done(place);
         } else if self.leaving {
             self.close(connection, Cause::Leaving, out);
+        } else if self.keeps_none() {
+            self.close(connection, Cause::Scarce, out);
         } else if endpoint.idle.len() > self.limits.idle_per_endpoint
             || endpoint.open() > self.limits.per_endpoint
             || endpoint.established() > endpoint.wanted(now, &self.limits)
@@ -88,6 +91,11 @@
         self.serve_queue(now, out);
     }
 
+    /// True if idle connections are closed at once: there are too few for all, and others wait for them.
+    pub(super) fn keeps_none(&self) -> bool {
+        self.limits.senders > FEW_SENDERS && self.scarcity.is_scarce()
+    }
+
     /// Closes idle connections that have grown old or are not wanted any more, oldest first.
     pub(super) fn close_old(&mut self, now: Micros, out: &mut Vec<Command>) {
         let idle: Vec<u64> = self.idle.iter().map(|&(_, connection)| connection).collect();
@@ -96,6 +104,8 @@
             let Some(endpoint) = self.endpoints.get(&place) else { continue };
             if self.grown_old(now, connection) {
                 self.close(connection, Cause::Age, out);
+            } else if self.keeps_none() {
+                self.close(connection, Cause::Scarce, out);
             } else if endpoint.established() > endpoint.wanted(now, &self.limits) {
                 self.close(connection, Cause::Surplus, out);
             }
--- a/src/pool/learned_caps.rs
+++ b/src/pool/learned_caps.rs
@@ -12,7 +12,7 @@
 const RAISE_EACH: Micros = SECOND / 2;
 /// Dials above a learned cap at once, when the ones before came up. Many senders add one at a time.
 const RAISE_STEP: usize = 8;
-const FEW_SENDERS: u32 = 4;
+pub(super) const FEW_SENDERS: u32 = 4;
 /// So often must a first call be turned away and a later one on an older connection be served.
 const TURNED_AWAY_ENOUGH: u32 = 4;
 
--- a/src/pool/messages.rs
+++ b/src/pool/messages.rs
@@ -23,6 +23,8 @@
     Peer,
     /// There was no room among the idle ones, or fewer are wanted.
     Surplus,
+    /// New connections are turned away for want of room: others wait for this one.
+    Scarce,
     /// Its place was needed for another endpoint.
     Evicted,
     /// A call on another connection to the address timed out, and this one had heard nothing since.
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -8,6 +8,7 @@
 mod idle;
 mod learned_caps;
 mod messages;
+mod scarcity;
 mod settings;
 mod sizing;
 
@@ -20,6 +21,7 @@
 use learned_caps::{AnsweredCall, RefusedBeside};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
+use scarcity::Scarcity;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The pool's rules.
@@ -39,6 +41,7 @@
     /// Connections that another process holds on this one's account.
     elsewhere: usize,
     leaving: bool,
+    scarcity: Scarcity,
     /// Of the endpoints that are gone.
     past: Counts,
 }
@@ -58,6 +61,7 @@
             next: 0,
             elsewhere: 0,
             leaving: false,
+            scarcity: Scarcity::default(),
             past: Counts::default(),
         }
     }
@@ -225,21 +229,28 @@
         self.forget_if_done(place);
     }
 
-    /// An answer came on a leased connection.
-    pub fn answered(&mut self, now: Micros, connection: u64, answered: Answered) {
-        let Some(known) = self.connections.get_mut(&connection) else { return };
-        let State::Leased { at, proven, .. } = known.state else { return };
+    /// An answer came on a leased connection; true if it was turned away because there was no room for the connection, so
+    /// that it says nothing of how many calls the endpoint takes.
+    pub fn answered(&mut self, now: Micros, connection: u64, answered: Answered) -> bool {
+        let Some(known) = self.connections.get_mut(&connection) else { return false };
+        let State::Leased { at, proven, .. } = known.state else { return false };
         let call = AnsweredCall { answered, at, proven, first: known.calls == 1, up_at: known.up_at };
         known.heard = now;
+        self.scarcity.note(answered, call.first);
+        let no_room = answered == Answered::TurnedAway && call.first;
         let proves = answered == Answered::Served && !known.served;
         known.served |= proves;
         let place = known.place;
-        let Some(endpoint) = self.endpoints.get_mut(&place) else { return };
-        endpoint.proven += usize::from(proves);
-        if std::mem::take(&mut known.trial) {
-            return self.tried_above_cap(now, place, answered != Answered::TurnedAway);
+        let trial = std::mem::take(&mut known.trial);
+        if let Some(endpoint) = self.endpoints.get_mut(&place) {
+            endpoint.proven += usize::from(proves);
+        }
+        if trial {
+            self.tried_above_cap(now, place, answered != Answered::TurnedAway);
+        } else {
+            self.learn_from_answer(now, place, &call);
         }
-        self.learn_from_answer(now, place, &call);
+        no_room && self.keeps_none()
     }
 
     /// The call is over and its connection can carry another.
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -264,7 +264,9 @@
             12..=15 => {
                 let answers = [Answered::Served, Answered::TurnedAway, Answered::Other];
                 if let Some(lease) = pick(&world, Has::Lease, at) {
-                    world.with(|pool, now, _| pool.answered(now, lease, answers[at % 3]));
+                    world.with(|pool, now, _| {
+                        pool.answered(now, lease, answers[at % 3]);
+                    });
                     world.connections.entry(lease).and_modify(|known| known.1 = Has::Idle);
                     world.with(|pool, now, out| pool.give_back(now, lease, out));
                 }
@@ -533,7 +535,9 @@
     assert_eq!(rig.view().learned_cap, None, "nothing is learned before one of them answers");
     rig.now += 10 * MILLISECOND;
     let first = held[0];
-    rig.with(|pool, now, _| pool.answered(now, first, Answered::Served));
+    rig.with(|pool, now, _| {
+        pool.answered(now, first, Answered::Served);
+    });
     assert_eq!(rig.view().learned_cap, Some(open));
     held
 }
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -282,3 +282,29 @@
     );
     assert_eq!(agent.watches.load(Ordering::SeqCst), 1);
 }
+
+#[test]
+fn where_endpoints_have_room_for_few_connections_a_sender_of_many_keeps_none_idle() {
+    let served = Endpoint::new(|_, _| OK);
+    let full = Endpoint::new(|_, _| Reply::Last("503 Service Unavailable"));
+    let uids: Vec<String> = (0..6).map(|number| format!("f-{number}")).collect();
+    let mut entries = vec![("s-1", served.address, "one", 7, "up")];
+    entries.extend(uids.iter().zip(10..).map(|(uid, dest)| (uid.as_str(), full.address, "one", dest, "up")));
+    let agent = Agent::new(vec![list(&entries)]);
+    let many = |text: String| text.replace(r#""balancers":1,"#, r#""balancers":300,"#);
+    let node = Node::configured_with(&agent, many).ready();
+    let deliver = |id: &str| {
+        node.hand_in("webhook", id, 7, 5_000, b"x");
+        wait_until("it is served", || served.times(id) == 1);
+    };
+    ["a", "b", "c"].iter().for_each(|id| deliver(id));
+    assert_eq!(served.connections.load(std::sync::atomic::Ordering::SeqCst), 1, "its connection is kept");
+    for dest in 10..16 {
+        node.hand_in("webhook", &format!("t{dest}"), dest, 5_000, b"x");
+    }
+    wait_until("new connections are turned away", || full.count() >= 6);
+    deliver("d");
+    wait_until("it is closed", || told(&node, "GET /pools").contains(r#""scarce":1"#));
+    deliver("e");
+    assert!(served.connections.load(std::sync::atomic::Ordering::SeqCst) >= 2, "a new one for the next call");
+}
