--- a/lab/src/site/axes.rs
+++ b/lab/src/site/axes.rs
@@ -137,6 +137,14 @@
             value("four", &[range(FAM, "endpoints", 4.0, 4.0)]),
         ],
     ),
+    axis(
+        "connections",
+        "connections that a destination takes, over the calls that it serves at once; idle ones count",
+        &[
+            value("scarce", &[range(KIND, "conns", 0.8, 1.2), range(KIND, "least_conns", 4.0, 8.0)]),
+            value("any", &[whole(KIND, "conns", 0)]),
+        ],
+    ),
     axis(
         "routes",
         "whether a destination's endpoints have limits and paces of their own",
