--- a/lab/src/scale/ledger.rs
+++ b/lab/src/scale/ledger.rs
@@ -17,7 +17,7 @@
 use serde::Serialize;
 
 /// The registry's default lease, and what its clock may be wrong by.
-const TERMS: Terms = Terms { lease: 1_500_000, drift: 30_000 };
+pub(super) const TERMS: Terms = Terms { lease: 1_500_000, drift: 30_000 };
 /// A sender asks a quarter of a lease after it asked last.
 const QUESTIONS_A_LEASE: f64 = 4.0;
 /// Every sender's floor and wish, and what a destination takes beyond its floors: thousandths of a call a second.
@@ -132,7 +132,7 @@
     Limit { total: FLOOR * u64::from(senders) + BEYOND_FLOORS, linger_ms: 0 }
 }
 
-fn rate(destination: u64) -> Key {
+pub(super) fn rate(destination: u64) -> Key {
     Key::of(destination, What::Rate)
 }
 
--- a/lab/src/scale/questions.rs
+++ b/lab/src/scale/questions.rs
@@ -7,19 +7,18 @@
 #[cfg(test)]
 mod tests;
 
+use super::ledger::{TERMS, rate};
 use super::resources::thread_time;
 use super::spread::Spread;
 use clap::{Args, ValueEnum};
 use milletturn_ledger::compact::{Answer, Question};
 use milletturn_ledger::naming::{ByteBudget, HEADS_BYTES, KeyDemand, Naming};
-use milletturn_ledger::{Floors, Holder, Keeper, Key, Limit, Micros, Terms, Wanted, What};
+use milletturn_ledger::{Floors, Holder, Keeper, Limit, Micros, Wanted};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
-/// The registry's default lease, and what its clock may be wrong by.
-const TERMS: Terms = Terms { lease: 1_500_000, drift: 30_000 };
 /// The sender looks at its demand so often in a lease, and asks this often.
 const LOOKS: u64 = 12;
 const QUESTIONS: u64 = 4;
@@ -150,10 +149,6 @@
     })
 }
 
-fn key(destination: u64) -> Key {
-    Key::of(destination, What::Rate)
-}
-
 /// One sender's side.
 struct Sender {
     holder: Holder,
@@ -176,7 +171,7 @@
         }
         let wanted = match self.names {
             Names::Used => self.naming.choose(now, &self.holder, TERMS.lease, self.demand(), self.list, room),
-            Names::Whole => (0..self.list as u64).map(|place| Wanted { key: key(place), want: 0 }).collect(),
+            Names::Whole => (0..self.list as u64).map(|place| Wanted { key: rate(place), want: 0 }).collect(),
         };
         let (number, wants) = self.holder.ask(now, wanted);
         let question = Question {
@@ -210,7 +205,7 @@
         let demand = |(destination, used): (&u64, &Use)| {
             let calls = used.since.len() as u64 + used.calls - used.counted;
             let want = calls.saturating_mul(1_000_000_000).div_ceil(TERMS.lease);
-            let wanted = Wanted { key: key(*destination), want };
+            let wanted = Wanted { key: rate(*destination), want };
             KeyDemand { wanted, waiting: !used.since.is_empty(), sick: false, calls: used.calls }
         };
         self.uses.iter().map(demand).collect()
@@ -219,7 +214,7 @@
     /// Sends what has a quota now.
     fn serve(&mut self, now: Micros, waits: &mut Vec<f64>) {
         for (destination, used) in &mut self.uses {
-            if !used.since.is_empty() && !self.holder.lacks(now, &key(*destination)) {
+            if !used.since.is_empty() && !self.holder.lacks(now, &rate(*destination)) {
                 used.calls += used.since.len() as u64;
                 waits.extend(used.since.drain(..).map(|since| (now - since) as f64 / SECOND as f64));
             }
