Every attempt that is decided gets exactly one outcome, also one that can't begin

The same class: link_lost told ends of bundled messages that had theirs, and so took them from those that had not; a call's task that was dropped told nothing. Change: a Send carries its attempt's number, and comes back in one Ended whatever the driver holds; a call tells each message's end once, when dropped too; after each turn both sides' attempts are counted, one that is lost is counted, logged and given its end.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,6 +15,7 @@
 use crate::backlog::{Index, Standing};
 use crate::interface::*;
 use crate::state::{Attempt, Bucket, Call, Endpoint, Health, Held, KeyLine, Unit, UnitId, Warmup, seconds};
+pub use held::AttemptOut;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use serde::{Deserialize, Serialize};
--- a/src/decide/held.rs
+++ b/src/decide/held.rs
@@ -6,6 +6,17 @@
 use crate::state::{Endpoint, Health, Held, Unit, units_of};
 use std::collections::BTreeMap;
 
+/// An attempt that has begun and has no outcome yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptOut {
+    /// Its message.
+    pub message: MessageId,
+    /// Its number among the message's attempts.
+    pub number: usize,
+    /// Where it went.
+    pub endpoint: EndpointId,
+}
+
 impl Sender {
     /// For how many messages the last turn looked for an endpoint: what its CPU time grows with.
     pub fn weighed(&self) -> usize {
@@ -17,6 +28,21 @@
         self.counted
     }
 
+    /// Attempts that have begun and have no outcome yet: as many as the host has out.
+    pub fn attempts_out(&self) -> usize {
+        self.calls.values().map(|call| call.left).sum()
+    }
+
+    /// Which these are.
+    pub fn list_attempts_out(&self) -> Vec<AttemptOut> {
+        let of_message = |(&message, held): (&MessageId, &Held)| {
+            let out = held.attempts.iter().enumerate().filter(|(_, attempt)| attempt.out);
+            out.map(|(number, attempt)| AttemptOut { message, number, endpoint: attempt.endpoint })
+                .collect::<Vec<_>>()
+        };
+        self.messages.iter().flat_map(of_message).collect()
+    }
+
     /// What this sender could use at each destination that it knows.
     pub fn demand(&self) -> BTreeMap<DestinationId, Demand> {
         let mut all: BTreeMap<DestinationId, Demand> =
--- a/src/decide/proposals.rs
+++ b/src/decide/proposals.rs
@@ -320,9 +320,10 @@
         }
         self.due = self.due.min(message.copy_at).min(now + silence + MILLISECOND);
         message.attempts.iter_mut().for_each(|attempt| attempt.overlapped |= attempt.out);
+        let attempt = message.attempts.len();
         message.attempts.push(Attempt::new(endpoint, now, call_id));
         self.reindex(id);
-        actions.push(Action::Send { message: id, endpoint, expires, start_by });
+        actions.push(Action::Send { message: id, attempt, endpoint, expires, start_by });
     }
 
     /// Marks a message as ended and calls off what is still out.
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -9,6 +9,8 @@
     Send {
         /// Which message.
         message: MessageId,
+        /// Which attempt, numbered on from 0; it comes back in the one [`Event::Ended`](super::Event::Ended) that it gets.
+        attempt: usize,
         /// Where to.
         endpoint: EndpointId,
         /// When the attempt times out.
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -133,13 +133,43 @@
     traffic: RefCell<Option<Arc<Traffic>>>,
 }
 
-async fn run(shared: Rc<Shared>, call: Call, mut cancels: mpsc::UnboundedReceiver<usize>) {
-    let mut left: Vec<bool> = vec![true; call.items.len()];
-    let tell = |item: usize, outcome, closed, report, wait| {
-        let end = Ended { call: call.number, item, outcome, closed, report, wait };
+/// The ends of a call's messages: each is told once, and what is left when the call is dropped may have run.
+struct EndsToTell<'a> {
+    inputs: &'a mpsc::UnboundedSender<Input>,
+    call: u64,
+    left: Vec<bool>,
+}
+
+impl EndsToTell<'_> {
+    fn is_left(&self, item: usize) -> bool {
+        self.left.get(item).is_some_and(|left| *left)
+    }
+
+    fn are_left(&self) -> usize {
+        self.left.iter().filter(|left| **left).count()
+    }
+
+    fn tell(&mut self, item: usize, outcome: Outcome, closed: bool, report: Vec<f64>, wait: Option<Micros>) {
+        self.left[item] = false;
+        let end = Ended { call: self.call, item, outcome, closed, report, wait };
         // nobody listens any more only when the process ends
-        let _ = shared.inputs.send(Input::Ended(end));
-    };
+        let _ = self.inputs.send(Input::Ended(end));
+    }
+}
+
+impl Drop for EndsToTell<'_> {
+    fn drop(&mut self) {
+        for item in 0..self.left.len() {
+            if self.left[item] {
+                self.tell(item, Outcome::Reset, false, Vec::new(), None);
+            }
+        }
+    }
+}
+
+async fn run(shared: Rc<Shared>, call: Call, mut cancels: mpsc::UnboundedReceiver<usize>) {
+    let mut ends =
+        EndsToTell { inputs: &shared.inputs, call: call.number, left: vec![true; call.items.len()] };
     let (end, under) = (Rc::new(Cell::new(Cause::CalledOff)), Under::default());
     let exchange = exchange(&shared, &call, &end, &under);
     tokio::pin!(exchange);
@@ -153,14 +183,14 @@
                 break Err(Outcome::TimedOut);
             }
             Some(item) = cancels.recv() => {
-                let Some(left_here) = left.get_mut(item).filter(|left| **left) else { continue };
-                *left_here = false;
-                if !left.contains(&true) {
-                    // its end is not told yet
-                    left[item] = true;
+                if !ends.is_left(item) {
+                    continue;
+                }
+                if ends.are_left() == 1 {
+                    // the call ends with its last message
                     break Err(Outcome::Cancelled);
                 }
-                tell(item, Outcome::Cancelled, false, Vec::new(), None);
+                ends.tell(item, Outcome::Cancelled, false, Vec::new(), None);
             }
         }
     };
@@ -192,13 +222,13 @@
         }
     };
     let mut wait = answer.wait;
-    for (item, _) in left.iter().enumerate().filter(|(_, left)| **left) {
+    for item in (0..call.items.len()).filter(|&item| ends.is_left(item)).collect::<Vec<_>>() {
         let (outcome, closed) = match &answer.ends {
             Ends::All(outcome, closed) => (*outcome, *closed),
             Ends::Each(ends) => ends.get(item).copied().unwrap_or((Outcome::Error, false)),
         };
         let carried = matches!(outcome, Outcome::Refused { wait: Some(_) });
-        tell(item, outcome, closed, answer.report.clone(), wait.take_if(|_| !carried));
+        ends.tell(item, outcome, closed, answer.report.clone(), wait.take_if(|_| !carried));
     }
     // what crosses the end changes nothing for the messages, but a wait that it tells holds
     if let Some(traffic) = given_up {
--- a/src/net/driver/handing.rs
+++ b/src/net/driver/handing.rs
@@ -131,6 +131,8 @@
             let (open, clients) = (handed.open, handed.clients);
             self.messages.insert(message, Message { item, open, clients, attempts });
         }
+        let attempts = self.messages.values().flat_map(|held| &held.attempts);
+        self.attempts_out = attempts.filter(|attempt| attempt.out).count();
         for HandedCall { number, items, left } in handover.out {
             let items = items.into_iter().map(|(message, attempt)| (MessageId(message), attempt)).collect();
             self.out.insert(number, CallOut { cancels: None, items, left });
@@ -231,7 +233,10 @@
             .out
             .iter()
             .filter(|(_, call)| call.cancels.is_none())
-            .flat_map(|(&number, call)| (0..call.items.len()).map(move |item| (number, item)))
+            .flat_map(|(&number, call)| call.items.iter().enumerate().map(move |item| (number, item)))
+            // one of a bundle may have ended before
+            .filter(|(_, (_, (message, attempt)))| self.is_out(*message, *attempt))
+            .map(|(number, (item, _))| (number, item))
             .collect();
         net::log(format_args!("upgrade: the old process has ended, {} calls with it", lost.len()));
         for (call, item) in lost {
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod outcomes;
 mod routes;
+mod violations;
 
 use super::Seldom;
 use super::calls::{CallOut, Calls, Item};
@@ -16,6 +17,7 @@
 use super::server::Classes;
 use super::upgrade::{Handover, Link, Lock, Successor};
 use hyper::header::HeaderValue;
+use milletturn::decide::AttemptOut;
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
 use milletturn::{
@@ -29,6 +31,7 @@
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
+use violations::Violations;
 
 /// Delivered ids that are remembered, for clients whose request crossed a closed connection.
 const REMEMBERED: usize = 4096;
@@ -39,6 +42,7 @@
 /// Inputs taken into one turn, so that a turn stays short: the ends of a call to each of as many endpoints.
 const MOST_AT_ONCE: usize = 1024;
 
+#[derive(Clone)]
 struct Attempt {
     endpoint: EndpointId,
     sent: Micros,
@@ -128,6 +132,9 @@
     next_endpoint: u32,
     by_uid: HashMap<String, EndpointId>,
     messages: BTreeMap<MessageId, Message>,
+    /// Attempts of all messages that have no outcome yet.
+    attempts_out: usize,
+    violations: Violations,
     by_id: HashMap<HeaderValue, MessageId>,
     next_message: u64,
     out: BTreeMap<u64, CallOut>,
@@ -178,6 +185,8 @@
             next_endpoint: 0,
             by_uid: HashMap::new(),
             messages: BTreeMap::new(),
+            attempts_out: 0,
+            violations: Violations::default(),
             by_id: HashMap::new(),
             next_message: 0,
             out: BTreeMap::new(),
@@ -294,7 +303,7 @@
     /// A turn, and further ones while its own actions led to news for the module.
     fn turns(&mut self) {
         self.turn();
-        while !self.events.is_empty() {
+        while !self.events.is_empty() || self.find_lost_attempts() {
             self.turn();
         }
     }
@@ -375,8 +384,9 @@
         let mut bundles: Vec<Bundle> = Vec::new();
         for action in actions {
             match action {
-                Action::Send { message, endpoint, expires, start_by } => {
-                    self.send(now, message, endpoint, (expires, start_by), &mut bundles);
+                Action::Send { message, attempt, endpoint, expires, start_by } => {
+                    let attempt = AttemptOut { message, number: attempt, endpoint };
+                    self.send(now, attempt, (expires, start_by), &mut bundles);
                 }
                 Action::Cancel { message, attempt } => self.cancel(message, attempt),
                 Action::Refuse { message, wait } => {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -145,9 +145,10 @@
         events.clear();
         for action in &actions {
             match action {
-                Action::Send { message, endpoint, expires, start_by } => {
+                Action::Send { message, attempt, endpoint, expires, start_by } => {
                     sends += 1;
                     let (id, endpoint) = (message.0, endpoint.0);
+                    assert_eq!(*attempt, books[&id].attempts, "numbered otherwise than in order");
                     let earlier_open = |id: u64, key: u64| {
                         lines[&key]
                             .iter()
