--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,7 +53,7 @@
 const RETRY_FIRST: Micros = 150 * MILLISECOND;
 const RETRY_MOST: Micros = 2 * SECOND;
 /// Time kept before a deadline for a last answer, and before a keyed window or a wait ends.
-const MARGIN: Micros = 30 * MILLISECOND;
+pub const MARGIN: Micros = 30 * MILLISECOND;
 /// Part of the aim up to which a message gets more urgent.
 const AIM_RISES: f64 = 0.9;
 /// Backoff of a failed subscription: first and most.
@@ -95,6 +95,8 @@
     agreed: Option<Box<Agreed>>,
     /// The list may be older than what counts as told.
     stale: bool,
+    /// This machine can't write down what is sent.
+    host_failing: bool,
     /// What limits that all senders share leave to this one, and the calls that they allow now.
     quotas: Option<Box<Quotas>>,
     buckets: BTreeMap<DestinationId, Bucket>,
@@ -124,6 +126,7 @@
             fleet_since: 0,
             agreed: None,
             stale: false,
+            host_failing: false,
             quotas: None,
             buckets: BTreeMap::new(),
             settings,
@@ -159,12 +162,12 @@
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         self.alarm = if self.alarm <= self.now { Micros::MAX } else { self.alarm };
-        let was_stale = self.stale;
+        let was_held_back = self.is_held_back();
         self.build_index_once();
         for event in events {
             self.learn(event, actions);
         }
-        let released = was_stale && !self.stale;
+        let released = was_held_back && !self.is_held_back();
         if released || events.iter().any(|event| matches!(event, Event::Resumed { .. })) {
             self.spread_backlog(released);
         }
@@ -183,6 +186,7 @@
         match event {
             Event::Agreed(agreed) => self.agreed = agreed.clone(),
             Event::Stale(stale) => self.stale = *stale,
+            Event::HostFailing(failing) => self.host_failing = *failing,
             Event::Shared(quotas) => self.share(quotas.clone()),
             Event::Word { destination, out } => self.hear(*destination, *out, actions),
             Event::Fleet(view) => {
--- a/src/decide/permission.rs
+++ b/src/decide/permission.rs
@@ -15,7 +15,7 @@
         let allowed = self.bound(message.class).map_or(usize::MAX, |bound| bound.attempts);
         let out = message.attempts.iter().filter(|attempt| attempt.out).count();
         if !message.open
-            || self.stale
+            || self.is_held_back()
             || !target.is_open()
             || target.destination != message.destination
             || message.attempts.len() >= message.most_attempts.min(allowed)
@@ -45,6 +45,11 @@
         repeatable && turn && !waits && slots
     }
 
+    /// True while nothing at all may be sent.
+    pub(super) fn is_held_back(&self) -> bool {
+        self.stale || self.host_failing
+    }
+
     /// True if the message may be refused: it is certain that a retry does no harm.
     pub(super) fn may_refuse(&self, message: &Held) -> bool {
         match self.effect(message.class) {
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -172,6 +172,8 @@
     ListFailed,
     /// The list may be older than what counts as told: nothing is sent by it, until it is known to be good again.
     Stale(bool),
+    /// This machine can't write down what is sent, or can again: nothing is sent meanwhile. It says nothing of any endpoint.
+    HostFailing(bool),
     /// A message came in.
     Accepted(NewMessage),
     /// A message taken before a restart is back, with all attempts that it had. Its time may be up.
--- a/src/net/driver/handing.rs
+++ b/src/net/driver/handing.rs
@@ -25,6 +25,9 @@
             return Next::GoOn; // it asks again once the process before this one is gone
         }
         self.turns();
+        if self.journal.has_pending() {
+            return Next::GoOn; // what it would read is not all that has happened: it asks again
+        }
         let handover = match self.handover() {
             Ok(handover) => handover,
             Err(error) => {
--- a/src/net/driver/intake.rs
+++ b/src/net/driver/intake.rs
@@ -2,6 +2,7 @@
 
 use super::{Attempt, Driver, Message};
 use crate::net::calls::Item;
+use crate::net::discovery::Notice;
 use crate::net::events::{Answer, Arrival};
 use crate::net::journal::{Origin, Taken, Terms};
 use crate::net::upgrade::text;
@@ -51,7 +52,7 @@
                 if !taken_over {
                     self.events.push(Event::Unnoticed(new));
                 }
-                self.notify(number, owed.taken.id, ending);
+                self.notify(Notice { number, id: owed.taken.id, ending });
                 continue;
             }
             if self.messages.contains_key(&message) {
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod outcomes;
 mod routes;
+mod undelivered;
 mod violations;
 
 use super::Seldom;
@@ -31,6 +32,7 @@
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
+use undelivered::Untold;
 use violations::Violations;
 
 /// Delivered ids that are remembered, for clients whose request crossed a closed connection.
@@ -147,6 +149,10 @@
     events: Vec<Event>,
     alarm: Option<Micros>,
     journal_fault: Seldom,
+    /// What the module knows of the journal: that it can't be written.
+    host_failing: bool,
+    /// Ends that are not durable yet, and so not told.
+    untold: Vec<Untold>,
     list_version: u64,
     /// Senders agree on rules, and the list is the registry's: no lower version than this is taken.
     agreed: bool,
@@ -197,6 +203,8 @@
             events: Vec::new(),
             alarm: None,
             journal_fault: Seldom::default(),
+            host_failing: false,
+            untold: Vec::new(),
             list_version: 0,
             agreed: floor.is_some(),
             behind: false,
@@ -248,7 +256,8 @@
         }
         self.turns();
         loop {
-            let alarm = self.alarm.map(|at| self.clock.instant(at));
+            let alarm = [self.alarm, self.next_untold()].into_iter().flatten().min();
+            let alarm = alarm.map(|at| self.clock.instant(at));
             tokio::select! {
                 // operators wait a second at most, however much waits to be done
                 biased;
@@ -277,7 +286,8 @@
                     self.calls.connections().sweep();
                     let written = self.journal.retry();
                     self.check(written);
-                    if !self.thaw() {
+                    let recovered = self.host_failing && !self.journal.is_failing();
+                    if !self.thaw() && !recovered && self.untold.is_empty() {
                         continue;
                     }
                 }
@@ -306,6 +316,7 @@
         while !self.events.is_empty() || self.find_lost_attempts() {
             self.turn();
         }
+        self.tell_durable_ends();
     }
 
     fn learn(&mut self, input: Input) {
@@ -366,6 +377,10 @@
         if self.alarm.take_if(|at| *at <= now).is_some() {
             self.events.push(Event::Alarm);
         }
+        if self.journal.is_failing() != self.host_failing {
+            self.host_failing = !self.host_failing;
+            self.events.push(Event::HostFailing(self.host_failing));
+        }
         let events = std::mem::take(&mut self.events);
         let mut actions = Vec::new();
         self.sender.handle(now, &events, &mut actions);
--- a/src/net/driver/outcomes.rs
+++ b/src/net/driver/outcomes.rs
@@ -3,9 +3,7 @@
 use super::violations::Violation;
 use super::{Attempt, Bundle, Driver, Message, REMEMBERED};
 use crate::net::calls::{self, Call, CallOut};
-use crate::net::discovery::Notice;
 use crate::net::events::{BODY_MOST, Ended, Word};
-use crate::net::journal::Ending;
 use crate::net::upgrade::LOST;
 use milletturn::decide::AttemptOut;
 use milletturn::{Event, MessageId, Micros, Outcome};
@@ -249,22 +247,4 @@
             (None, None) => {}
         }
     }
-
-    /// The module has ended the message undelivered: the platform is told.
-    pub(super) fn give_up(&mut self, message: MessageId, ending: Ending) {
-        let Some(held) = self.messages.get(&message).filter(|held| held.open) else {
-            // its client's own answer told it: no notice is owed
-            return self.events.push(Event::Noticed(message));
-        };
-        let id = held.item.id.to_str().map(str::to_string).unwrap_or_default();
-        let written = self.journal.ending(message.0, ending);
-        self.check(written);
-        self.close(message);
-        self.notify(message.0, id, ending);
-    }
-
-    pub(super) fn notify(&self, number: u64, id: String, ending: Ending) {
-        // the poster lives as long as the process
-        let _ = self.notices.send(Notice { number, id, ending });
-    }
 }
--- /dev/null
+++ b/src/net/journal/tests.rs
@@ -0,0 +1,165 @@
+//! Records that fail to be written, and what a next life reads.
+
+use super::*;
+use milletturn::{Class, Effect};
+
+#[test]
+fn a_send_that_found_no_room_takes_no_position_and_an_outcome_finds_its_own() {
+    let folder = std::env::temp_dir().join(format!("journal-positions-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    let (mut journal, _) = Journal::open(&folder, 16 * 1024, 0).expect("opened");
+    let taken = Taken {
+        id: "m".into(),
+        key: None,
+        class: "order".into(),
+        destination: 7,
+        taken_at: 0,
+        deadline: 1,
+        body: Vec::new(),
+    };
+    let class = Class {
+        name: "order".into(),
+        effect: Effect::Unsafe,
+        aim: 1,
+        deadline: 1,
+        worth: 1.0,
+        late_share: 0.0,
+        ordered: false,
+    };
+    journal.take(5, taken, Origin::default(), Terms::of(&class, 12)).expect("room");
+    // the first is larger than the room there is, the second may have run, the third never did
+    assert!(matches!(journal.sent(5, &"x".repeat(20_000), 1), Err(JournalError::Full)));
+    assert_eq!(journal.sent(5, "a", 2).expect("room"), 0);
+    assert_eq!(journal.sent(5, "b", 3).expect("room"), 1);
+    journal.never_ran(5, 1).expect("room");
+    journal.reopen().expect("opened");
+    let sends: Vec<_> =
+        journal.owed()[&5].attempts.iter().map(|sent| (sent.uid.as_str(), sent.never_ran)).collect();
+    assert_eq!(sends, [("a", false), ("b", true)]);
+    fs::remove_dir_all(&folder).expect("removed");
+}
+
+fn message(id: u64) -> (Taken, Origin, Terms) {
+    let taken = Taken {
+        id: format!("m{id}"),
+        key: None,
+        class: "order".into(),
+        destination: 7,
+        taken_at: 0,
+        deadline: 1,
+        body: vec![b'x'; 100],
+    };
+    (taken, Origin::default(), Terms::of(&Class::new("order", Effect::Unsafe, 1, 1), 12))
+}
+
+fn fresh(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    folder
+}
+
+/// Draws that follow from a seed alone.
+struct Draws(u64);
+
+impl Draws {
+    fn below(&mut self, most: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % most
+    }
+}
+
+/// Something is written down or has happened; true if it was acknowledged as durable.
+fn step(journal: &mut Journal, draws: &mut Draws, next: &mut u64) -> bool {
+    let owed: Vec<u64> = journal.owed().keys().copied().collect();
+    let one = (!owed.is_empty()).then(|| owed[draws.below(owed.len() as u64) as usize]);
+    match (draws.below(5), one) {
+        (0, _) | (_, None) => {
+            let (taken, origin, terms) = message(*next);
+            let written = journal.take(*next, taken, origin, terms);
+            *next += u64::from(written.is_ok());
+            written.is_ok()
+        }
+        (1, Some(one)) => journal.sent(one, "s-1", 5).is_ok(),
+        (2, Some(one)) => journal.never_ran(one, 0).is_ok(),
+        (3, Some(one)) => journal.ending(one, Ending::Failed).is_ok(),
+        (_, Some(one)) => journal.over(one).is_ok(),
+    }
+}
+
+/// Writes with a disk that fails and recovers; a next life at any moment reads a prefix of what happened, with all that
+/// was acknowledged.
+#[test]
+fn a_next_life_reads_a_prefix_of_what_happened_wherever_writes_failed() {
+    for seed in 0..40 {
+        let folder = fresh("journal-prefix");
+        // half of them are compacted on the way
+        let limit = if seed % 2 == 0 { 1 << 20 } else { 16 * 1024 };
+        let (mut journal, _) = Journal::open(&folder, limit, 16).expect("opened");
+        let (mut draws, mut next) = (Draws(seed), 0);
+        let mut states = vec![journal.owed().clone()];
+        let mut durable = 0;
+        for _ in 0..150 {
+            match draws.below(8) {
+                // a handle that takes nothing, neither records nor to be cut
+                0 => journal.file = File::open(&journal.path).expect("opened"),
+                // half a record gets out before the disk fails
+                1 => {
+                    use std::io::Write;
+                    let mut file = OpenOptions::new().append(true).open(&journal.path).expect("opened");
+                    let record = encode(&Entry::Over(7)).expect("encoded");
+                    if !journal.dirty {
+                        file.write_all(&record[..record.len() / 2]).expect("written");
+                        journal.dirty = true;
+                    }
+                }
+                2 => {
+                    journal.file = OpenOptions::new().append(true).open(&journal.path).expect("opened");
+                    journal.retry().expect("the disk is well");
+                    durable = states.len() - 1;
+                }
+                _ => {}
+            }
+            let acknowledged = step(&mut journal, &mut draws, &mut next);
+            states.push(journal.owed().clone());
+            if acknowledged {
+                assert!(!journal.has_pending(), "acknowledged before what was to be written first");
+                durable = states.len() - 1;
+            }
+            let (life, recovery) = {
+                let copy = fresh("journal-prefix-copy");
+                fs::create_dir_all(&copy).expect("a folder");
+                fs::copy(&journal.path, copy.join("journal")).expect("copied");
+                Journal::open(&copy, limit, 16).expect("opened")
+            };
+            assert_eq!(recovery.damaged, 0, "seed {seed}");
+            let found = states[durable..].iter().any(|state| state == life.owed());
+            assert!(
+                found,
+                "seed {seed}: {:?} is no state since {durable}: {:?}",
+                life.owed(),
+                &states[durable..]
+            );
+        }
+    }
+}
+
+#[test]
+fn what_is_cut_short_anywhere_reads_as_what_was_written_before() {
+    let folder = fresh("journal-cut");
+    let (mut journal, _) = Journal::open(&folder, 1 << 20, 16).expect("opened");
+    let (mut draws, mut next) = (Draws(3), 0);
+    let mut states = vec![(0, journal.owed().clone())];
+    for _ in 0..40 {
+        step(&mut journal, &mut draws, &mut next);
+        states.push((journal.size, journal.owed().clone()));
+    }
+    let bytes = fs::read(&journal.path).expect("read");
+    for length in 0..=bytes.len() {
+        let copy = fresh("journal-cut-copy");
+        fs::create_dir_all(&copy).expect("a folder");
+        fs::write(copy.join("journal"), &bytes[..length]).expect("written");
+        let (life, recovery) = Journal::open(&copy, 1 << 20, 16).expect("opened");
+        let last = states.iter().rev().find(|(size, _)| *size <= length as u64).expect("the empty one");
+        assert_eq!((life.owed(), recovery.damaged), (&last.1, 0), "{length} bytes");
+    }
+}
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -24,7 +24,7 @@
 
 /// What the two processes say to each other, the state of the module included. To be raised with every change
 /// of [`Frame`], of what it holds, or of anything that the module keeps.
-const VERSION: u32 = 9;
+const VERSION: u32 = 10;
 /// Asks the old process to leave the journal and go, handing over nothing else.
 const JOURNAL_ALONE: u32 = 0;
 const LOCK: &str = "lock";
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -92,9 +92,9 @@
     faults.on("journal_short", 20);
     *gate.lock().expect("not poisoned") = true;
     wait_until("the end can't be written", || node.logged("the journal can't be written"));
-    // whatever goes out next has gone by the time that another message has been served
-    assert_eq!(node.raw(&about("b", "charge", "other", 7, 20_000)).0, 202);
-    wait_until("another key's is out", || endpoint.times("other") >= 1);
+    // nothing is written after the end that failed, and so nothing is taken on or sent
+    assert_eq!(node.raw(&about("b", "charge", "other", 7, 20_000)).0, 503);
+    assert_eq!(endpoint.count(), 1);
     drop(node);
     faults.off("journal_short");
     let node = faults.start().ready();
@@ -107,3 +107,47 @@
     let first = calls.iter().rposition(|id| id == "first").expect("called");
     assert!(first < second, "the first ran after the second: {calls:?}");
 }
+
+#[test]
+fn an_end_with_time_left_is_told_only_once_it_is_durable() {
+    // its end is a failure as soon as the gate opens; a next life that did not know of that would end it once more
+    let gate: Arc<Mutex<bool>> = Arc::default();
+    let opened = gate.clone();
+    let endpoint = Endpoint::new(move |_, _| {
+        wait_until("the gate opens", || *opened.lock().expect("not poisoned"));
+        Reply::Answer("500 Oops", String::new())
+    });
+    let agent = one(&endpoint);
+    let faults = Faults::new(&agent, as_it_is);
+    let node = faults.start().ready();
+    assert_eq!(node.hand_in("order", "one", 7, 20_000, b"x"), 202);
+    wait_until("it is out", || endpoint.times("one") == 1);
+    faults.on("journal_write", EIO);
+    *gate.lock().expect("not poisoned") = true;
+    wait_until("its end can't be written", || node.logged("the journal can't be written"));
+    // what the turn of its end told has been told by the time that another message was refused
+    assert_eq!(node.hand_in("order", "refused", 7, 20_000, b"x"), 503);
+    assert_eq!(agent.notices(), [""; 0]);
+    faults.off("journal_write");
+    wait_until("its end is told", || agent.notices() == [r#"{"id":"one","state":"failed"}"#]);
+}
+
+#[test]
+fn an_end_is_told_in_time_though_it_can_not_be_written() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = one(&endpoint);
+    let faults = Faults::new(&agent, as_it_is);
+    let node = faults.start().ready();
+    assert_eq!(node.hand_in("order", "one", 99, 1_000, b"x"), 202);
+    assert_eq!(node.hand_in("order", "two", 99, 4_000, b"x"), 202);
+    faults.on("journal_write", ENOSPC);
+    wait_until("its end is told", || agent.notices().iter().any(|line| line.contains(r#""id":"one""#)));
+    assert!(agent.notices().iter().all(|line| !line.contains(r#""id":"two""#)));
+    assert_eq!(node.hand_in("order", "refused", 7, 20_000, b"x"), 503);
+    faults.off("journal_write");
+    wait_until("messages are taken on", || node.hand_in("order", "after", 7, 20_000, b"x") == 202);
+    wait_until("the other's end is told", || {
+        agent.notices().iter().any(|line| line.contains(r#""id":"two""#))
+    });
+    assert_eq!(agent.notices().len(), 2, "{:?}", agent.notices());
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -180,7 +180,7 @@
     // one that asks, is told all, and is gone before it owns anything
     let mut asks =
         std::os::unix::net::UnixStream::connect(old.folder.join("state/upgrade.sock")).expect("it waits");
-    asks.write_all(&[2, 0, 0, 0, 0, 9]).expect("written");
+    asks.write_all(&[2, 0, 0, 0, 0, 10]).expect("written");
     let mut length = [0; 4];
     std::io::Read::read_exact(&mut asks, &mut length).expect("it hands over");
     drop(asks);
