--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -131,3 +131,52 @@
     let (outcome, seen, spare) = cut(false, 0, b"");
     assert_eq!((outcome, seen.len(), spare.len()), (Outcome::NoConnection, 0, 0));
 }
+
+/// Fails where the endpoint could still take the call for being under way once its end is told: what follows in the order
+/// of a key, or rests from that end on, would come too early by as long as this process is held up.
+#[test]
+fn a_given_up_call_has_ended_at_its_endpoint_before_that_is_told() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let local = tokio::task::LocalSet::new();
+    // a task beside the call's, as the driver is
+    let listening = local.spawn_local(async move {
+        for give_up in [Outcome::Cancelled, Outcome::TimedOut] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("bound");
+            let settings = Settings { connection_idle: 60 * SECOND, ..Settings::new(8, 100) };
+            let limits = limits(&PoolSettings::default(), 100, &settings);
+            let means = crate::net::pool::Means { descriptors: 100, seed: 1 };
+            let connections = Connections::new(limits, SECOND, means);
+            let place = Place { address, endpoint: EndpointId(0) };
+            connections.serve(place, true);
+            let (inputs, mut told) = mpsc::unbounded_channel();
+            let calls = Calls::new(inputs, connections);
+            let id = HeaderValue::from_static("m1");
+            let items = vec![Item { id, key: None, body: Bytes::from_static(b"body") }];
+            let left = if give_up == Outcome::TimedOut { 200 } else { 20_000 };
+            let expires = Instant::now() + Duration::from_millis(left);
+            let (cancels, cancelled) = mpsc::unbounded_channel();
+            calls.start(Call { number: 0, place, items, expires, start_by: None }, cancelled);
+            let accepted = tokio::task::spawn_blocking(move || listener.accept().expect("a call").0);
+            let mut endpoint = accepted.await.expect("accepted");
+            endpoint.set_nonblocking(true).expect("set");
+            let mut seen = Vec::new();
+            while !seen.ends_with(b"\r\n\r\nbody") {
+                let mut byte = [0];
+                match std::io::Read::read(&mut endpoint, &mut byte) {
+                    Ok(1) => seen.push(byte[0]),
+                    Ok(_) => panic!("it ended before its last byte"),
+                    Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
+                }
+            }
+            if give_up == Outcome::Cancelled {
+                cancels.send(0).expect("it is out");
+            }
+            let Some(Input::Ended(ended)) = told.recv().await else { panic!("no end") };
+            assert_eq!(ended.outcome, give_up);
+            let read = std::io::Read::read(&mut endpoint, &mut [0]).map_err(|error| error.kind());
+            assert_eq!(read, Ok(0), "{give_up:?} was told before the call had ended");
+        }
+    });
+    local.block_on(&runtime.expect("a runtime"), listening).expect("it held");
+}
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -151,3 +151,51 @@
     });
     assert_eq!(agent.notices().len(), 2, "{:?}", agent.notices());
 }
+
+#[test]
+fn calls_and_answers_go_through_in_small_pieces() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = one(&endpoint);
+    let faults = Faults::new(&agent, as_it_is);
+    let node = faults.start().ready();
+    faults.on("short_send", 1);
+    faults.on("short_receive", 64);
+    for number in 0..3 {
+        let id = format!("m{number}");
+        assert_eq!(node.hand_in("webhook", &id, 7, 20_000, &[b'x'; 5_000]), 202);
+        wait_until("it is delivered", || endpoint.times(&id) == 1);
+    }
+    assert_eq!(endpoint.count(), 3, "each went once");
+    // an end by a notice goes to discovery the same way
+    assert_eq!(node.hand_in("order", "unsent", 99, 100, b"x"), 202);
+    wait_until("its notice", || agent.notices().iter().any(|line| line.contains("unsent")));
+}
+
+#[test]
+fn a_fault_of_this_machine_is_not_booked_to_the_endpoint() {
+    for fault in ["socket", "connect"] {
+        for number in [ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH, EINTR] {
+            let endpoint = Endpoint::new(|_, _| OK);
+            let agent = one(&endpoint);
+            let faults = Faults::new(&agent, as_it_is);
+            let node = faults.start().ready();
+            faults.on(fault, number);
+            let ids: Vec<String> = (0..6).map(|number| format!("m{number}")).collect();
+            for id in &ids {
+                assert_eq!(node.hand_in("order", id, 7, 20_000, b"x"), 202);
+            }
+            // long enough for several dials of each
+            wait_until("dials have failed", || node.logged("sick") || dial_failures(&node) >= 8);
+            faults.off(fault);
+            wait_until("all are delivered", || ids.iter().all(|id| endpoint.times(id) == 1));
+            assert!(!node.logged("sick"), "{fault} {number}: {:?}", node.log);
+        }
+    }
+}
+
+/// Dials that failed, for whatever reason.
+fn dial_failures(node: &Node) -> u64 {
+    let report = pools(node);
+    let failures = report["totals"]["counts"]["dial_failures"].as_object().cloned().unwrap_or_default();
+    failures.values().filter_map(serde_json::Value::as_u64).sum()
+}
