A given-up call ends at its endpoint before its end is told

Cause: the task of a call told its end and closed the connection afterwards, in another task; a key's rest, and its next message, began by as long too early as the process was held up between the two (hypothesis F). Change: whatever a call is given up for, its sending side is shut first, and only then its end is told. Measured: the unit test fails before (the endpoint reads WouldBlock) and passes now; faults, pools pass.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -5,7 +5,7 @@
 
 use super::Seldom;
 use super::events::{BODY_MOST, Ended, Input};
-use super::pool::{Connections, Lease, NoLease, Then, Traffic};
+use super::pool::{Connections, Lease, NoLease, Traffic};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -198,25 +198,27 @@
         Ok(answer) => (answer, None),
         Err(outcome) => {
             let traffic = under.traffic.borrow().clone();
-            let then = if shared.tells_waits.get() { Then::Listen } else { Then::Close };
-            let looked = async {
-                // a message that is called off has no use for an answer, but where waits are told these hold
-                let useless = outcome == Outcome::Cancelled && then == Then::Close;
-                if let Some(traffic) = traffic.as_ref().filter(|_| !useless) {
-                    let _ = timeout(LATE, traffic.read_out(then)).await;
+            let listens = shared.tells_waits.get();
+            // a message that is called off has no use for an answer, but where waits are told these hold
+            let useless = outcome == Outcome::Cancelled && !listens;
+            let given_up = async {
+                if let Some(traffic) = &traffic {
+                    let _ = timeout(LATE, traffic.give_up()).await;
                 }
             };
             tokio::select! {
                 biased;
                 // an answer that had come before the end; any other end is what the call was given up for
-                answer = &mut exchange => {
+                answer = &mut exchange, if !useless => {
                     traffic.iter().for_each(|traffic| traffic.keep());
                     (if answer.heard { answer } else { outcome.into() }, None)
                 }
-                () = looked => match traffic {
+                () = given_up => match traffic {
                     // a first line is true also where its head never ends
-                    Some(traffic) if call.items.len() == 1 && traffic.says_ok() => (Answer::served(), None),
-                    on => (outcome.into(), on.filter(|_| then == Then::Listen)),
+                    Some(traffic) if !useless && call.items.len() == 1 && traffic.says_ok() => {
+                        (Answer::served(), None)
+                    }
+                    on => (outcome.into(), on.filter(|_| listens)),
                 },
             }
         }
@@ -234,7 +236,7 @@
     if let Some(traffic) = given_up {
         let heard = async {
             sleep(LATE).await;
-            let _ = timeout(LATE, traffic.read_out(Then::Close)).await;
+            let _ = timeout(LATE, traffic.give_up()).await;
         };
         tokio::select! {
             biased;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -26,8 +26,8 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+pub use traffic::Traffic;
 use traffic::{Counted, Now};
-pub use traffic::{Then, Traffic};
 
 /// A connection that is up.
 pub struct Connection {
--- a/src/net/pool/traffic.rs
+++ b/src/net/pool/traffic.rs
@@ -22,20 +22,11 @@
     looked: Notify,
 }
 
-/// What follows once the system has nothing more to read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Then {
-    /// Whoever asked closes the connection.
-    Close,
-    /// The sending side is shut, which gives a call up; what comes is read on.
-    Listen,
-}
-
 /// How far a call is given up. It ends at the one moment at which the system has nothing more to read: an answer that
 /// has come by then counts.
 #[derive(Default)]
 struct Ending {
-    wanted: Option<Then>,
+    wanted: bool,
     looked: bool,
     shut: bool,
     /// Who reads, and waits for more.
@@ -52,11 +43,12 @@
         self.ending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until all that is there has been read, for a call that is given up then.
-    pub async fn read_out(&self, then: Then) {
+    /// Waits until all that is there has been read and the sending side is shut, which gives the call up: from then on
+    /// the endpoint knows of its end.
+    pub async fn give_up(&self) {
         let reader = {
             let mut ending = self.ending();
-            (ending.wanted, ending.looked) = (Some(then), false);
+            ending.wanted = true;
             ending.reader.take()
         };
         reader.into_iter().for_each(Waker::wake);
@@ -67,7 +59,7 @@
 
     /// An answer has come first: the connection goes on.
     pub fn keep(&self) {
-        self.ending().wanted = None;
+        self.ending().wanted = false;
     }
 
     /// True if nothing can be sent any more.
@@ -109,6 +101,14 @@
     }
 }
 
+impl<S> Drop for Counted<S> {
+    fn drop(&mut self) {
+        // what has ended needs no giving up
+        self.traffic.ending().looked = true;
+        self.traffic.looked.notify_one();
+    }
+}
+
 /// What the system itself tells of a socket. The runtime asks it only between turns, in which a timer may come first.
 pub(super) trait Now {
     /// Reads what is there.
@@ -146,21 +146,24 @@
         if result.is_pending() {
             let mut ending = self.traffic.ending();
             ending.reader = Some(context.waker().clone());
-            if let Some(then) = ending.wanted.take() {
+            if std::mem::take(&mut ending.wanted) {
                 match self.stream.read_now(buffer.initialize_unfilled()) {
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                        if then == Then::Listen {
-                            self.stream.end_sending();
-                            ending.shut = true;
-                        }
+                        // its end at the endpoint comes before anything that follows from it here
+                        self.stream.end_sending();
+                        ending.shut = true;
                         ending.looked = true;
                         self.traffic.looked.notify_one();
                     }
+                    Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+                        ending.wanted = true;
+                        context.waker().wake_by_ref();
+                    }
                     Err(error) => result = Poll::Ready(Err(error)),
                     Ok(read) => {
                         buffer.advance(read);
                         // there may be more, and the reader comes again
-                        ending.wanted = Some(then);
+                        ending.wanted = true;
                         result = Poll::Ready(Ok(()));
                     }
                 }
