--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -205,3 +205,80 @@
     let failures = report["totals"]["counts"]["dial_failures"].as_object().cloned().unwrap_or_default();
     failures.values().filter_map(serde_json::Value::as_u64).sum()
 }
+
+#[test]
+fn a_start_waits_for_what_this_machine_fails_for_a_moment() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = one(&endpoint);
+    thread::scope(|scope| {
+        for fault in ["bind", "socket", "journal_open", "journal_read", "lock_open"] {
+            let agent = &agent;
+            scope.spawn(move || {
+                let faults = Faults::new(agent, as_it_is);
+                let node = faults.start().ready();
+                assert_eq!(node.hand_in("webhook", &format!("owed-{fault}"), 99, 20_000, b"x"), 202);
+                drop(node);
+                let number = match fault {
+                    "bind" => EADDRNOTAVAIL,
+                    "socket" => ENOBUFS,
+                    _ => EIO,
+                };
+                faults.on(fault, number);
+                let mut process = faults.start_unseen();
+                let log = process.stderr.take().expect("piped");
+                let mut lines = std::io::BufRead::lines(std::io::BufReader::new(log));
+                let said = lines.by_ref().map_while(Result::ok).find(|line| line.contains("os error"));
+                assert!(said.is_some(), "{fault}: it says what it waits for");
+                faults.off(fault);
+                let listens = lines.map_while(Result::ok).find(|line| line.contains("listening on"));
+                assert!(listens.is_some(), "{fault}: it ended: {:?}", process.wait());
+                let _ = process.kill();
+                let _ = process.wait();
+            });
+        }
+    });
+}
+
+#[test]
+fn times_are_real_over_a_restart_whatever_the_wall_clock_does() {
+    const HOUR: i32 = 3_600;
+    let endpoint = Endpoint::new(|_, _| OK);
+    thread::scope(|scope| {
+        for step in [HOUR, -HOUR] {
+            let endpoint = &endpoint;
+            scope.spawn(move || {
+                let agent = one(endpoint);
+                let faults = Faults::new(&agent, as_it_is);
+                let node = faults.start().ready();
+                let (long, short) = (format!("long{step}"), format!("short{step}"));
+                assert_eq!(node.hand_in("webhook", &long, 8, 20_000, b"x"), 202);
+                assert_eq!(node.hand_in("webhook", &short, 9, 3_000, b"x"), 202);
+                drop(node);
+                faults.on("wall_step", step);
+                let lines = list(&[
+                    ("s-1", endpoint.address, "one", 7, "up"),
+                    ("s-2", endpoint.address, "one", 8, "up"),
+                ]);
+                *agent.lines.lock().expect("not poisoned") = vec![lines];
+                let node = faults.start().ready();
+                wait_until("what has time left is sent", || endpoint.times(&long) == 1);
+                wait_until("what has none ends", || !agent.notices().is_empty());
+                assert!(agent.notices()[0].contains(&short), "{:?}", agent.notices());
+                drop(node);
+            });
+        }
+    });
+}
+
+#[test]
+fn a_new_configuration_that_can_not_be_read_at_once_is_read_later() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let (agent, next) = (one(&endpoint), one(&endpoint));
+    let faults = Faults::new(&agent, as_it_is);
+    let node = faults.start().ready();
+    faults.on("config_read", EIO);
+    node.move_discovery(&next);
+    wait_until("it can't be read", || node.logged("os error 5"));
+    faults.off("config_read");
+    wait_until("discovery has moved", || next.watches.load(std::sync::atomic::Ordering::SeqCst) == 1);
+}
--- a/tests/node/failing_calls.c
+++ b/tests/node/failing_calls.c
@@ -8,7 +8,7 @@
  *   journal_half    errno; one write takes half of its bytes, the next one fails
  *   journal_short   a length; writes of fewer bytes fail with EIO: those of ends and outcomes, not those of sends
  *   journal_slow    milliseconds that each write takes longer
- *   lock_open       errno
+ *   lock_open  config_read                                                                          errno
  *   accept  bind  connect  socket  send  receive                                                   errno
  *   short_send      any number; a write to a socket takes half of the bytes, of one buffer
  *   short_receive   the most bytes that one read of a socket gives
@@ -59,13 +59,17 @@
     return last && !strncmp(last + 1, file, strlen(file));
 }
 
-static int is_journal(int descriptor) {
+static int is_file(int descriptor, const char *file) {
     char link[64], path[512];
     snprintf(link, sizeof link, "/proc/self/fd/%d", descriptor);
     ssize_t length = readlink(link, path, sizeof path - 1);
     if (length < 0) return 0;
     path[length] = 0;
-    return names(path, "journal");
+    return names(path, file);
+}
+
+static int is_journal(int descriptor) {
+    return is_file(descriptor, "journal");
 }
 
 /* ---- the lasting folder ---- */
@@ -92,6 +96,7 @@
 
 ssize_t read(int descriptor, void *bytes, size_t length) {
     if (is_journal(descriptor) && fails("journal_read")) return -1;
+    if (is_file(descriptor, "config.json") && fails("config_read")) return -1;
     return NEXT(read)(descriptor, bytes, length);
 }
 
