Starts, times and new configurations hold while this machine's clocks and files fail

Change: the time line goes on by the monotonic clock from an anchor in the folder (boot id, both clocks), so the module's state that an upgrade hands over is on the same line; starts wait for what may pass, and end for what an operator has to change; each failed reading is made again.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,19 +3,23 @@
 mod net;
 
 use milletturn::Sender;
+use net::Seldom;
 use net::agreement::settings::Agreement;
 use net::calls::Calls;
+use net::clock::Clock;
 use net::config::Config;
 use net::control::Control;
 use net::discovery::{Backoff, Freshness};
 use net::driver::{Driver, Shared};
-use net::events::{Clock, Freezing, Input};
+use net::events::{Freezing, Input};
 use net::freeze::settings::FreezeSettings;
 use net::journal::Journal;
 use net::ledger::settings::Ledger;
+use net::machine::RETRY;
 use net::membership::settings::Membership;
 use net::pool::{Connections, Means, limits};
 use net::server::{Classes, Server, serve};
+use net::startup::{self, until_had};
 use net::upgrade::{self, Frame, Lock, Taken};
 use net::{agreement, control, discovery, freeze, journal, ledger, membership};
 use std::cell::Cell;
@@ -25,7 +29,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::LocalSet;
@@ -66,7 +69,6 @@
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
-    let clock = Clock::new();
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     let (inputs, received) = mpsc::unbounded_channel();
@@ -100,19 +102,29 @@
             ready: ready_seen.clone(),
             draining: draining.clone(),
         };
-        // messages are served without it too
-        match TcpListener::bind(address).await {
-            Ok(listener) => {
-                let address = listener.local_addr().unwrap_or(address);
-                net::log(format_args!("{}: operators at {address}", config.name));
-                tokio::task::spawn_local(control::serve(listener, Rc::new(control)));
-            }
-            Err(error) => net::log(format_args!("{}: operators off, {address}: {error}", config.name)),
-        }
+        let name = config.name.clone();
+        let listener = startup::listen_for_operators(&name, address).await;
+        tokio::task::spawn_local(async move {
+            let listener = match listener {
+                Some(listener) => listener,
+                None => startup::wait_for_operators_address(address).await,
+            };
+            let address = listener.local_addr().unwrap_or(address);
+            net::log(format_args!("{name}: operators at {address}"));
+            control::serve(listener, Rc::new(control)).await;
+        });
     }
-    let lock = Lock::open(&config.state)?;
-    let taken = tokio::select! {
-        taken = upgrade::take_over(&lock, &config.state) => taken?,
+    let folder = async {
+        let lock = until_had("the folder's lock", || Lock::open(&config.state)).await?;
+        let taken = upgrade::take_over(&lock, &config.state).await;
+        let clock = until_had("the clock", || Clock::resume(&config.state)).await?;
+        let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
+        let open = || Journal::open(&config.state, config.disk, entries);
+        let (journal, recovery) = until_had("the journal", open).await?;
+        Ok::<_, Box<dyn std::error::Error>>((lock, taken, clock, journal, recovery))
+    };
+    let (lock, taken, clock, journal, recovery) = tokio::select! {
+        opened = folder => opened?,
         _ = terminate.recv() => return Ok(()),
     };
     let senders = config.settings.senders;
@@ -122,8 +134,6 @@
     let agents = discovery::Shared { senders, asked: ask_lists, ask_every: span(safety.ask_every) };
     // a call that is decided may be written once its connection is up
     let grace = span(safety.drain_grace).saturating_sub(span(config.names.dial_timeout));
-    let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
-    let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
     log_recovery(&config.name, &journal, &recovery);
     let limits = limits(&config.pool, config.sockets, &config.settings);
     let means = Means { descriptors: config.sockets, seed: config.seed };
@@ -187,7 +197,8 @@
         driver.follow(link.listen(inputs.clone()), elsewhere);
     }
     let listener = upgrade::listener(config.passed, config.listen).await?;
-    net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
+    let address = listener.local_addr().unwrap_or(config.listen);
+    net::log(format_args!("{}: listening on {address}", config.name));
     let until_handed = |task| upgrade::until_handed(handed_seen.clone(), task);
     let (freshness, tells) = Freshness::new(!ask_lists, grace, inputs.clone());
     tokio::task::spawn_local(until_handed(Box::pin(tells) as Task));
@@ -273,12 +284,19 @@
     mut hangup: Signal, mut text: Vec<u8>, moved: watch::Sender<SocketAddr>,
     (member, agrees, shares, freezes): Parts, inputs: mpsc::UnboundedSender<Input>,
 ) {
-    while hangup.recv().await.is_some() {
+    let faults = Seldom::default();
+    let mut wanted = hangup.recv().await.is_some();
+    while wanted {
         let before = text.clone();
         let read = tokio::task::spawn_blocking(move || Config::reread(&before)).await;
-        match read.map_err(|error| error.to_string()).and_then(|read| read.map_err(|error| error.to_string()))
-        {
-            Ok(new) => {
+        match read.map_err(|error| error.to_string()) {
+            Ok(Err(error)) if error.is_of_this_machine() => {
+                // the platform has told it once, and does not tell it again
+                faults.log(format_args!("SIGHUP: configuration not read yet: {error}"));
+                sleep(RETRY).await;
+                continue;
+            }
+            Ok(Ok(new)) => {
                 let names = new.settings.classes.iter().map(|class| class.name.as_str()).collect::<Vec<_>>();
                 let names = names.join(", ");
                 net::log(format_args!("SIGHUP: classes {names}; discovery at {}", new.discovery));
@@ -290,8 +308,10 @@
                 replace(&freezes, new.freeze);
                 replace(&moved, new.discovery);
             }
+            Ok(Err(error)) => net::log(format_args!("SIGHUP: configuration left as it was: {error}")),
             Err(error) => net::log(format_args!("SIGHUP: configuration left as it was: {error}")),
         }
+        wanted = hangup.recv().await.is_some();
     }
 }
 
--- a/src/net/agreement/mod.rs
+++ b/src/net/agreement/mod.rs
@@ -4,8 +4,9 @@
 pub mod settings;
 
 use super::asking::{self, AskError, whose_turn};
+use super::clock::Clock;
 use super::discovery::Backoff;
-use super::events::{BODY_MOST, Clock, Input, Query};
+use super::events::{BODY_MOST, Input, Query};
 use super::log;
 use hyper::Method;
 use milletturn::{Agreed, Bounds, ClassBound, Effect, MILLISECOND, Micros};
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -24,6 +24,8 @@
 
 /// The last good file, in the lasting folder.
 const LAST: &str = "config.last";
+/// How long a start tries to read a file that this machine fails to read: most of the time to be ready is left.
+const READ_IN: std::time::Duration = std::time::Duration::from_secs(2);
 /// Keys of a class that may be absent by the rules of the settings.
 const MAY_LACK: [&str; 2] = ["aimStretch", "oneAtATime"];
 /// Objects that may come and go.
@@ -174,6 +176,19 @@
     disk_mb: f64,
 }
 
+impl ConfigError {
+    /// The file is there, and this machine failed to read it.
+    pub fn is_of_this_machine(&self) -> bool {
+        matches!(self, ConfigError::Read { error, .. } if is_passing(error))
+    }
+}
+
+/// True if reading a file may succeed a moment later, with nothing changed by operators.
+fn is_passing(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{IsADirectory, NotADirectory, NotFound, PermissionDenied};
+    ![NotFound, PermissionDenied, NotADirectory, IsADirectory].contains(&error.kind())
+}
+
 impl Config {
     /// The file as it stands now, if it is whole beside the one in force. The variables are those of the start:
     /// only the file can tell where discovery has moved.
@@ -196,7 +211,7 @@
             address("RELAY_DISCOVERY", text)
         };
         let last = std::fs::read(state.join(LAST)).ok();
-        let read = read_file().and_then(|text| Config::read(text, state.clone(), None, discovery));
+        let read = read_file_in_time().and_then(|text| Config::read(text, state.clone(), None, discovery));
         let config = match (read, last) {
             (Ok(config), _) => config,
             (Err(error), Some(last)) => {
@@ -306,6 +321,19 @@
     std::fs::read(&path).map_err(|error| ConfigError::Read { path, error })
 }
 
+/// The same at a start, where an older text would name an older discovery: tried for a while.
+fn read_file_in_time() -> Result<Vec<u8>, ConfigError> {
+    let begun = std::time::Instant::now();
+    loop {
+        match read_file() {
+            Err(error) if error.is_of_this_machine() && begun.elapsed() < READ_IN => {
+                std::thread::sleep(super::machine::RETRY);
+            }
+            read => return read,
+        }
+    }
+}
+
 /// Checks that a new file holds what the one in force does, in the same form: each key of an object, and in each
 /// item of a list of objects the keys that all items have so far. Lists of endpoints may be empty, others not.
 fn complete(path: &str, before: &Value, new: &Value) -> Result<(), ConfigError> {
--- a/src/net/driver/handing.rs
+++ b/src/net/driver/handing.rs
@@ -4,12 +4,15 @@
 use crate::net;
 use crate::net::calls::CallOut;
 use crate::net::events::{Answer, Arrival, Ended, Input, Passed, Verdict, Word};
+use crate::net::journal::JournalError;
 use crate::net::leaving::Leaving;
+use crate::net::machine::RETRY;
 use crate::net::upgrade::{self, HandedCall, HandedMessage, HandedRoute, Handover, Link, Successor, text};
 use hyper::header::HeaderValue;
 use milletturn::{EndpointId, MessageId};
 use std::collections::HashMap;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
 
 impl Driver {
     /// Hands all to the next process, if that one takes it; nothing is decided meanwhile.
@@ -48,8 +51,7 @@
             Err(error) => match self.shared.lock.try_take() {
                 Ok(true) => {
                     net::log(format_args!("upgrade: not taken over, this process goes on: {error}"));
-                    let opened = self.journal.reopen();
-                    if self.check(opened).is_some() { Next::GoOn } else { Next::End }
+                    self.reopen_journal().await
                 }
                 Ok(false) | Err(_) => {
                     net::log(format_args!("upgrade: another process owns the journal, this one ends"));
@@ -59,6 +61,23 @@
         }
     }
 
+    /// Reads the journal anew, as soon as the disk lets it be read.
+    async fn reopen_journal(&mut self) -> Next {
+        loop {
+            match self.journal.reopen() {
+                Ok(()) => return Next::GoOn,
+                Err(error @ JournalError::Io(_)) => {
+                    self.journal_fault.log(format_args!("journal: {error}"));
+                    sleep(RETRY).await;
+                }
+                Err(error) => {
+                    net::log(format_args!("upgrade: the journal is lost, this process ends: {error}"));
+                    return Next::End;
+                }
+            }
+        }
+    }
+
     pub(super) fn handover(&self) -> Result<Handover, postcard::Error> {
         let route = |(endpoint, route): (&EndpointId, &Route)| HandedRoute {
             endpoint: endpoint.0,
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -12,8 +12,9 @@
 
 use super::Seldom;
 use super::calls::{CallOut, Calls, Item};
+use super::clock::Clock;
 use super::discovery::Notice;
-use super::events::{Answer, Arrival, Clock, Input, ListUpdate, Order, Word};
+use super::events::{Answer, Arrival, Input, ListUpdate, Order, Word};
 use super::journal::{Ending, Journal, JournalError};
 use super::server::Classes;
 use super::upgrade::{Handover, Link, Lock, Successor};
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -1,4 +1,4 @@
-//! What the parts tell the driver, what operators order, and the clock: data alone, known to all parts.
+//! What the parts tell the driver, and what operators order: data alone, known to all parts.
 
 use super::freeze::settings::FreezeSettings;
 use bytes::Bytes;
@@ -10,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -125,30 +124,6 @@
     Failed,
 }
 
-/// Module time: Unix microseconds at the start, carried on by the monotonic clock.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Micros,
-}
-
-impl Clock {
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
-        Clock { start: Instant::now(), unix: Micros::try_from(unix).unwrap_or(0) }
-    }
-
-    /// Module time of an instant.
-    pub fn at(&self, instant: Instant) -> Micros {
-        self.unix + Micros::try_from(instant.saturating_duration_since(self.start).as_micros()).unwrap_or(0)
-    }
-
-    /// The instant of a module time; the start for all that was before it.
-    pub fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(u64::try_from(at - self.unix).unwrap_or(0))
-    }
-}
-
 /// How one message of a call ended.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Ended {
--- a/src/net/freeze/mod.rs
+++ b/src/net/freeze/mod.rs
@@ -4,7 +4,8 @@
 pub mod settings;
 
 use super::asking::{ask, whose_turn};
-use super::events::{Clock, Freezing, Input};
+use super::clock::Clock;
+use super::events::{Freezing, Input};
 use super::log;
 use hyper::Method;
 use milletturn_ledger::gate::News;
--- a/src/net/journal/mod.rs
+++ b/src/net/journal/mod.rs
@@ -26,8 +26,8 @@
 const SMALL_ENTRY: u64 = 64;
 /// Part of the room that is kept free of new messages, at most.
 const RESERVE_MOST: u64 = 4;
-/// For the folder's own blocks and the rounding of two files to whole 512 bytes.
-const ROUNDING: u64 = 4 * 1024;
+/// For the folder's own blocks, the clock's anchor, and the rounding of the files to whole 512 bytes.
+const ROUNDING: u64 = 5 * 1024;
 /// Below this a file is not worth compacting.
 const SMALL: u64 = 256 * 1024;
 /// No message has this number: that it is over says nothing, and shows that the disk takes records.
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -2,7 +2,8 @@
 //! operators still bring. It decides nothing, writes nothing down and starts no call.
 
 use super::calls::CallOut;
-use super::events::{Answer, Arrival, Clock, Input, Order, Passed, Verdict, Word};
+use super::clock::Clock;
+use super::events::{Answer, Arrival, Input, Order, Passed, Verdict, Word};
 use super::upgrade::{LinkError, Writer, text};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
--- a/src/net/ledger/mod.rs
+++ b/src/net/ledger/mod.rs
@@ -9,7 +9,8 @@
 pub use allowance::on_floors;
 
 use super::asking::{AskError, whose_turn};
-use super::events::{Clock, Input, Query};
+use super::clock::Clock;
+use super::events::{Input, Query};
 use super::log;
 use exchange::Exchange;
 use milletturn::{Demand, Quotas};
--- a/src/net/membership/mod.rs
+++ b/src/net/membership/mod.rs
@@ -3,7 +3,8 @@
 
 pub mod settings;
 
-use super::events::{Clock, Input, Query};
+use super::clock::Clock;
+use super::events::{Input, Query};
 use super::{Seldom, log};
 use milletturn::FleetView;
 use milletturn_membership::{Change, LONGEST, Listed, Node, Output, Remembered, State, View};
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod agreement;
 pub mod asking;
 pub mod calls;
+pub mod clock;
 pub mod config;
 pub mod connection;
 pub mod control;
@@ -17,6 +18,7 @@
 pub mod membership;
 pub mod pool;
 pub mod server;
+pub mod startup;
 pub mod stream;
 pub mod upgrade;
 
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -35,8 +35,10 @@
 const WORD_TIME: Duration = Duration::from_millis(500);
 const HAND_TIME: Duration = Duration::from_millis(1000);
 const AGAIN: Duration = Duration::from_millis(20);
-/// Longest time in which the listening address must fall free.
-const BIND_TIME: Duration = Duration::from_secs(3);
+/// A lock that fails for so long is not to be had.
+const LOCK_TIME: Duration = Duration::from_secs(1);
+/// Between two tries to listen for a next process.
+const BIND_AGAIN: Duration = Duration::from_secs(1);
 
 /// Why the link does not serve.
 #[derive(Debug, Error)]
@@ -244,21 +246,26 @@
 }
 
 /// What the new process takes over: what was handed to it, or nothing where no process holds the lock.
-pub async fn take_over(lock: &Lock, folder: &Path) -> io::Result<Option<Taken>> {
+pub async fn take_over(lock: &Lock, folder: &Path) -> Option<Taken> {
     let mut version = VERSION;
     let mut told = String::new();
+    let begun = Instant::now();
     loop {
         match lock.try_take() {
-            Ok(true) => return Ok(None),
+            Ok(true) => return None,
             Ok(false) => {}
+            Err(_) if begun.elapsed() < LOCK_TIME => {
+                sleep(AGAIN).await;
+                continue;
+            }
             Err(error) => {
                 // where nothing can be locked nobody hands over either, and a start does not wait for it
                 super::log(format_args!("upgrade: off, no lock to be had: {error}"));
-                return Ok(None);
+                return None;
             }
         }
         match ask(folder, version).await {
-            Ok(handed) if lock.try_take()? => return Ok(Some(handed)),
+            Ok(handed) if lock.try_take().unwrap_or(false) => return Some(handed),
             Ok(_) => {}
             Err(error) => {
                 if matches!(error, LinkError::Unreadable(_)) {
@@ -303,10 +310,16 @@
 pub async fn wait_for_successor(folder: std::path::PathBuf, successors: mpsc::Sender<Successor>) {
     let path = folder.join(SOCKET);
     let _ = fs::remove_file(&path);
-    let listener = match UnixListener::bind(&path) {
-        Ok(listener) => listener,
-        Err(error) => {
-            return super::log(format_args!("upgrade: off, no socket to be had: {error}"));
+    let mut told = false;
+    let listener = loop {
+        match UnixListener::bind(&path) {
+            Ok(listener) => break listener,
+            Err(error) => {
+                if !std::mem::replace(&mut told, true) {
+                    super::log(format_args!("upgrade: off, no socket to be had: {error}"));
+                }
+                sleep(BIND_AGAIN).await;
+            }
         }
     };
     loop {
@@ -329,8 +342,7 @@
 /// The outcome of calls that were out when the process that made them was lost: they may have run.
 pub const LOST: Outcome = Outcome::Reset;
 
-/// The socket that clients connect to: the one that the platform passed, or one bound here. That may have to
-/// wait until an old process has left the address.
+/// The socket that clients connect to: the one that the platform passed, or one bound here.
 pub async fn listener(
     passed: Option<RawFd>, address: std::net::SocketAddr,
 ) -> Result<TcpListener, io::Error> {
@@ -346,15 +358,7 @@
             }
         }
     }
-    let until = Instant::now() + BIND_TIME;
-    loop {
-        match TcpListener::bind(address).await {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
-                sleep(AGAIN).await;
-            }
-            other => return other,
-        }
-    }
+    super::startup::listen(address).await
 }
 
 /// A copy of the listening socket that every process inherits under this number.
