One place says whether a call may begin, and what it refuses is counted

Change: lifecycle (no IO, time passed in) follows each message from its record to its end, and the driver asks it before a call begins; a refusal is a violation: counted, logged, the call is not made. After a restart every key rests once. Tests of real processes fail on any violation line. Module tests of HostFailing and Restarted.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -76,6 +76,8 @@
     units: BTreeMap<UnitId, Unit>,
     messages: BTreeMap<MessageId, Held>,
     keys: BTreeMap<u64, KeyLine>,
+    /// Until when no key's message starts, since an earlier life may have given up a call of any.
+    keys_rest_until: Micros,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
     copies_out: usize,
@@ -138,6 +140,7 @@
             units: BTreeMap::new(),
             messages: BTreeMap::new(),
             keys: BTreeMap::new(),
+            keys_rest_until: 0,
             calls: BTreeMap::new(),
             next_call: 0,
             copies_out: 0,
@@ -213,6 +216,7 @@
                 }
             }
             Event::Resumed { message, attempts } => self.resume(message, attempts),
+            Event::Restarted => self.keys_rest_until = self.now + self.settings.safety.key_rest,
             Event::Unnoticed(message) => {
                 self.accept(message);
                 let ended = |held: &mut Held| (held.open, held.unnoticed) = (false, true);
--- a/src/decide/permission.rs
+++ b/src/decide/permission.rs
@@ -30,7 +30,8 @@
         let zone_only = matches!(effect, Effect::Keyed { zone_only: true, .. });
         let repeatable = self.is_harmless(message, effect) && !(zone_only && message.at_risk().any(apart));
         let turn = message.key.and_then(|key| self.keys.get(&key)).is_none_or(|line| {
-            line.turn.front() == Some(&id) && (self.now >= line.rest_until || !message.attempts.is_empty())
+            let rests = self.now < line.rest_until.max(self.keys_rest_until);
+            line.turn.front() == Some(&id) && (!rests || !message.attempts.is_empty())
         });
         let unit_id = self.unit_of(endpoint);
         let waits = self.units.get(&unit_id).is_some_and(|unit| self.now < unit.wait_until);
--- a/src/decide/proposals.rs
+++ b/src/decide/proposals.rs
@@ -140,7 +140,8 @@
             let unit_id = self.unit_of(endpoint);
             if (copy && tries > 0) || !self.may_send(id, endpoint, joined.is_some()) {
                 let key = self.messages[&id].key.and_then(|key| self.keys.get(&key));
-                let until = [key.map(|line| line.rest_until), Some(self.unit(unit_id).wait_until)];
+                let rest = key.map(|line| line.rest_until.max(self.keys_rest_until));
+                let until = [rest, Some(self.unit(unit_id).wait_until)];
                 self.due =
                     until.into_iter().flatten().filter(|&at| at > self.now).fold(self.due, Micros::min);
                 continue;
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -183,6 +183,8 @@
         /// Its attempts, in the order of their sending; later ones are numbered on from them.
         attempts: Vec<PastAttempt>,
     },
+    /// The process before this one has ended, maybe just now: calls that it had given up may still run.
+    Restarted,
     /// A message that ended before a restart and whose notice is still owed.
     Unnoticed(NewMessage),
     /// The notice of a message that the sender ended has arrived: the message is over.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 mod backlog;
 pub mod decide;
 pub mod interface;
+pub mod lifecycle;
 pub mod pool;
 mod state;
 pub mod wire;
--- a/src/net/driver/intake.rs
+++ b/src/net/driver/intake.rs
@@ -7,6 +7,7 @@
 use crate::net::journal::{Origin, Taken, Terms};
 use crate::net::upgrade::text;
 use hyper::header::HeaderValue;
+use milletturn::lifecycle::Promise;
 use milletturn::wire::position;
 use milletturn::{Action, Class, EndpointId, Event, MessageId, Micros, NewMessage, PastAttempt};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -19,9 +20,18 @@
     hasher.finish()
 }
 
+/// What was promised for a message when it was taken on.
+fn promise_of(terms: &Terms, origin: &Origin) -> Promise {
+    let key = origin.subject.as_deref().filter(|_| terms.ordered).map(key_of);
+    Promise::new(key, terms.effect)
+}
+
 impl Driver {
     /// Hands back what an earlier life had taken on; what had ended is owed its notice again.
     pub(super) fn resume(&mut self, taken_over: bool) {
+        if !taken_over && self.journal.has_records() {
+            self.events.push(Event::Restarted);
+        }
         let owed = self.journal.owed().clone();
         let now = self.clock.at(Instant::now());
         for owed in owed.values() {
@@ -48,7 +58,17 @@
                 attempts: owed.terms.as_ref().map(|terms| terms.attempts as usize),
                 ..NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now)
             };
+            let promise = match &owed.terms {
+                Some(terms) => promise_of(terms, &owed.origin),
+                None => Promise { key: None, once: false },
+            };
+            let out = self.messages.get(&message).map_or(0, |held| {
+                held.attempts.iter().filter(|attempt| attempt.out && attempt.record.is_some()).count()
+            });
+            let risky = owed.attempts.iter().filter(|sent| !sent.never_ran).count();
+            self.lifecycle.resume(message, promise, out, risky > out);
             if let Some(ending) = owed.ending {
+                self.lifecycle.close(message);
                 if !taken_over {
                     self.events.push(Event::Unnoticed(new));
                 }
@@ -168,7 +188,12 @@
             body: arrival.body.to_vec(),
         };
         let origin = Origin { subject: arrival.subject.clone(), tenant: arrival.tenant.clone() };
+        let promise = promise_of(&terms, &origin);
         let written = self.journal.take(message.0, taken, origin, terms);
-        if self.check(written).is_some() { Answer::Taken } else { Answer::NoRoom }
+        if self.check(written).is_none() {
+            return Answer::NoRoom;
+        }
+        self.lifecycle.take(message, promise);
+        Answer::Taken
     }
 }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -20,6 +20,7 @@
 use super::upgrade::{Handover, Link, Lock, Successor};
 use hyper::header::HeaderValue;
 use milletturn::decide::AttemptOut;
+use milletturn::lifecycle::Lifecycle;
 use milletturn::pool::PoolSettings;
 use milletturn::wire::Names;
 use milletturn::{
@@ -138,6 +139,8 @@
     /// Attempts of all messages that have no outcome yet.
     attempts_out: usize,
     violations: Violations,
+    /// What has happened to each message: asked before a call begins.
+    lifecycle: Lifecycle,
     by_id: HashMap<HeaderValue, MessageId>,
     next_message: u64,
     out: BTreeMap<u64, CallOut>,
@@ -194,6 +197,7 @@
             messages: BTreeMap::new(),
             attempts_out: 0,
             violations: Violations::default(),
+            lifecycle: Lifecycle::default(),
             by_id: HashMap::new(),
             next_message: 0,
             out: BTreeMap::new(),
@@ -367,6 +371,7 @@
                 for number in numbers {
                     let written = self.journal.over(number);
                     self.check(written);
+                    self.lifecycle.over(MessageId(number));
                     self.events.push(Event::Noticed(MessageId(number)));
                 }
             }
--- a/src/net/driver/outcomes.rs
+++ b/src/net/driver/outcomes.rs
@@ -32,7 +32,9 @@
         };
         let Some(Attempt { endpoint, sent, record, .. }) = self.take_out(message, number) else { return };
         self.call_is_less(ended.call);
-        let latency = self.clock.at(Instant::now()) - sent;
+        let now = self.clock.at(Instant::now());
+        let latency = now - sent;
+        self.lifecycle.ended(message, ended.outcome, now, self.settings.safety.key_rest);
         let open = self.messages.get(&message).is_some_and(|held| held.open);
         if let Some(record) = record.filter(|_| ended.outcome.never_ran() && open) {
             let written = self.journal.never_ran(message.0, record);
@@ -103,6 +105,7 @@
 
     /// Nothing more is owed for the message.
     pub(super) fn end(&mut self, message: MessageId) {
+        self.lifecycle.over(message);
         if self.close(message) {
             let written = self.journal.over(message.0);
             self.check(written);
@@ -150,9 +153,16 @@
             return self.unsent(out);
         };
         let most = self.settings.kinds.get(kind).map_or(1, |kind| kind.bundle_max);
+        if let Err(refusal) = self.lifecycle.begin(message, now) {
+            if open {
+                self.violations.count(Violation::CallForbidden(refusal), format_args!("{out:?}"));
+            }
+            return self.unsent(out);
+        }
         // one that is not open was dropped in this very turn
         let written = open.then(|| self.journal.sent(message.0, &uid, now));
         let Some(record) = written.and_then(|written| self.check(written)) else {
+            self.lifecycle.ended(message, UNSENT, now, 0);
             return self.unsent(out);
         };
         if let Some(tried) = self.messages.get_mut(&message).and_then(|held| held.attempts.get_mut(attempt)) {
@@ -210,6 +220,7 @@
         self.next_call += 1;
         let Some(place) = self.place_of(bundle.endpoint) else {
             for &(message, number) in &bundle.sends {
+                self.lifecycle.ended(message, UNSENT, Micros::MIN, 0);
                 self.unsent(AttemptOut { message, number, endpoint: bundle.endpoint });
             }
             return;
--- a/src/net/driver/undelivered.rs
+++ b/src/net/driver/undelivered.rs
@@ -25,6 +25,7 @@
         let deadline = self.journal.owed().get(&message.0).map_or(Micros::MIN, |owed| owed.taken.deadline);
         let written = self.journal.ending(message.0, ending);
         self.check(written);
+        self.lifecycle.close(message);
         self.close(message);
         let notice = Notice { number: message.0, id, ending };
         self.untold.push(Untold { notice, spent_at: deadline.saturating_sub(MARGIN) });
--- a/src/net/driver/violations.rs
+++ b/src/net/driver/violations.rs
@@ -1,5 +1,6 @@
 //! What must never happen between the decision module and the driver, checked at run time: counted, logged and put right.
 
+use milletturn::lifecycle::Refusal;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -14,16 +15,22 @@
     OutcomeUnknown,
     /// The module called off an attempt whose call is not known.
     CancelUnknown,
+    /// The module decided a call that what has happened forbids.
+    CallForbidden(Refusal),
 }
 
 impl fmt::Display for Violation {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+        let text = match self {
+            Violation::CallForbidden(refusal) => {
+                return write!(formatter, "a call must not begin: {refusal}");
+            }
             Violation::AttemptLost => "an attempt is waited for that is not out",
             Violation::AttemptNumber => "an attempt has another number than expected",
             Violation::OutcomeUnknown => "an outcome came for an attempt that is not out",
             Violation::CancelUnknown => "an attempt is called off whose call is not known",
-        })
+        };
+        formatter.write_str(text)
     }
 }
 
--- a/src/net/journal/mod.rs
+++ b/src/net/journal/mod.rs
@@ -156,6 +156,11 @@
         self.contents.out.contains_key(uid)
     }
 
+    /// True if an earlier process, or this one, has written something down.
+    pub fn has_records(&self) -> bool {
+        self.size > 0
+    }
+
     /// True while something that has happened is not in the file yet: a next life would not know of it.
     pub fn has_pending(&self) -> bool {
         !self.pending.is_empty()
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -582,6 +582,9 @@
     fn drop(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
+        let log = self.log.lock().map(|log| log.clone()).unwrap_or_default();
+        let violations: Vec<_> = log.iter().filter(|line| line.starts_with("violation: ")).collect();
+        assert!(violations.is_empty() || thread::panicking(), "{violations:#?}");
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -227,6 +227,32 @@
     Event::Accepted(new)
 }
 
+#[test]
+fn after_a_restart_every_key_rests_and_nothing_else_does() {
+    let mut rig = Rig::new(settings(8), vec![entry(1, 40)]);
+    rig.tell(vec![Event::Restarted]);
+    let mut keyed = NewMessage::new(MessageId(1), ORDERED, 40, 30 * SECOND);
+    keyed.key = Some(5);
+    rig.tell(vec![Event::Accepted(keyed), message(2, FREE, 40)]);
+    assert_eq!((rig.sends_of(1).len(), rig.sends_of(2).len()), (0, 1));
+    rig.run(T0 + SECOND);
+    let sent = rig.sends_of(1)[0];
+    assert!((100 * MILLISECOND..110 * MILLISECOND).contains(&sent), "after {sent} us");
+}
+
+#[test]
+fn while_this_machine_fails_nothing_is_sent_and_no_endpoint_is_blamed() {
+    let mut rig = Rig::new(settings(8), vec![entry(1, 40)]);
+    rig.tell(vec![Event::HostFailing(true)]);
+    rig.tell(vec![message(1, FREE, 40), message(2, UNSAFE, 40)]);
+    rig.run(T0 + 5 * SECOND);
+    assert_eq!(rig.sends.len(), 0);
+    rig.tell(vec![Event::HostFailing(false)]);
+    rig.run(T0 + 6 * SECOND);
+    assert_eq!((rig.sends_of(1).len(), rig.sends_of(2).len()), (1, 1));
+    assert!(!rig.log.iter().any(|(_, action)| matches!(action, Action::Log(text) if text.contains("sick"))));
+}
+
 #[test]
 fn messages_of_a_key_go_in_turn_and_the_key_rests_after_an_unsure_end() {
     let mut rig = Rig::new(settings(40), pool(1));
