Lab: failing system calls, checks of order and recovery, and a randomized fault soak

Change: faults of kind calls by the preloaded library, which the tests share; hot keys and an ordered class that may be repeated; checks of order within a key over restarts, of recovery after the last fault, and of violation lines, each with planted breaches; a soak that draws scenarios from seeds. Found on the way: the lab ended discovery's notices with its watches (its own fault), and notices backed off up to 1 s after a failure, more than the 300 ms in which an end is overdue: 200 ms at most now. A second start is an upgrade.

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -1,5 +1,8 @@
 //! Rules, checked over a history. Each says what it saw break, with the time and the id.
 
+mod order;
+mod recovery;
+
 use crate::agreement;
 use crate::history::{Event, Head, Record};
 use crate::limits;
@@ -41,6 +44,9 @@
         agreement,
         drains,
         limits,
+        order::check(records),
+        recovery::check(records, head.ends_us),
+        invariants(records),
     ]
     .concat();
     breaches.sort_by_key(|breach| breach.at_us);
@@ -232,6 +238,18 @@
     breaches
 }
 
+/// No sender saw an invariant of its own broken.
+fn invariants(records: &[Record]) -> Vec<Breach> {
+    let violated = |record: &Record| match &record.event {
+        Event::Violated { sender, line } => {
+            let what = format!("n{sender}: {line}");
+            Some(Breach { rule: "invariants", at_us: record.at_us, what })
+        }
+        _ => None,
+    };
+    records.iter().filter_map(violated).collect()
+}
+
 /// No process ends but by the lab.
 fn processes(records: &[Record]) -> Vec<Breach> {
     let ended = |record: &Record| match &record.event {
@@ -339,6 +357,7 @@
     #[test]
     fn each_way_to_break_a_rule_is_found() {
         let crash = Event::Ended { sender: 1, pid: 9, meant: false, status: "signal 6".to_string() };
+        let violated = Event::Violated { sender: 1, line: "violation: one".to_string() };
         let taken = || vec![(0.0, handed("a", 2)), (0.1, answered("a", 202))];
         for (more, rule) in [
             (vec![(9.0, end())], "ends once"),
@@ -348,6 +367,7 @@
             (vec![(1.0, called("b")), (1.5, replied("a", 200))], "calls"),
             (vec![(1.0, told(false)), (3.2, called("a")), (3.5, replied("a", 200))], "drains"),
             (vec![(1.0, replied("a", 200)), (2.0, crash)], "processes"),
+            (vec![(1.0, replied("a", 200)), (2.0, violated)], "invariants"),
         ] {
             assert_eq!(broken([taken(), more.clone()].concat()), [rule], "{more:?}");
         }
--- /dev/null
+++ b/lab/src/check/order.rs
@@ -0,0 +1,179 @@
+//! Order of a key: its messages go one at a time, in the order in which they were handed in to a sender, over its restarts.
+
+use super::{Breach, SLACK_US};
+use crate::history::{Event, Record};
+use crate::plan::Act;
+use std::collections::{BTreeMap, HashMap};
+
+/// How long a key rests after a call that may run on, as the senders are told.
+const KEY_REST_US: u64 = 300_000;
+
+/// A message of a key, as far as seen.
+#[derive(Debug)]
+struct Message<'a> {
+    id: &'a str,
+    taken: bool,
+    over: bool,
+    called: bool,
+    /// Calls that endpoints have read and not ended.
+    calls: usize,
+    /// When one of them was last given up.
+    abandoned_us: Option<u64>,
+}
+
+/// All breaches, in order of time.
+pub fn check(records: &[Record]) -> Vec<Breach> {
+    let mut keys: BTreeMap<(usize, u32), Vec<Message>> = BTreeMap::new();
+    let mut key_of: HashMap<&str, (usize, u32)> = HashMap::new();
+    // an endpoint learns late of the end of a call where something holds up the way to it
+    let impaired = records.iter().any(|record| match &record.event {
+        Event::Step { what } => matches!(serde_json::from_str(what), Ok(Act::Impair { .. })),
+        _ => false,
+    });
+    let mut breaches = Vec::new();
+    for Record { at_us, event } in records {
+        let mut change = |id: &str, change: fn(&mut Message, u64)| {
+            let messages = key_of.get(id).and_then(|key| keys.get_mut(key));
+            let message = messages.and_then(|all| all.iter_mut().find(|message| message.id == id));
+            message.into_iter().for_each(|message| change(message, *at_us));
+        };
+        match event {
+            Event::Handed { id, sender, key: Some(key), .. } => {
+                key_of.insert(id, (*sender, *key));
+                let message =
+                    Message { id, taken: false, over: false, called: false, calls: 0, abandoned_us: None };
+                keys.entry((*sender, *key)).or_default().push(message);
+            }
+            Event::Answered { id, status: 200 | 202 } => change(id, |message, _| message.taken = true),
+            Event::Notice { id, .. } => change(id, |message, _| message.over = true),
+            Event::Replied { id, status, .. } => {
+                change(id, |message, _| message.calls = message.calls.saturating_sub(1));
+                if *status == 200 {
+                    change(id, |message, _| message.over = true);
+                }
+            }
+            Event::Abandoned { id, .. } => change(id, |message, at_us| {
+                message.calls = message.calls.saturating_sub(1);
+                message.abandoned_us = Some(at_us);
+            }),
+            Event::FolderLost { sender } => keys.retain(|(of, _), _| of != sender),
+            Event::Called { id, sender, .. } => {
+                let Some(key) = key_of.get(id.as_str()) else { continue };
+                let Some(messages) = keys.get_mut(key) else { continue };
+                let Some(at) = messages.iter().position(|message| message.id == id) else { continue };
+                for before in &messages[..at] {
+                    let why = overtaken(before, *at_us, impaired);
+                    breaches.extend(why.map(|why| Breach {
+                        rule: "order",
+                        at_us: *at_us,
+                        what: format!("{id} came from n{sender} {why} {} of its key", before.id),
+                    }));
+                }
+                let after = messages[at + 1..].iter().find(|later| messages[at].taken && later.called);
+                breaches.extend(after.map(|later| Breach {
+                    rule: "order",
+                    at_us: *at_us,
+                    what: format!("{id} came from n{sender} after {} of its key", later.id),
+                }));
+                (messages[at].called, messages[at].calls) = (true, messages[at].calls + 1);
+            }
+            _ => {}
+        }
+    }
+    breaches
+}
+
+/// Why a call of a later message comes too early, if it does.
+fn overtaken(before: &Message, at_us: u64, impaired: bool) -> Option<&'static str> {
+    if before.taken && !before.over {
+        return Some("before the end of");
+    }
+    if impaired {
+        return None;
+    }
+    let rests = |since: u64| at_us + SLACK_US < since + KEY_REST_US;
+    match (before.calls, before.abandoned_us) {
+        (1.., _) => Some("during a call of"),
+        (0, Some(since)) if rests(since) => Some("in the rest after a given-up call of"),
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn handed(id: &str) -> Event {
+        let (id, key, deadline_us) = (id.to_string(), Some(7), 6_000_000);
+        Event::Handed { id, arrival: 0, sender: 1, class: 2, key, dest: 0, deadline_us }
+    }
+
+    fn answered(id: &str) -> Event {
+        Event::Answered { id: id.to_string(), status: 202 }
+    }
+
+    fn called(id: &str) -> Event {
+        Event::Called { id: id.to_string(), endpoint: 0, sender: 1, run: true }
+    }
+
+    fn replied(id: &str, status: u16) -> Event {
+        Event::Replied { id: id.to_string(), endpoint: 0, sender: 1, status }
+    }
+
+    fn abandoned(id: &str) -> Event {
+        Event::Abandoned { id: id.to_string(), endpoint: 0, sender: 1 }
+    }
+
+    fn notice(id: &str) -> Event {
+        Event::Notice { id: id.to_string(), state: "failed".to_string() }
+    }
+
+    fn found(events: Vec<(f64, Event)>) -> usize {
+        let two = [(0.0, handed("a")), (0.1, answered("a")), (0.2, handed("b")), (0.3, answered("b"))];
+        let all = two.into_iter().chain(events);
+        let records: Vec<Record> =
+            all.map(|(at, event)| Record { at_us: (at * 1e6) as u64, event }).collect();
+        check(&records).len()
+    }
+
+    #[test]
+    fn what_goes_in_turn_breaks_nothing() {
+        for events in [
+            vec![(1.0, called("a")), (1.1, replied("a", 200)), (1.1, called("b"))],
+            vec![(1.0, called("a")), (1.1, replied("a", 503)), (1.2, notice("a")), (1.3, called("b"))],
+            vec![(1.0, called("a")), (1.1, abandoned("a")), (1.2, notice("a")), (1.41, called("b"))],
+            // a repeat of what is delivered comes before the next one
+            vec![(1.0, called("a")), (1.1, replied("a", 200)), (1.2, called("a")), (1.3, replied("a", 200))],
+        ] {
+            assert_eq!(found(events.clone()), 0, "{events:?}");
+        }
+    }
+
+    #[test]
+    fn each_way_to_overtake_is_found() {
+        for events in [
+            // the first has no end, is called, is given up and may run on
+            vec![(1.0, called("b"))],
+            vec![(1.0, called("a")), (1.1, called("b"))],
+            vec![(1.0, called("a")), (1.1, notice("a")), (1.2, called("b"))],
+            vec![(1.0, called("a")), (1.1, abandoned("a")), (1.2, notice("a")), (1.3, called("b"))],
+            // a next life sends what was delivered after the second
+            vec![
+                (1.0, called("a")),
+                (1.1, replied("a", 200)),
+                (1.2, called("a")),
+                (1.3, called("b")),
+                (1.4, replied("b", 200)),
+            ],
+        ] {
+            assert_eq!(found(events.clone()), 1, "{events:?}");
+        }
+    }
+
+    #[test]
+    fn a_repeat_of_the_first_after_the_second_is_found() {
+        let first = [(1.0, called("a")), (1.1, replied("a", 200)), (1.2, called("b"))];
+        let again = [(1.3, replied("b", 200)), (2.0, called("a")), (2.1, replied("a", 200))];
+        assert_eq!(found([first, again].concat()), 1);
+    }
+}
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -5,7 +5,7 @@
 //! sender outlives the lab, even one that is killed. Processes must therefore be started on the main thread.
 
 use crate::history::{Event, History};
-use crate::plan::{CLASSES, SHOPS, WINDOW_S};
+use crate::plan::{CLASSES, SHOPS, WINDOW_S, keeps_order};
 use crate::scenario::Scenario;
 use crate::usage;
 use anyhow::{Context, bail};
@@ -27,6 +27,8 @@
 const STANDS: u16 = 9000;
 /// Each second process of a sender has its operators' address here.
 const CONTROL_NEXT: u16 = 8011;
+/// Makes system calls fail; see there.
+const SHIM: &str = include_str!("../shim/failing_calls.c");
 /// Held by a run, so that no two share addresses.
 const CLAIM: u16 = 7999;
 
@@ -159,10 +161,10 @@
     }
 
     fn config(&self, sender: usize, control: SocketAddr) -> Value {
-        let classes = CLASSES.iter().map(|class| {
+        let classes = CLASSES.iter().enumerate().map(|(number, class)| {
             json!({ "name": class.name, "aim": class.aim_s, "deadline": class.deadline_s, "worth": class.worth,
                 "lateShare": class.late_share, "effect": class.effect, "group": "all", "window": WINDOW_S,
-                "oneAtATime": class.in_order })
+                "oneAtATime": keeps_order(&self.scenario, number) })
         });
         let shops = SHOPS.iter().map(|(name, share)| {
             json!({ "name": name, "fraction": share, "allowancePerS": share * 2.0 * self.scenario.traffic.per_s })
@@ -237,6 +239,10 @@
     /// Its folder can't be written or the program can't be started.
     pub fn start(&mut self, sender: usize) -> anyhow::Result<()> {
         self.starts += 1;
+        if let Some(before) = &self.processes[sender] {
+            // whatever starts this one, one that runs hands over to it
+            before.relieved.store(true, Ordering::SeqCst);
+        }
         // the process before it may still be there: it leaves slowly, or hands over
         let port = if self.ports[sender] == CONTROL { CONTROL_NEXT } else { CONTROL };
         self.ports[sender] = port;
@@ -246,11 +252,16 @@
         std::fs::create_dir_all(home.join("state")).and_then(|()| std::fs::create_dir_all(&temporary))?;
         let config = home.join("config.json");
         std::fs::write(&config, serde_json::to_vec(&self.config(sender, control))?)?;
-        let variables = [
+        let mut variables = vec![
             ("RELAY_CONFIG", config.into_os_string()),
             ("RELAY_STATE", home.join("state").into_os_string()),
             ("TMPDIR", temporary.into_os_string()),
         ];
+        if self.scenario.fails_calls() {
+            let switches = self.switches(sender)?;
+            variables.push(("LD_PRELOAD", self.shim()?.into_os_string()));
+            variables.push(("FAULT_DIR", switches.into_os_string()));
+        }
         let history = self.history.clone();
         let process = spawn(&self.program, &[], &variables, &home.join("log"), move |pid, meant, status| {
             history.tell(Event::Ended { sender, pid, meant, status });
@@ -261,6 +272,66 @@
         Ok(())
     }
 
+    /// The folder whose files say which system calls of a sender fail.
+    fn switches(&self, sender: usize) -> anyhow::Result<PathBuf> {
+        let switches = self.home(sender).join("faults");
+        std::fs::create_dir_all(&switches)?;
+        Ok(switches)
+    }
+
+    /// The library that makes system calls fail, built on first use.
+    fn shim(&self) -> anyhow::Result<PathBuf> {
+        let library = self.folder.join("failing_calls.so");
+        if !library.exists() {
+            let source = self.folder.join("failing_calls.c");
+            std::fs::write(&source, SHIM)?;
+            let built = std::process::Command::new("cc")
+                .args(["-shared", "-fPIC", "-O1", "-o"])
+                .args([library.as_os_str(), source.as_os_str(), "-ldl".as_ref()])
+                .status()
+                .context("cc can't be started")?;
+            if !built.success() {
+                bail!("{} can't be built", source.display());
+            }
+        }
+        Ok(library)
+    }
+
+    /// Has system calls of a sender fail from now on.
+    ///
+    /// # Errors
+    /// The switch can't be written.
+    pub fn fail_calls(&self, sender: usize, call: &str, number: i32, percent: u8) -> anyhow::Result<()> {
+        let switches = self.switches(sender)?;
+        // whole from the first moment on
+        let new = switches.join(".new");
+        std::fs::write(&new, format!("{number} {percent}"))?;
+        std::fs::rename(new, switches.join(call))?;
+        Ok(())
+    }
+
+    /// Has these system calls of a sender succeed again.
+    ///
+    /// # Errors
+    /// The switch can't be removed.
+    pub fn restore_calls(&self, sender: usize, call: &str) -> anyhow::Result<()> {
+        match std::fs::remove_file(self.switches(sender)?.join(call)) {
+            // two faults of one name overlapped, and the first end ended both
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(()),
+            other => Ok(other?),
+        }
+    }
+
+    /// Lines of the senders' logs that tell of an invariant that did not hold.
+    pub fn violations(&self) -> Vec<(usize, String)> {
+        let of_sender = |sender: usize| {
+            let log = std::fs::read_to_string(self.home(sender).join("log")).unwrap_or_default();
+            let lines = log.lines().filter(|line| line.starts_with("violation: "));
+            lines.map(|line| (sender, line.to_string())).collect::<Vec<_>>()
+        };
+        (0..self.processes.len()).flat_map(of_sender).collect()
+    }
+
     /// Signals a sender's process; one that is gone hears nothing, which the history tells.
     pub fn signal(&mut self, sender: usize, signal: Signal, ends: bool) {
         let process = if ends { self.processes[sender].take() } else { None };
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -68,6 +68,17 @@
         sender: usize,
         status: u16,
     },
+    /// A call ended at the endpoint before its answer was written.
+    Abandoned {
+        id: String,
+        endpoint: usize,
+        sender: usize,
+    },
+    /// A sender's log tells of an invariant that did not hold.
+    Violated {
+        sender: usize,
+        line: String,
+    },
     /// A notice came in.
     Notice {
         id: String,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -18,6 +18,7 @@
 mod scenario;
 mod serve;
 mod site;
+mod soak;
 mod usage;
 mod world;
 
@@ -64,6 +65,30 @@
         #[arg(long, default_value = "found/lab")]
         out: PathBuf,
     },
+    /// Plays scenarios with drawn faults that overlap, one a seed, and checks each.
+    Soak {
+        /// First seed.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// Number of seeds.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Senders of a run, drawn between these.
+        #[arg(long, default_value_t = 10)]
+        least: usize,
+        /// The most senders.
+        #[arg(long, default_value_t = 40)]
+        most: usize,
+        /// Time in which clients hand in, s.
+        #[arg(long, default_value_t = 28.0)]
+        seconds: f64,
+        /// The sender's program.
+        #[arg(long, default_value = "target/release/milletturn")]
+        program: PathBuf,
+        /// Folder for a folder a seed.
+        #[arg(long, default_value = "found/soak")]
+        out: PathBuf,
+    },
     /// Checks a recorded history again.
     Check {
         /// The history that a run left.
@@ -124,14 +149,19 @@
             scenario.senders = senders.unwrap_or(scenario.senders);
             let seed = seed.unwrap_or(scenario.seed);
             let order = run::Order { scenario, seed, program, registry, out };
-            let runtime =
-                tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-            let outcome = runtime.block_on(run::bounded(&order))?;
+            let outcome = runtime()?.block_on(run::bounded(&order))?;
             println!("{}", serde_json::to_string(&outcome.figures)?);
             let code = verdict(&outcome.breaches, outcome.void.as_deref());
             println!("history: {}", order.out.join("history.jsonl").display());
             Ok(code)
         }
+        Command::Soak { from, seeds, least, most, seconds, program, out } => {
+            let soak =
+                soak::Soak { seeds: from..=from + seeds - 1, senders: least..=most, seconds, program, out };
+            let broken = soak::soak(&soak)?;
+            println!("{broken} of {seeds} seeds broke a rule");
+            Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
+        }
         Command::Check { history } => {
             let (head, records) = history::read(&history)?;
             let breaches = check::check(&head, &records);
@@ -149,6 +179,10 @@
     }
 }
 
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()
+}
+
 fn write_site(
     base: &Path, mut choices: Vec<site::Choice>, draw: usize, seed: u64, out: &Path,
 ) -> anyhow::Result<ExitCode> {
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -56,6 +56,13 @@
     },
 ];
 
+/// True if messages of a class go one at a time by key.
+pub fn keeps_order(scenario: &Scenario, class: usize) -> bool {
+    CLASSES.get(class).is_some_and(|class| {
+        class.in_order || scenario.traffic.repeatable_in_order && class.effect == "idempotent"
+    })
+}
+
 /// Shops and their shares of the messages.
 pub const SHOPS: [(&str, f64); 3] = [("sach-vui", 0.53), ("thu-vien-nho", 0.33), ("doc-cung-em", 0.14)];
 
@@ -135,6 +142,17 @@
     Discovery {
         up: bool,
     },
+    /// System calls of this name fail from now on, or none does any more.
+    FailCalls {
+        sender: usize,
+        call: String,
+        number: i32,
+        percent: u8,
+    },
+    RestoreCalls {
+        sender: usize,
+        call: String,
+    },
     List {
         endpoint: usize,
         up: bool,
@@ -203,6 +221,8 @@
 
 fn draw_arrivals(scenario: &Scenario, random: &mut Pcg64) -> Vec<Arrival> {
     let (mut at, mut arrivals) = (0.0, Vec::new());
+    // as many keys as messages of two seconds: some wait for one another, most do not
+    let keys = scenario.traffic.keys.unwrap_or((2.0 * scenario.traffic.per_s).ceil() as u32);
     loop {
         // gaps of a Poisson process
         at += -(1.0 - random.random::<f64>()).ln() / scenario.traffic.per_s;
@@ -216,10 +236,7 @@
             class,
             shop: pick(random, SHOPS.iter().map(|shop| shop.1)),
             destination: random.random_range(0..scenario.destinations.count),
-            // as many keys as messages of two seconds: some wait for one another, most do not
-            key: CLASSES[class]
-                .in_order
-                .then(|| random.random_range(0..(2.0 * scenario.traffic.per_s).ceil() as u32)),
+            key: keeps_order(scenario, class).then(|| random.random_range(0..keys)),
             draw: random.random(),
         });
     }
@@ -299,6 +316,7 @@
         | What::Stop { who }
         | What::Upgrade { who }
         | What::Drain { who }
+        | What::Calls { who, .. }
         | What::Shut { who } => {
             for party in parties(who)? {
                 let (first, last) = acts_on(what, party);
@@ -321,6 +339,11 @@
         (What::Term { .. }, Party::Sender(sender)) => {
             (Act::Term { sender }, Some(Act::Start { sender, folder_lost: false }))
         }
+        (What::Calls { call, number, percent, .. }, Party::Sender(sender)) => {
+            let (call, number, percent) = (call.clone(), *number, *percent);
+            let restored = Act::RestoreCalls { sender, call: call.clone() };
+            (Act::FailCalls { sender, call, number, percent }, Some(restored))
+        }
         (What::Stop { .. }, Party::Sender(sender)) => (Act::Stop { sender }, Some(Act::Continue { sender })),
         (What::Kill { .. } | What::Term { .. } | What::Stop { .. }, Party::Registry(replica)) => {
             let (first, last) = match what {
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -148,6 +148,9 @@
         Fleet::new(program, out.clone(), addresses, history.clone(), discovery, scenario.clone(), *seed);
     let mut play = Play { net, world, front: front.clone(), fleet, replicas, history: history.clone() };
     let played = play.play(&plan, scenario).await;
+    for (sender, line) in play.fleet.violations() {
+        history.tell(Event::Violated { sender, line });
+    }
     history.tell(Event::Over {});
     let usage = play.fleet.usage();
     play.fleet.kill_all();
@@ -327,6 +330,10 @@
                 let end_old = end_old.map(|end| Box::new(end) as Box<dyn FnOnce() + Send>);
                 self.when_ready(*sender, later, end_old);
             }
+            Act::FailCalls { sender, call, number, percent } => {
+                self.fleet.fail_calls(*sender, call, *number, *percent)?;
+            }
+            Act::RestoreCalls { sender, call } => self.fleet.restore_calls(*sender, call)?,
             Act::Shut { endpoint, shut } => self.world.shut(*endpoint, *shut),
             Act::Discovery { up } => self.world.set_discovery(*up),
             Act::List { endpoint, up } => {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -81,6 +81,11 @@
 pub struct Traffic {
     /// Messages a second, over all senders, open loop.
     pub per_s: f64,
+    /// Keys of the messages that keep order; as many as messages of two seconds where not given.
+    pub keys: Option<u32>,
+    /// A class that may be repeated keeps order too: what is sent again out of turn shows at the endpoints.
+    #[serde(default)]
+    pub repeatable_in_order: bool,
 }
 
 /// Where messages go.
@@ -140,8 +145,43 @@
     Drain { who: String },
     /// Discovery answers 503 and ends its watches.
     DiscoveryDown {},
+    /// System calls of senders fail, see `lab/shim/failing_calls.c` for the names and what the number says.
+    Calls {
+        who: String,
+        call: String,
+        number: i32,
+        /// Percent of the calls that fail.
+        #[serde(default = "all_calls")]
+        percent: u8,
+    },
+}
+
+fn all_calls() -> u8 {
+    100
 }
 
+/// What [`What::Calls`] may name.
+pub const CALLS: [&str; 18] = [
+    "journal_open",
+    "journal_read",
+    "journal_write",
+    "journal_half",
+    "journal_slow",
+    "journal_short",
+    "journal_truncate",
+    "journal_rename",
+    "journal_unlink",
+    "lock_open",
+    "accept",
+    "bind",
+    "connect",
+    "socket",
+    "send",
+    "short_send",
+    "short_receive",
+    "wall_step",
+];
+
 /// In which direction a link is cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -276,9 +316,25 @@
                 _ => Err(format!("{name} names no endpoints")),
             },
             What::DiscoveryDown {} => Ok(()),
+            What::Calls { who: name, call, percent, .. } => {
+                who(name)?;
+                if !CALLS.contains(&call.as_str()) {
+                    return Err(format!("{call} is no call that can fail"));
+                }
+                if (1..=100).contains(percent) {
+                    Ok(())
+                } else {
+                    Err("percent is not from 1 to 100".to_string())
+                }
+            }
         }
     }
 
+    /// True if system calls of senders are to fail.
+    pub fn fails_calls(&self) -> bool {
+        self.faults.iter().any(|fault| matches!(fault.get_ref().what, What::Calls { .. }))
+    }
+
     /// The members' protocol period, us, if there is membership.
     pub fn period_us(&self) -> Option<u64> {
         let told = self.membership.as_ref()?.get("period_ms");
--- a/lab/src/serve.rs
+++ b/lab/src/serve.rs
@@ -1,6 +1,6 @@
 //! Endpoints and discovery as the senders meet them: HTTP over connections that pass the links.
 
-use crate::history::Event;
+use crate::history::{Event, History};
 use crate::listing::Listing;
 use crate::plan::Party;
 use crate::relay::{Net, lock};
@@ -17,6 +17,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -27,6 +28,8 @@
 /// Longest body of a message, of a batch of notices.
 const BODY_MOST: usize = 64 * 1024;
 const NOTICES_MOST: usize = 1 << 20;
+/// While discovery is down, how often a connection is looked at that may come to watch it.
+const WATCH_LOOK: Duration = Duration::from_millis(10);
 /// How often a watch is told that nothing changes.
 const EMPTY_LINE: Duration = Duration::from_secs(2);
 
@@ -148,8 +151,12 @@
             let (world, list) = (self.clone(), list.clone());
             let io = self.net.connect(stream, Party::Sender(sender), party);
             tokio::spawn(async move {
-                let service = service_fn(|request| {
+                let watches = AtomicBool::new(false);
+                let service = service_fn(|request: Request<Incoming>| {
                     let (world, list) = (world.clone(), list.clone());
+                    // notices are answered even while discovery is down
+                    let watch = party == Party::Discovery && request.method() == Method::GET;
+                    watches.fetch_or(watch, Ordering::Relaxed);
                     async move {
                         match party {
                             Party::Endpoint(endpoint) => world.call(request, endpoint, sender).await,
@@ -158,17 +165,26 @@
                     }
                 });
                 let connection = http1::Builder::new().serve_connection(TokioIo::new(io), service);
-                let mut up = world.discovery_up.subscribe();
                 tokio::select! {
                     // how a connection ends is the faults' affair
                     _ = connection => {}
-                    // watches end when discovery goes down
-                    _ = up.wait_for(|up| party == Party::Discovery && !up) => {}
+                    () = world.ends_watch(&watches) => {}
                 }
             });
         }
     }
 
+    /// Until discovery is down and the connection watches it.
+    async fn ends_watch(&self, watches: &AtomicBool) {
+        let mut up = self.discovery_up.subscribe();
+        while up.wait_for(|up| !up).await.is_ok() {
+            if watches.load(Ordering::Relaxed) {
+                return;
+            }
+            sleep(WATCH_LOOK).await;
+        }
+    }
+
     async fn call(
         &self, request: Request<Incoming>, endpoint: usize, sender: usize,
     ) -> Result<Response<Body>, io::Error> {
@@ -184,6 +200,8 @@
         };
         let run = fate != Fate::Full;
         history.tell(Event::Called { id: id.clone(), endpoint, sender, run });
+        let mut call =
+            OpenCall { history: history.clone(), id: id.clone(), endpoint, sender, answered: false };
         let status = match fate {
             Fate::Runs { after_us } => {
                 sleep(Duration::from_micros(after_us)).await;
@@ -191,6 +209,7 @@
             }
             Fate::Full => StatusCode::SERVICE_UNAVAILABLE,
         };
+        call.answered = true;
         history.tell(Event::Replied { id, endpoint, sender, status: status.as_u16() });
         Ok(plain(status, ""))
     }
@@ -240,6 +259,24 @@
     }
 }
 
+/// A call that has not been answered; dropped before that, its connection has ended.
+struct OpenCall {
+    history: Arc<History>,
+    id: String,
+    endpoint: usize,
+    sender: usize,
+    answered: bool,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        if !self.answered {
+            let (id, endpoint, sender) = (std::mem::take(&mut self.id), self.endpoint, self.sender);
+            self.history.tell(Event::Abandoned { id, endpoint, sender });
+        }
+    }
+}
+
 /// Where a sender's list comes from.
 #[derive(Debug)]
 enum Source {
--- /dev/null
+++ b/lab/src/soak.rs
@@ -0,0 +1,155 @@
+//! A randomized fault soak: scenarios drawn from seeds, with faults of many kinds that overlap in time, each checked like
+//! any other run. The drawn scenario is written beside the history, so that a failure can be played again by itself.
+
+use crate::run::{self, Order};
+use crate::scenario::Scenario;
+use anyhow::Context;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use std::fmt::Write;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+
+/// Faults begin from this second on, the fleet having served for a while.
+const FIRST_FAULT_S: f64 = 2.0;
+/// At the end all is calm for so long, s: time to recover, and to be seen to serve.
+const CALM_S: f64 = 14.0;
+/// Faults of a run for each second in which they may begin.
+const FAULTS_PER_S: f64 = 1.2;
+/// Longest fault, s.
+const LONGEST_S: f64 = 3.0;
+/// Keys of the messages that keep order, so few that most wait for one another.
+const KEYS: u32 = 12;
+
+/// System calls that fail in a soak, with the errors that Linux documents for them.
+const FAILING_CALLS: [(&str, &[i32]); 12] = [
+    ("journal_write", &[5, 28]),
+    ("journal_half", &[5, 28]),
+    ("journal_truncate", &[5]),
+    ("journal_rename", &[5, 28]),
+    ("journal_read", &[5]),
+    ("lock_open", &[5, 23]),
+    ("accept", &[103, 23, 105, 4]),
+    ("bind", &[99]),
+    ("connect", &[99, 101, 105, 4]),
+    ("socket", &[23, 24, 105]),
+    ("short_send", &[1]),
+    ("short_receive", &[64]),
+];
+
+/// What is soaked.
+#[derive(Debug, Clone)]
+pub struct Soak {
+    pub seeds: RangeInclusive<u64>,
+    /// Senders of a run: drawn from these.
+    pub senders: RangeInclusive<usize>,
+    /// Time in which clients hand in, s.
+    pub seconds: f64,
+    pub program: PathBuf,
+    pub out: PathBuf,
+}
+
+/// Plays all seeds; the number of those that broke a rule.
+///
+/// # Errors
+/// A run could not be made.
+pub fn soak(soak: &Soak) -> anyhow::Result<usize> {
+    let mut broken = 0;
+    for seed in soak.seeds.clone() {
+        let out = soak.out.join(format!("seed-{seed}"));
+        let text = draw(seed, soak.senders.clone(), soak.seconds);
+        std::fs::create_dir_all(&out).with_context(|| out.display().to_string())?;
+        std::fs::write(out.join("scenario.toml"), &text)?;
+        let scenario = Scenario::read(&text).context("the drawn scenario")?;
+        let (senders, faults) = (scenario.senders, scenario.faults.len());
+        let program = soak.program.clone();
+        let order = Order { scenario, seed, registry: program.clone(), program, out: out.clone() };
+        // what a run leaves behind ends with its runtime
+        let runtime = crate::runtime()?;
+        let outcome = runtime.block_on(run::bounded(&order)).with_context(|| format!("seed {seed}"))?;
+        drop(runtime);
+        let verdict = match (&outcome.breaches[..], &outcome.void) {
+            ([], None) => "HELD".to_string(),
+            ([], Some(why)) => format!("VOID: {why}"),
+            ([first, ..], _) => {
+                broken += 1;
+                let count = outcome.breaches.len();
+                format!(
+                    "BROKEN: {count}, first {} at {:.3} s: {}",
+                    first.rule,
+                    first.at_us as f64 / 1e6,
+                    first.what
+                )
+            }
+        };
+        let worth = outcome.figures.worth.all;
+        println!("seed {seed}: {senders} senders, {faults} faults, worth {worth:.3}: {verdict}");
+    }
+    Ok(broken)
+}
+
+/// A scenario's text: the same for the same seed and bounds.
+fn draw(seed: u64, senders: RangeInclusive<usize>, seconds: f64) -> String {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let senders = random.random_range(senders);
+    let mut text = format!(
+        "name = \"soak-{seed}\"\nseed = {seed}\nsenders = {senders}\nseconds = {seconds:.1}\nzones = [\"a\", \"b\"]\n\
+         [traffic]\nper_s = {}\nkeys = {KEYS}\nrepeatable_in_order = {}\n\
+         [destinations]\ncount = 6\nendpoints = 2\nlatency_ms = 60\ncapacity = 80\n",
+        senders * 10,
+        random.random_bool(0.5),
+    );
+    let span = (seconds - CALM_S - FIRST_FAULT_S).max(1.0);
+    let faults = (span * FAULTS_PER_S).ceil() as usize * senders.div_ceil(10);
+    for _ in 0..faults {
+        let at = FIRST_FAULT_S + random.random_range(0.0..span);
+        let lasts = random.random_range(0.3..LONGEST_S);
+        let _ = writeln!(text, "[[fault]]\nat = {at:.2}\n{}", draw_fault(&mut random, senders, lasts));
+    }
+    text
+}
+
+/// The rest of a fault's table.
+fn draw_fault(random: &mut Pcg64, senders: usize, lasts: f64) -> String {
+    let sender = format!("n{}", random.random_range(0..senders));
+    let many = if random.random_bool(0.3) { "share:0.5".to_string() } else { sender.clone() };
+    match random.random_range(0..20) {
+        0..10 => {
+            let (call, numbers) = FAILING_CALLS.choose(random).expect("there are some");
+            let number = numbers.choose(random).expect("there are some");
+            let percent = *[30u8, 100].choose(random).expect("there are some");
+            format!(
+                "seconds = {lasts:.2}\nkind = \"calls\"\nwho = \"{many}\"\ncall = \"{call}\"\nnumber = {number}\npercent = {percent}"
+            )
+        }
+        10 => {
+            let step = *[-3600, -5, 5, 3600].choose(random).expect("there are some");
+            format!(
+                "seconds = {lasts:.2}\nkind = \"calls\"\nwho = \"{many}\"\ncall = \"wall_step\"\nnumber = {step}"
+            )
+        }
+        11..14 => format!("seconds = {lasts:.2}\nkind = \"kill\"\nwho = \"{sender}\""),
+        14 => format!("seconds = {:.2}\nkind = \"term\"\nwho = \"{sender}\"", 4.0 + lasts),
+        15 => format!("seconds = {:.2}\nkind = \"stop\"\nwho = \"{sender}\"", lasts.min(1.0)),
+        16 => format!("kind = \"reset\"\nfrom = \"{many}\"\nto = \"endpoints\""),
+        17 => format!("seconds = {lasts:.2}\nkind = \"discovery_down\""),
+        18 => format!("kind = \"upgrade\"\nwho = \"{sender}\""),
+        _ => format!("seconds = {lasts:.2}\nkind = \"shut\"\nwho = \"e{}\"", random.random_range(0..12)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_drawn_is_a_scenario_and_follows_from_the_seed() {
+        for seed in 0..50 {
+            let text = draw(seed, 10..=40, 26.0);
+            assert_eq!(text, draw(seed, 10..=40, 26.0));
+            let scenario = Scenario::read(&text).unwrap_or_else(|error| panic!("{error}\n{text}"));
+            assert!((10..=40).contains(&scenario.senders) && scenario.faults.len() >= 12);
+        }
+    }
+}
--- a/lab/tests/fleets.rs
+++ b/lab/tests/fleets.rs
@@ -188,6 +188,34 @@
     });
 }
 
+#[test]
+fn a_fleet_whose_disks_never_take_a_record_again_is_caught() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let text = SMALL.replace("seconds = 3", "seconds = 11");
+    let fault = r#"
+        [[fault]]
+        at = 0.5
+        kind = "calls"
+        who = "senders"
+        call = "journal_write"
+        number = 5
+    "#;
+    let output = play(&format!("{text}{fault}"), &program(), folder.path());
+    assert_eq!(output.status.code(), Some(1), "{}", said(&output));
+    assert!(said(&output).contains("broken: recovery"), "{}", said(&output));
+}
+
+#[test]
+fn a_fleet_serves_again_after_faults_that_overlap() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut command = lab();
+    command.args(["soak", "--from", "3", "--seeds", "1", "--least", "10", "--most", "10", "--seconds", "20"]);
+    command.arg("--program").arg(program()).arg("--out").arg(folder.path());
+    let said = said(&command.output().expect("the lab runs"));
+    // a machine that is busy makes the lab late, which voids the figures and breaks no rule
+    assert!(said.contains("HELD") || said.contains("VOID"), "{said}");
+}
+
 #[test]
 fn a_sender_that_never_gets_ready_ends_the_run_with_its_name() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/src/net/discovery/notices.rs
+++ b/src/net/discovery/notices.rs
@@ -16,7 +16,8 @@
 
 /// The agent answers notices at once.
 const ANSWER: Duration = Duration::from_secs(1);
-const RETRY_MOST: Duration = Duration::from_millis(1000);
+/// A message's end is overdue 300 ms after its time: what fails for a moment must not delay it beyond that.
+const RETRY_MOST: Duration = Duration::from_millis(200);
 /// Notices in one request, some 60 bytes each; the next request has the next ones.
 const BATCH: usize = 200;
 
--- a/tests/node/shim.rs
+++ b/tests/node/shim.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command};
 use std::sync::OnceLock;
 
-const SOURCE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/node/failing_calls.c");
+const SOURCE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/lab/shim/failing_calls.c");
 
 /// Numbers that Linux gives its errors.
 pub const EINTR: i32 = 4;
