A disk that recovers is found within 25 ms, and each step of a message can be traced

Cause: a failing disk was asked every 250 ms, a quarter of a short fault; logs told neither when it recovered nor how one message fared. Change: while it fails it is asked every 25 ms; both changes of state are logged; RELAY_TRACE tells each step of each message by its id.

--- a/src/net/driver/intake.rs
+++ b/src/net/driver/intake.rs
@@ -105,6 +105,7 @@
                     record: Some(record),
                 })
                 .collect();
+            crate::net::trace(&id, format_args!("taken up again after {} attempts", past.len()));
             self.events.push(Event::Resumed { message: new, attempts: past });
             let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
             self.messages.insert(message, Message { item, open: true, clients: 1, attempts });
@@ -153,6 +154,7 @@
                 continue; // its client has left
             }
             let answer = ends.unwrap_or_else(|| self.write_down(message, &arrival, began));
+            crate::net::trace(&arrival.id, format_args!("handed in: {answer:?}"));
             if answer != Answer::Taken {
                 self.close(message);
                 if answer == Answer::NoRoom {
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -16,6 +16,7 @@
 use super::discovery::Notice;
 use super::events::{Answer, Arrival, Input, ListUpdate, Order, Word};
 use super::journal::{Ending, Journal, JournalError};
+use super::machine::RETRY;
 use super::server::Classes;
 use super::upgrade::{Handover, Link, Lock, Successor};
 use hyper::header::HeaderValue;
@@ -33,7 +34,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, MissedTickBehavior, sleep_until};
 use undelivered::Untold;
 use violations::Violations;
 
@@ -255,6 +256,8 @@
         mut successors: mpsc::Receiver<Successor>,
     ) {
         let mut sweep = tokio::time::interval(SWEEP);
+        let mut disk = tokio::time::interval(RETRY);
+        disk.set_missed_tick_behavior(MissedTickBehavior::Delay);
         // what was told before the first turn binds it
         while let Ok(input) = inputs.try_recv() {
             self.learn(input);
@@ -289,13 +292,17 @@
                 },
                 _ = sweep.tick() => {
                     self.calls.connections().sweep();
-                    let written = self.journal.retry();
-                    self.check(written);
-                    let recovered = self.host_failing && !self.journal.is_failing();
+                    let recovered = self.retry_disk();
                     if !self.thaw() && !recovered && self.untold.is_empty() {
                         continue;
                     }
                 }
+                // all waits for the disk meanwhile
+                _ = disk.tick(), if self.host_failing => {
+                    if !self.retry_disk() {
+                        continue;
+                    }
+                }
                 input = inputs.recv() => match input {
                     Some(input) => self.learn(input),
                     None => return,
@@ -310,6 +317,13 @@
         }
     }
 
+    /// Tries again what the disk failed; whether it takes records again.
+    fn retry_disk(&mut self) -> bool {
+        let written = self.journal.retry();
+        self.check(written);
+        self.host_failing && !self.journal.is_failing()
+    }
+
     /// The list that is known, by its version.
     pub fn list_version(&self) -> u64 {
         self.list_version
@@ -385,6 +399,9 @@
         }
         if self.journal.is_failing() != self.host_failing {
             self.host_failing = !self.host_failing;
+            let state =
+                if self.host_failing { "takes nothing: no call begins" } else { "takes records again" };
+            super::log(format_args!("journal: the disk {state}"));
             self.events.push(Event::HostFailing(self.host_failing));
         }
         let events = std::mem::take(&mut self.events);
--- a/src/net/driver/outcomes.rs
+++ b/src/net/driver/outcomes.rs
@@ -31,6 +31,10 @@
                 .count(Violation::OutcomeUnknown, format_args!("call {call}, item {item}"));
         };
         let Some(Attempt { endpoint, sent, record, .. }) = self.take_out(message, number) else { return };
+        self.trace(
+            message,
+            format_args!("attempt {number} ended: {:?}, closed {}", ended.outcome, ended.closed),
+        );
         self.call_is_less(ended.call);
         let now = self.clock.at(Instant::now());
         let latency = now - sent;
@@ -112,6 +116,13 @@
         }
     }
 
+    /// Tells of a step of the message, where that is wanted.
+    pub(super) fn trace(&self, message: MessageId, step: std::fmt::Arguments<'_>) {
+        if let Some(held) = self.messages.get(&message) {
+            crate::net::trace(&held.item.id, step);
+        }
+    }
+
     /// Marks the message as ended; false if it was.
     pub(super) fn close(&mut self, message: MessageId) -> bool {
         let Some(held) = self.messages.get_mut(&message).filter(|held| held.open) else { return false };
@@ -171,6 +182,7 @@
         let room = |bundle: &&mut Bundle| {
             bundle.endpoint == endpoint && bundle.sends.len() < most && bundle.size + size <= BODY_MOST
         };
+        self.trace(message, format_args!("attempt {attempt} begins at {uid}"));
         match bundles.iter_mut().find(room) {
             Some(bundle) => {
                 bundle.sends.push((message, attempt));
@@ -245,6 +257,7 @@
     pub(super) fn cancel(&mut self, message: MessageId, attempt: usize) {
         let tried = self.messages.get(&message).and_then(|held| held.attempts.get(attempt));
         let Some(tried) = tried.filter(|tried| tried.out) else { return };
+        self.trace(message, format_args!("attempt {attempt} is called off"));
         let Some(call) = self.out.get(&tried.call) else {
             let about = format_args!("{message:?}, attempt {attempt}");
             return self.violations.count(Violation::CancelUnknown, about);
--- a/src/net/driver/undelivered.rs
+++ b/src/net/driver/undelivered.rs
@@ -23,6 +23,7 @@
         };
         let id = held.item.id.to_str().map(str::to_string).unwrap_or_default();
         let deadline = self.journal.owed().get(&message.0).map_or(Micros::MIN, |owed| owed.taken.deadline);
+        crate::net::trace(&held.item.id, format_args!("ended undelivered: {ending:?}"));
         let written = self.journal.ending(message.0, ending);
         self.check(written);
         self.lifecycle.close(message);
