--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -285,3 +285,31 @@
     faults.off("config_read");
     wait_until("discovery has moved", || next.watches.load(std::sync::atomic::Ordering::SeqCst) == 1);
 }
+
+#[test]
+fn a_process_hands_over_in_small_pieces_and_once_the_disk_has_all() {
+    let (endpoint, gate) = gated("held");
+    let agent = one(&endpoint);
+    let faults = Faults::new(&agent, as_it_is);
+    let old = faults.start().ready();
+    assert_eq!(old.hand_in("order", "waits", 99, 20_000, &[b'x'; 20_000]), 202);
+    assert_eq!(old.hand_in("webhook", "held", 7, 20_000, b"x"), 202);
+    wait_until("it is out", || endpoint.times("held") == 1);
+    faults.on("short_send", 1);
+    faults.on("short_receive", 64);
+    // its end is known here and not on the disk: the next process would take it for owed
+    faults.on("journal_write", EIO);
+    *gate.lock().expect("not poisoned") = true;
+    wait_until("its end can't be written", || old.logged("the journal can't be written"));
+    let starts = thread::scope(|scope| {
+        let next = scope.spawn(|| faults.start());
+        assert_eq!(old.hand_in("webhook", "refused", 7, 20_000, b"x"), 503, "it owns the messages still");
+        faults.off("journal_write");
+        next.join().expect("it takes over")
+    });
+    assert!(starts.logged("taken over (as it was)"), "{:?}", starts.log);
+    assert!(old.logged("handed over 1 messages, 0 calls are out"), "{:?}", old.log);
+    let new = starts.ready();
+    assert_eq!(new.hand_in("webhook", "held", 7, 20_000, b"x"), 200, "it is remembered as delivered");
+    assert_eq!(endpoint.times("held"), 1);
+}
