The link of an upgrade waits only when the system says that it would block

Cause: as for the streams of clients and endpoints. Change: reads and writes by readiness that only WouldBlock clears, EINTR as a further try.

--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -16,7 +16,6 @@
 use std::path::Path;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
 use tokio::sync::{mpsc, watch};
@@ -183,9 +182,42 @@
     pub async fn send(&mut self, frame: &Frame) -> Result<(), LinkError> {
         let payload = postcard::to_allocvec(frame)?;
         let length = u32::try_from(payload.len()).map_err(|_| LinkError::Unexpected)?;
-        self.0.write_all(&length.to_le_bytes()).await?;
-        Ok(self.0.write_all(&payload).await?)
+        self.write_all(&length.to_le_bytes()).await?;
+        Ok(self.write_all(&payload).await?)
     }
+
+    /// Writes all bytes; waits only when the system says that it would block, see [`super::stream`].
+    async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            self.0.writable().await?;
+            match self.0.try_write(bytes) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(written) => bytes = &bytes[written..],
+                Err(error) if is_to_be_tried_again(&error) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn is_to_be_tried_again(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
+/// Fills the room; waits only when the system says that it would block, see [`super::stream`].
+async fn read_exact(reader: &OwnedReadHalf, room: &mut [u8]) -> io::Result<()> {
+    let mut filled = 0;
+    while filled < room.len() {
+        reader.readable().await?;
+        match reader.try_read(&mut room[filled..]) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(read) => filled += read,
+            Err(error) if is_to_be_tried_again(&error) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
 }
 
 impl Link {
@@ -195,7 +227,7 @@
     }
 
     async fn receive(&mut self) -> Result<Frame, LinkError> {
-        read_frame(&mut self.reader).await
+        read_frame(&self.reader).await
     }
 
     /// The old process's part: hands over, and waits until the new one owns all.
@@ -212,9 +244,9 @@
 
     /// Has all that comes handed to the driver, and the end of the link too; the rest is for writing.
     pub fn listen(self, inputs: mpsc::UnboundedSender<Input>) -> Writer {
-        let Link { mut reader, writer } = self;
+        let Link { reader, writer } = self;
         tokio::task::spawn_local(async move {
-            while let Ok(frame) = read_frame(&mut reader).await {
+            while let Ok(frame) = read_frame(&reader).await {
                 let Frame::Said(word) = frame else { continue };
                 if inputs.send(Input::Linked(word)).is_err() {
                     return;
@@ -226,15 +258,15 @@
     }
 }
 
-async fn read_frame(reader: &mut OwnedReadHalf) -> Result<Frame, LinkError> {
+async fn read_frame(reader: &OwnedReadHalf) -> Result<Frame, LinkError> {
     let mut length = [0; 4];
-    reader.read_exact(&mut length).await?;
+    read_exact(reader, &mut length).await?;
     let length = u32::from_le_bytes(length) as usize;
     if length > LONGEST {
         return Err(LinkError::Unexpected);
     }
     let mut payload = vec![0; length];
-    reader.read_exact(&mut payload).await?;
+    read_exact(reader, &mut payload).await?;
     Ok(postcard::from_bytes(&payload)?)
 }
 
