--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -161,7 +161,7 @@
 }
 
 /// What [`What::Calls`] may name.
-pub const CALLS: [&str; 18] = [
+pub const CALLS: [&str; 19] = [
     "journal_open",
     "journal_read",
     "journal_write",
@@ -177,6 +177,7 @@
     "connect",
     "socket",
     "send",
+    "receive",
     "short_send",
     "short_receive",
     "wall_step",
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -23,7 +23,7 @@
 const KEYS: u32 = 12;
 
 /// System calls that fail in a soak, with the errors that Linux documents for them.
-const FAILING_CALLS: [(&str, &[i32]); 12] = [
+const FAILING_CALLS: [(&str, &[i32]); 14] = [
     ("journal_write", &[5, 28]),
     ("journal_half", &[5, 28]),
     ("journal_truncate", &[5]),
@@ -34,6 +34,8 @@
     ("bind", &[99]),
     ("connect", &[99, 101, 105, 4]),
     ("socket", &[23, 24, 105]),
+    ("send", &[110, 113, 4]),
+    ("receive", &[110, 113, 4]),
     ("short_send", &[1]),
     ("short_receive", &[64]),
 ];
