Lab: a type of its own for violations, which breaks the cycle of check with its parts

Change: Violation in a file of its own, in place of Breach of check, which agreement, limits and members took from it.

--- a/lab/src/agreement.rs
+++ b/lab/src/agreement.rs
@@ -1,7 +1,7 @@
 //! What the senders said that they act on: no two on rules that contradict each other, and none back to an earlier version.
 
-use crate::check::Breach;
 use crate::history::{Event, Record};
+use crate::violation::Violation;
 use milletturn_agreement::{Rules, Tag};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -124,17 +124,19 @@
 }
 
 /// No two contradict each other, none goes back within a life, no answered version is lost.
-pub fn check(records: &[Record]) -> Vec<Breach> {
-    let breach = |at_us, what| Breach { rule: "agreement", at_us, what };
-    let mut breaches: Vec<Breach> = longest_contradiction(records)
+pub fn check(records: &[Record]) -> Vec<Violation> {
+    let violation = |at_us, what| Violation { rule: "agreement", at_us, what };
+    let mut violations: Vec<Violation> = longest_contradiction(records)
         .into_iter()
         .map(|(lasts, at, one, other)| {
-            breach(at, format!("n{one} and n{other} contradicted each other for {} ms", lasts / 1000))
+            violation(at, format!("n{one} and n{other} contradicted each other for {} ms", lasts / 1000))
         })
         .collect();
     if let Some((one, other)) = not_linear(records) {
-        breaches
-            .push(breach(other.1, format!("no order explains {one:?} and {other:?} on the list's version")));
+        violations.push(violation(
+            other.1,
+            format!("no order explains {one:?} and {other:?} on the list's version"),
+        ));
     }
     let mut highest: BTreeMap<usize, Tag> = BTreeMap::new();
     let mut answered = 0;
@@ -143,8 +145,10 @@
         match &record.event {
             Event::Ended { sender, .. } | Event::Ready { sender } => drop(highest.remove(sender)),
             Event::Proposed { version } if *version <= answered => {
-                breaches
-                    .push(breach(record.at_us, format!("version {version} was answered after {answered}")));
+                violations.push(violation(
+                    record.at_us,
+                    format!("version {version} was answered after {answered}"),
+                ));
             }
             Event::Proposed { version } => answered = *version,
             Event::Rules { sender, report } => {
@@ -155,7 +159,7 @@
                 let before = highest.entry(*sender).or_insert(tag);
                 if tag < *before {
                     let what = format!("n{sender} went back from {before:?} to {tag:?}");
-                    breaches.push(breach(record.at_us, what));
+                    violations.push(violation(record.at_us, what));
                 }
                 *before = tag.max(*before);
             }
@@ -163,12 +167,12 @@
         }
     }
     if answered > 0 && seen < answered.saturating_sub(1) {
-        breaches.push(breach(
+        violations.push(violation(
             u64::MAX,
             format!("version {answered} was answered, none acts on more than {seen}"),
         ));
     }
-    breaches
+    violations
 }
 
 /// How soon each change was in force with all, and the rest.
@@ -277,7 +281,7 @@
         for bad in [done(70, 80, 3, false), done(41, 80, 4, true), done(61, 80, 2, true), done(1, 3, 4, true)]
         {
             let broken = check(&[good.clone(), vec![bad.clone()]].concat());
-            assert!(broken.iter().any(|breach| breach.what.contains("no order")), "{bad:?}");
+            assert!(broken.iter().any(|violation| violation.what.contains("no order")), "{bad:?}");
         }
         assert_eq!(figures(&good).writes, 4);
     }
--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -8,6 +8,7 @@
 use crate::limits;
 use crate::members;
 use crate::plan::{Act, CLASSES};
+use crate::violation::Violation;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Slack of a message's end after its time is up, and after its sender is ready again.
@@ -18,16 +19,8 @@
 /// Slack of all time limits on sockets.
 const SLACK_US: u64 = 50_000;
 
-/// A rule that was broken.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Breach {
-    pub rule: &'static str,
-    pub at_us: u64,
-    pub what: String,
-}
-
-/// All breaches of all rules, in order of time.
-pub fn check(head: &Head, records: &[Record]) -> Vec<Breach> {
+/// All violations of all rules, in order of time.
+pub fn check(head: &Head, records: &[Record]) -> Vec<Violation> {
     // what the lab does to the processes after the run breaks nothing
     let over = records.iter().position(|record| record.event == Event::Over {});
     let records = over.map_or(records, |over| &records[..=over]);
@@ -35,7 +28,7 @@
     let agreement = agreement::check(records);
     let drains = drains(records);
     let limits = limits::check(records);
-    let mut breaches = [
+    let mut violations = [
         ends(records),
         effects(records),
         uninvited(records),
@@ -49,13 +42,13 @@
         invariants(records),
     ]
     .concat();
-    breaches.sort_by_key(|breach| breach.at_us);
-    breaches
+    violations.sort_by_key(|violation| violation.at_us);
+    violations
 }
 
 /// A message that was taken on is delivered or ended by a notice in time, and not given two different ends.
 /// What a client that had no answer in time handed in counts for nothing.
-fn ends(records: &[Record]) -> Vec<Breach> {
+fn ends(records: &[Record]) -> Vec<Violation> {
     struct Owed {
         sender: usize,
         deadline: u64,
@@ -69,7 +62,7 @@
     let mut back: HashMap<usize, Option<u64>> = HashMap::new();
     // when the lab had each sender stand still
     let mut stood: HashMap<usize, Vec<(u64, u64)>> = HashMap::new();
-    let mut breaches = Vec::new();
+    let mut violations = Vec::new();
     for Record { at_us, event } in records {
         let at_us = *at_us;
         match event {
@@ -104,7 +97,7 @@
             Event::Notice { id, state } => {
                 let Some(owed) = owed.get_mut(id.as_str()) else { continue };
                 match &owed.notice {
-                    Some(before) if before != state => breaches.push(Breach {
+                    Some(before) if before != state => violations.push(Violation {
                         rule: "ends once",
                         at_us,
                         what: format!("{id} ended {before} and then {state}"),
@@ -146,17 +139,17 @@
                 Some(end) => format!("{id} ended {} ms too late", (end - due) / 1000),
                 None => format!("{id} never ended"),
             };
-            breaches.push(Breach { rule: "ends once", at_us: due, what });
+            violations.push(Violation { rule: "ends once", at_us: due, what });
         }
     }
-    breaches
+    violations
 }
 
 /// What must not take effect twice runs at most once.
-fn effects(records: &[Record]) -> Vec<Breach> {
+fn effects(records: &[Record]) -> Vec<Violation> {
     let mut classes: HashMap<&str, usize> = HashMap::new();
     let mut run: HashSet<&str> = HashSet::new();
-    let mut breaches = Vec::new();
+    let mut violations = Vec::new();
     for Record { at_us, event } in records {
         match event {
             Event::Handed { id, class, .. } => {
@@ -167,19 +160,19 @@
                 let once = class.is_some_and(|class| class.effect == "at_most_once");
                 if once && !run.insert(id) {
                     let what = format!("{id} took effect twice");
-                    breaches.push(Breach { rule: "effects", at_us: *at_us, what });
+                    violations.push(Violation { rule: "effects", at_us: *at_us, what });
                 }
             }
             _ => {}
         }
     }
-    breaches
+    violations
 }
 
 /// Every call is a message that a client handed in before, to an endpoint of its destination.
-fn uninvited(records: &[Record]) -> Vec<Breach> {
+fn uninvited(records: &[Record]) -> Vec<Violation> {
     let mut handed: HashSet<&str> = HashSet::new();
-    let mut breaches = Vec::new();
+    let mut violations = Vec::new();
     for Record { at_us, event } in records {
         match event {
             Event::Handed { id, .. } => {
@@ -187,20 +180,20 @@
             }
             Event::Called { id, endpoint, .. } if !handed.contains(id.as_str()) => {
                 let what = format!("endpoint e{endpoint} was called with {id}, which no client handed in");
-                breaches.push(Breach { rule: "calls", at_us: *at_us, what });
+                violations.push(Violation { rule: "calls", at_us: *at_us, what });
             }
             _ => {}
         }
     }
-    breaches
+    violations
 }
 
 /// Nothing new goes to an endpoint for longer than the drain's grace after the sender was told that it is not up. One that
 /// stood still is told when it goes on.
-fn drains(records: &[Record]) -> Vec<Breach> {
+fn drains(records: &[Record]) -> Vec<Violation> {
     let mut down: HashMap<(usize, usize), u64> = HashMap::new();
     let mut stopped: HashSet<usize> = HashSet::new();
-    let mut breaches = Vec::new();
+    let mut violations = Vec::new();
     for Record { at_us, event } in records {
         match event {
             Event::Told { sender, endpoint, up: true } => {
@@ -229,21 +222,21 @@
                         "{id} came to e{endpoint} from n{sender} {} ms after the grace of its drain",
                         late / 1000
                     );
-                    breaches.push(Breach { rule: "drains", at_us: *at_us, what });
+                    violations.push(Violation { rule: "drains", at_us: *at_us, what });
                 }
             }
             _ => {}
         }
     }
-    breaches
+    violations
 }
 
 /// No sender saw an invariant of its own broken.
-fn invariants(records: &[Record]) -> Vec<Breach> {
+fn invariants(records: &[Record]) -> Vec<Violation> {
     let violated = |record: &Record| match &record.event {
         Event::Violated { sender, line } => {
             let what = format!("n{sender}: {line}");
-            Some(Breach { rule: "invariants", at_us: record.at_us, what })
+            Some(Violation { rule: "invariants", at_us: record.at_us, what })
         }
         _ => None,
     };
@@ -251,15 +244,15 @@
 }
 
 /// No process ends but by the lab.
-fn processes(records: &[Record]) -> Vec<Breach> {
+fn processes(records: &[Record]) -> Vec<Violation> {
     let ended = |record: &Record| match &record.event {
         Event::ReplicaEnded { replica, meant: false, status, .. } => {
             let what = format!("r{replica} ended by itself: {status}");
-            Some(Breach { rule: "processes", at_us: record.at_us, what })
+            Some(Violation { rule: "processes", at_us: record.at_us, what })
         }
         Event::Ended { sender, meant: false, status, .. } => {
             let what = format!("n{sender} ended by itself: {status}");
-            Some(Breach { rule: "processes", at_us: record.at_us, what })
+            Some(Violation { rule: "processes", at_us: record.at_us, what })
         }
         _ => None,
     };
@@ -305,7 +298,7 @@
         let records: Vec<Record> = events.into_iter().map(record).collect();
         let scenario = "s".to_string();
         let head = Head { version: 1, scenario, seed: 1, senders: 2, ends_us: 0, period_us: None };
-        check(&head, &records).iter().map(|breach| breach.rule).collect()
+        check(&head, &records).iter().map(|violation| violation.rule).collect()
     }
 
     #[test]
--- a/lab/src/check/order.rs
+++ b/lab/src/check/order.rs
@@ -1,8 +1,9 @@
 //! Order of a key: its messages go one at a time, in the order in which they were handed in to a sender, over its restarts.
 
-use super::{Breach, SLACK_US};
+use super::SLACK_US;
 use crate::history::{Event, Record};
 use crate::plan::Act;
+use crate::violation::Violation;
 use std::collections::{BTreeMap, HashMap};
 
 /// How long a key rests after a call that may run on, as the senders are told.
@@ -21,8 +22,8 @@
     abandoned_us: Option<u64>,
 }
 
-/// All breaches, in order of time.
-pub fn check(records: &[Record]) -> Vec<Breach> {
+/// All violations, in order of time.
+pub fn check(records: &[Record]) -> Vec<Violation> {
     let mut keys: BTreeMap<(usize, u32), Vec<Message>> = BTreeMap::new();
     let mut key_of: HashMap<&str, (usize, u32)> = HashMap::new();
     // an endpoint learns late of the end of a call where something holds up the way to it
@@ -30,7 +31,7 @@
         Event::Step { what } => matches!(serde_json::from_str(what), Ok(Act::Impair { .. })),
         _ => false,
     });
-    let mut breaches = Vec::new();
+    let mut violations = Vec::new();
     for Record { at_us, event } in records {
         let mut change = |id: &str, change: fn(&mut Message, u64)| {
             let messages = key_of.get(id).and_then(|key| keys.get_mut(key));
@@ -63,14 +64,14 @@
                 let Some(at) = messages.iter().position(|message| message.id == id) else { continue };
                 for before in &messages[..at] {
                     let why = overtaken(before, *at_us, impaired);
-                    breaches.extend(why.map(|why| Breach {
+                    violations.extend(why.map(|why| Violation {
                         rule: "order",
                         at_us: *at_us,
                         what: format!("{id} came from n{sender} {why} {} of its key", before.id),
                     }));
                 }
                 let after = messages[at + 1..].iter().find(|later| messages[at].taken && later.called);
-                breaches.extend(after.map(|later| Breach {
+                violations.extend(after.map(|later| Violation {
                     rule: "order",
                     at_us: *at_us,
                     what: format!("{id} came from n{sender} after {} of its key", later.id),
@@ -80,7 +81,7 @@
             _ => {}
         }
     }
-    breaches
+    violations
 }
 
 /// Why a call of a later message comes too early, if it does.
--- a/lab/src/check/recovery.rs
+++ b/lab/src/check/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery: once every fault has ended, the fleet serves again.
 
-use super::Breach;
 use crate::history::{Event, Record};
+use crate::violation::Violation;
 use std::collections::{BTreeMap, HashSet};
 
 /// After the last fault has ended or the last process got ready, time for backoffs and slow starts to end.
@@ -11,8 +11,8 @@
 /// Least part of the messages that is delivered then.
 const LEAST_SHARE: f64 = 0.5;
 
-/// At most one breach: the fleet serves too little after its faults.
-pub fn check(records: &[Record], ends_us: u64) -> Vec<Breach> {
+/// At most one violation: the fleet serves too little after its faults.
+pub fn check(records: &[Record], ends_us: u64) -> Vec<Violation> {
     let disturbed = |record: &&Record| {
         matches!(record.event, Event::Step { .. } | Event::Ready { .. } | Event::Started { .. })
     };
@@ -41,7 +41,7 @@
     let seconds = ends_us.saturating_sub(from) as f64 / 1e6;
     let what =
         format!("{served} of {} messages delivered in the last {seconds:.1} s, with no fault", late.len());
-    vec![Breach { rule: "recovery", at_us: from, what }]
+    vec![Violation { rule: "recovery", at_us: from, what }]
 }
 
 #[cfg(test)]
--- a/lab/src/limits.rs
+++ b/lab/src/limits.rs
@@ -1,7 +1,7 @@
 //! What the senders said that they may use of a limit that they hold together: at no moment more than it.
 
-use crate::check::Breach;
 use crate::history::{Event, Record};
+use crate::violation::Violation;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
@@ -112,10 +112,10 @@
 }
 
 /// Nothing is over a limit at any moment at which the senders' words tell.
-pub fn check(records: &[Record]) -> Vec<Breach> {
+pub fn check(records: &[Record]) -> Vec<Violation> {
     let over = moments(records).into_iter().filter(|moment| moment.sum > moment.allowed);
     let worst = over.max_by_key(|moment| moment.sum - moment.allowed);
-    let told = worst.map(|Moment { at_us, key, sum, allowed }| Breach {
+    let told = worst.map(|Moment { at_us, key, sum, allowed }| Violation {
         rule: "limits",
         at_us,
         what: format!("{key}: {sum} may be used together, {allowed} is the limit"),
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -20,6 +20,7 @@
 mod site;
 mod soak;
 mod usage;
+mod violation;
 mod world;
 
 use clap::{Parser, Subcommand};
@@ -151,7 +152,7 @@
             let order = run::Order { scenario, seed, program, registry, out };
             let outcome = runtime()?.block_on(run::bounded(&order))?;
             println!("{}", serde_json::to_string(&outcome.figures)?);
-            let code = verdict(&outcome.breaches, outcome.void.as_deref());
+            let code = verdict(&outcome.violations, outcome.void.as_deref());
             println!("history: {}", order.out.join("history.jsonl").display());
             Ok(code)
         }
@@ -164,8 +165,8 @@
         }
         Command::Check { history } => {
             let (head, records) = history::read(&history)?;
-            let breaches = check::check(&head, &records);
-            Ok(verdict(&breaches, None))
+            let violations = check::check(&head, &records);
+            Ok(verdict(&violations, None))
         }
         Command::Site { base, set, draw, seed, out } => write_site(&base, set, draw, seed, &out),
         Command::Axes => {
@@ -200,17 +201,17 @@
     }
 }
 
-fn verdict(breaches: &[check::Breach], void: Option<&str>) -> ExitCode {
+fn verdict(violations: &[violation::Violation], void: Option<&str>) -> ExitCode {
     const SHOWN: usize = 20;
-    for check::Breach { rule, at_us, what } in breaches.iter().take(SHOWN) {
+    for violation::Violation { rule, at_us, what } in violations.iter().take(SHOWN) {
         println!("broken: {rule} at {:.3} s: {what}", *at_us as f64 / 1e6);
     }
-    if let Some(more) = breaches.len().checked_sub(SHOWN).filter(|more| *more > 0) {
+    if let Some(more) = violations.len().checked_sub(SHOWN).filter(|more| *more > 0) {
         println!("and {more} more");
     }
-    match (breaches.is_empty(), void) {
+    match (violations.is_empty(), void) {
         (false, _) => {
-            println!("BROKEN: {} breaches", breaches.len());
+            println!("BROKEN: {} violations", violations.len());
             ExitCode::from(BROKEN)
         }
         (true, Some(why)) => {
--- a/lab/src/members.rs
+++ b/lab/src/members.rs
@@ -1,8 +1,8 @@
 //! What the senders said of one another, held against what the lab knows to be true.
 
-use crate::check::Breach;
 use crate::history::{Event, Head, Record};
 use crate::plan::{Act, Impairment, Party};
+use crate::violation::Violation;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -139,18 +139,18 @@
 }
 
 /// No member that runs undisturbed is held for gone by another one, and all agree once nothing disturbs them.
-pub fn check(head: &Head, records: &[Record]) -> Vec<Breach> {
+pub fn check(head: &Head, records: &[Record]) -> Vec<Violation> {
     let Some(period_us) = head.period_us else { return Vec::new() };
     let settles = SETTLES * period_us;
     let mut truth = Truth::default();
-    let mut breaches = Vec::new();
+    let mut violations = Vec::new();
     let mut told = BTreeSet::new();
     for record in records {
         truth.learn(head.senders, record);
         let Event::Members { sender, view } = &record.event else { continue };
         let Ok(view) = serde_json::from_value::<View>(view.clone()) else {
             let what = format!("n{sender} told no view");
-            breaches.push(Breach { rule: "members", at_us: record.at_us, what });
+            violations.push(Violation { rule: "members", at_us: record.at_us, what });
             continue;
         };
         let at_us = record.at_us;
@@ -162,17 +162,17 @@
             let Some(of) = number(&listed.name).filter(|_| gone) else { continue };
             if truth.clean(of, at_us, settles) && told.insert((*sender, of)) {
                 let what = format!("n{sender} holds n{of} for {}, which runs", listed.state);
-                breaches.push(Breach { rule: "members", at_us, what });
+                violations.push(Violation { rule: "members", at_us, what });
             }
         }
         let right = view.living == truth.running.len() && view.suspects == 0;
         if truth.undisturbed(at_us, settles) && !right && told.insert((*sender, usize::MAX)) {
             let (living, runs) = (view.living, truth.running.len());
             let what = format!("n{sender} sees {living} living and {} suspect, {runs} run", view.suspects);
-            breaches.push(Breach { rule: "members", at_us, what });
+            violations.push(Violation { rule: "members", at_us, what });
         }
     }
-    breaches
+    violations
 }
 
 /// How soon each death was seen, and how soon all agreed after each end of a disturbance.
@@ -296,12 +296,12 @@
         Event::Step { what: serde_json::to_string(&act).expect("JSON") }
     }
 
-    /// Breaches of a history at these periods, of 1 s each, after three senders have run for long.
+    /// Violationes of a history at these periods, of 1 s each, after three senders have run for long.
     fn broken(events: Vec<(u64, Event)>) -> Vec<String> {
         let ready = (0..3).map(|sender| (0, Event::Ready { sender }));
         let records: Vec<Record> =
             ready.chain(events).map(|(at, event)| Record { at_us: at * 1_000_000, event }).collect();
-        check(&head(), &records).into_iter().map(|breach| breach.what).collect()
+        check(&head(), &records).into_iter().map(|violation| violation.what).collect()
     }
 
     #[test]
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -1,7 +1,7 @@
 //! One run: starts the world and the fleet, plays the plan, waits for the last end, and checks.
 
 use crate::agreement;
-use crate::check::{Breach, check};
+use crate::check::check;
 use crate::clients::{self, Front};
 use crate::figures;
 use crate::fleet::{Addresses, Fleet};
@@ -14,6 +14,7 @@
 use crate::scenario::Scenario;
 use crate::serve::World;
 use crate::usage;
+use crate::violation::Violation;
 use anyhow::{Context, bail};
 use hyper::Method;
 use rustix::process::{Resource, Signal, getrlimit};
@@ -55,7 +56,7 @@
 /// How it went.
 #[derive(Debug)]
 pub struct Outcome {
-    pub breaches: Vec<Breach>,
+    pub violations: Vec<Violation>,
     /// Why the run tells nothing, if it does not.
     pub void: Option<String>,
     pub figures: Figures,
@@ -175,7 +176,7 @@
         ..count(&records)
     };
     let void = (late > VOID_LATE).then(|| format!("the lab was {} ms late", late.as_millis()));
-    Ok(Outcome { breaches: check(&head, &records), void, figures })
+    Ok(Outcome { violations: check(&head, &records), void, figures })
 }
 
 /// Descriptors: a listener for each sender and endpoint, and connections beside them.
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -71,12 +71,12 @@
         let runtime = crate::runtime()?;
         let outcome = runtime.block_on(run::bounded(&order)).with_context(|| format!("seed {seed}"))?;
         drop(runtime);
-        let verdict = match (&outcome.breaches[..], &outcome.void) {
+        let verdict = match (&outcome.violations[..], &outcome.void) {
             ([], None) => "HELD".to_string(),
             ([], Some(why)) => format!("VOID: {why}"),
             ([first, ..], _) => {
                 broken += 1;
-                let count = outcome.breaches.len();
+                let count = outcome.violations.len();
                 format!(
                     "BROKEN: {count}, first {} at {:.3} s: {}",
                     first.rule,
