--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -313,3 +313,20 @@
     assert_eq!(new.hand_in("webhook", "held", 7, 20_000, b"x"), 200, "it is remembered as delivered");
     assert_eq!(endpoint.times("held"), 1);
 }
+
+#[test]
+fn a_next_process_does_not_take_over_that_the_disk_fails() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = one(&endpoint);
+    let faults = Faults::new(&agent, as_it_is);
+    let old = faults.start().ready();
+    assert_eq!(old.hand_in("webhook", "first", 7, 20_000, b"x"), 202);
+    wait_until("its end is written", || old.hand_in("webhook", "first", 7, 20_000, b"x") == 200);
+    faults.on("journal_write", EIO);
+    assert_eq!(old.hand_in("webhook", "refused", 7, 20_000, b"x"), 503);
+    let new = faults.start().ready();
+    assert!(new.logged("taken over (as it was)"), "{:?}", new.log);
+    faults.off("journal_write");
+    assert_eq!(new.hand_in("webhook", "after", 7, 20_000, b"x"), 202);
+    wait_until("it is delivered", || endpoint.times("after") == 1);
+}
