Failing test: a hand-over after SIGTERM leaves the next process without calls

Cause: the decisions are handed over with the time at which the old process ends, after which none may begin.

--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -7,7 +7,10 @@
 use node::*;
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::{Duration, Instant};
 
+/// From SIGTERM to the end of a process.
+const END: Duration = Duration::from_millis(3300);
 /// Call slots of the sender in these tests.
 const SLOTS: usize = 8;
 
@@ -330,3 +333,21 @@
     assert_eq!(new.hand_in("webhook", "after", 7, 20_000, b"x"), 202);
     wait_until("it is delivered", || endpoint.times("after") == 1);
 }
+
+#[test]
+fn a_next_process_does_not_take_over_that_the_old_one_was_to_end() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = one(&endpoint);
+    let faults = Faults::new(&agent, as_it_is);
+    let old = faults.start().ready();
+    let told = Instant::now();
+    old.terminate();
+    wait_until("draining", || old.logged("draining"));
+    let new = faults.start().ready();
+    assert!(new.logged("taken over (as it was)"), "{:?}", new.log);
+    wait_until("the old one has ended", || new.logged("the old process has ended"));
+    // from here on the old one could not have made a call
+    thread::sleep(END.saturating_sub(told.elapsed()));
+    assert_eq!(new.hand_in("webhook", "after", 7, 20_000, b"x"), 202);
+    wait_until("it is delivered", || endpoint.times("after") == 1);
+}
