--- a/src/decide.rs
+++ b/src/decide.rs
@@ -86,7 +86,8 @@
     tenant_tokens: Vec<(f64, Micros)>,
     list_retry: Option<Micros>,
     list_rest: Micros,
-    /// When the process will end, once that is known.
+    /// When the process will end, once that is known: no next process's affair.
+    #[serde(skip)]
     ends: Option<Micros>,
     /// The next time at which something may be due; the alarm is set by it.
     due: Micros,
@@ -97,7 +98,8 @@
     agreed: Option<Box<Agreed>>,
     /// The list may be older than what counts as told.
     stale: bool,
-    /// This machine can't write down what is sent.
+    /// This machine can't write down what is sent: the next process finds out for itself.
+    #[serde(skip)]
     host_failing: bool,
     /// What limits that all senders share leave to this one, and the calls that they allow now.
     quotas: Option<Box<Quotas>>,
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -226,9 +226,8 @@
             driver.take_over(handover);
         }
         if taken_over {
-            // what the old process saw of the others, and how the disk fared with it, is its own affair
+            // what the old process saw of the others is its own affair
             driver.events.push(Event::Fleet(None));
-            driver.events.push(Event::HostFailing(false));
         }
         // a start begins on the floor: what an old process was granted is its own
         let agreed = floor.map(|fallback| Box::new(Agreed { leased: None, fallback }));
