Lab: an end that no send could tell is due once sends succeed again

Change: while all of socket, connect or send fail, the slack counts from their end, as for a process that stands still; it does not where only some fail, which a test holds. Nothing else of the check changes.

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -16,6 +16,8 @@
 const READY_SLACK_US: u64 = 1_500_000;
 /// Longest time in which new calls still go to an endpoint that drains or is gone.
 const DRAIN_US: u64 = 2_000_000;
+/// System calls without which a sender can tell nobody of an end, however it tries.
+const TELLING: [&str; 3] = ["socket", "connect", "send"];
 /// Slack of all time limits on sockets.
 const SLACK_US: u64 = 50_000;
 
@@ -60,8 +62,9 @@
     let mut lost: HashSet<usize> = HashSet::new();
     // when each sender is due again: none while it is down
     let mut back: HashMap<usize, Option<u64>> = HashMap::new();
-    // when the lab had each sender stand still
+    // when the lab had each sender stand still, or left it no way to tell an end
     let mut stood: HashMap<usize, Vec<(u64, u64)>> = HashMap::new();
+    let mut speechless: HashMap<(usize, String), u64> = HashMap::new();
     let mut violations = Vec::new();
     for Record { at_us, event } in records {
         let at_us = *at_us;
@@ -72,6 +75,14 @@
                     let spans = stood.get_mut(&sender).and_then(|spans| spans.last_mut());
                     spans.into_iter().for_each(|(_, until)| *until = at_us);
                 }
+                Ok(Act::FailCalls { sender, call, percent: 100, .. }) if TELLING.contains(&call.as_str()) => {
+                    speechless.insert((sender, call), at_us);
+                }
+                Ok(Act::RestoreCalls { sender, call }) => {
+                    if let Some(since) = speechless.remove(&(sender, call)) {
+                        stood.entry(sender).or_default().push((since, at_us));
+                    }
+                }
                 _ => {}
             },
             Event::Handed { id, sender, deadline_us, .. } => {
@@ -395,6 +406,18 @@
         assert_eq!(ends(&handed_and_ended(7_000_000 + END_SLACK_US)), []);
         let late = ends(&handed_and_ended(7_100_000 + END_SLACK_US));
         assert!(late.len() == 1 && late[0].what.contains("too late"), "{late:?}");
+        // nor can one whose every send fails tell an end; one whose sends fail now and then can
+        for (percent, late) in [(100, 0), (30, 1)] {
+            let mut failing = handed_and_ended(7_000_000 + END_SLACK_US);
+            let call = || "send".to_string();
+            let begin = Act::FailCalls { sender: 3, call: call(), number: 110, percent };
+            let steps = [(2, begin), (3, Act::RestoreCalls { sender: 3, call: call() })];
+            for (at, step) in steps {
+                let what = serde_json::to_string(&step).unwrap_or_default();
+                failing[at].event = Event::Step { what };
+            }
+            assert_eq!(ends(&failing).len(), late, "{percent}");
+        }
         // another's standing still is no excuse
         let mut others = handed_and_ended(7_000_000);
         others[2].event = Event::Step { what: r#"{"stop":{"sender":4}}"#.to_string() };
