Failing test: the second look at a given-up call reads nothing

Cause: giving up no longer forgot that it had looked, so that the look 100 ms later, for a wait that is told late, ended at once.

--- a/src/net/pool/traffic.rs
+++ b/src/net/pool/traffic.rs
@@ -201,3 +201,37 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use tokio::io::AsyncReadExt;
+
+    /// A call that was given up is looked at once more before its connection closes: what has come by then was told.
+    #[test]
+    fn a_second_look_reads_what_has_come_since_the_first() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let local = tokio::task::LocalSet::new();
+        local.block_on(&runtime.expect("a runtime"), async {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("bound");
+            let stream = tokio::net::TcpStream::connect(address).await.expect("connected");
+            let (mut peer, _) = listener.accept().expect("accepted");
+            let traffic = Arc::new(Traffic::default());
+            let mut counted = Counted { stream: Stream::from(stream), traffic: traffic.clone() };
+            tokio::task::spawn_local(async move {
+                let mut room = [0; 64];
+                while counted.read(&mut room).await.is_ok_and(|read| read > 0) {}
+            });
+            traffic.give_up().await;
+            peer.write_all(b"HTTP/1.1 200 OK\r\n").expect("written");
+            traffic.give_up().await;
+            assert!(traffic.says_ok(), "the second look ended before what had come was read");
+            // one that has ended needs no look
+            drop(peer);
+            traffic.give_up().await;
+            traffic.give_up().await;
+        });
+    }
+}
