A given-up call is looked at anew each time

Change: a look begins with not having looked, unless the connection is gone. Measured: the test passes (failed before), and the other unit tests of the program.

--- a/src/net/pool/traffic.rs
+++ b/src/net/pool/traffic.rs
@@ -29,6 +29,8 @@
     wanted: bool,
     looked: bool,
     shut: bool,
+    /// The connection is gone: nothing more can be read.
+    ended: bool,
     /// Who reads, and waits for more.
     reader: Option<Waker>,
 }
@@ -48,7 +50,7 @@
     pub async fn give_up(&self) {
         let reader = {
             let mut ending = self.ending();
-            ending.wanted = true;
+            (ending.wanted, ending.looked) = (true, ending.ended);
             ending.reader.take()
         };
         reader.into_iter().for_each(Waker::wake);
@@ -104,7 +106,9 @@
 impl<S> Drop for Counted<S> {
     fn drop(&mut self) {
         // what has ended needs no giving up
-        self.traffic.ending().looked = true;
+        let mut ending = self.traffic.ending();
+        (ending.looked, ending.ended) = (true, true);
+        drop(ending);
         self.traffic.looked.notify_one();
     }
 }
