One list of file errors that pass by themselves, and no look-up for a trace that is off

Cause: starts and configuration each had their own list of lasting errors; each step of a message looked it up though nothing was traced. Change: machine::is_lasting serves both, configuration adds what it alone takes for lasting; the look-up comes after the switch.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -9,6 +9,7 @@
 use super::freeze::settings::{FreezeSettings, FreezeSettingsError};
 use super::ledger;
 use super::ledger::settings::{Ledger, LedgerError};
+use super::machine::{RETRY, is_lasting};
 use super::membership;
 use super::membership::settings::{Membership, MembershipError};
 use milletturn::pool::PoolSettings;
@@ -185,8 +186,8 @@
 
 /// True if reading a file may succeed a moment later, with nothing changed by operators.
 fn is_passing(error: &std::io::Error) -> bool {
-    use std::io::ErrorKind::{IsADirectory, NotADirectory, NotFound, PermissionDenied};
-    ![NotFound, PermissionDenied, NotADirectory, IsADirectory].contains(&error.kind())
+    use std::io::ErrorKind::{IsADirectory, NotFound};
+    !is_lasting(error) && ![NotFound, IsADirectory].contains(&error.kind())
 }
 
 impl Config {
@@ -327,7 +328,7 @@
     loop {
         match read_file() {
             Err(error) if error.is_of_this_machine() && begun.elapsed() < READ_IN => {
-                std::thread::sleep(super::machine::RETRY);
+                std::thread::sleep(RETRY);
             }
             read => return read,
         }
--- a/src/net/driver/outcomes.rs
+++ b/src/net/driver/outcomes.rs
@@ -118,7 +118,10 @@
 
     /// Tells of a step of the message, where that is wanted.
     pub(super) fn trace(&self, message: MessageId, step: std::fmt::Arguments<'_>) {
-        if let Some(held) = self.messages.get(&message) {
+        // no message is looked up for nothing
+        if crate::net::traces()
+            && let Some(held) = self.messages.get(&message)
+        {
             crate::net::trace(&held.item.id, step);
         }
     }
--- a/src/net/machine.rs
+++ b/src/net/machine.rs
@@ -2,7 +2,7 @@
 //! call was interrupted. They say nothing of the peer, and end when their cause does.
 
 use nix::errno::Errno;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::time::Duration;
 
 /// How long until a call that this machine failed is made again: many times within any time limit of a peer.
@@ -31,3 +31,9 @@
     let Some(number) = error.raw_os_error() else { return false };
     matches!(Errno::from_raw(number), Errno::ECONNABORTED | Errno::EINTR | Errno::EPROTO | Errno::EPERM)
 }
+
+/// True if a file is not to be had until an operator changes something: it does not come right by itself.
+pub fn is_lasting(error: &io::Error) -> bool {
+    let kinds = [ErrorKind::PermissionDenied, ErrorKind::NotADirectory, ErrorKind::ReadOnlyFilesystem];
+    kinds.contains(&error.kind())
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,10 +29,15 @@
     let _ = std::io::stderr().lock().write_all(format!("{line}\n").as_bytes());
 }
 
+/// Whether steps of messages are traced.
+pub fn traces() -> bool {
+    static WANTED: std::sync::OnceLock<bool> = std::sync::OnceLock::new();
+    *WANTED.get_or_init(|| std::env::var_os("RELAY_TRACE").is_some())
+}
+
 /// A line for each step of a message, with its id, where `RELAY_TRACE` is set: for operators who look for one message.
 pub fn trace(id: &hyper::header::HeaderValue, step: std::fmt::Arguments<'_>) {
-    static WANTED: std::sync::OnceLock<bool> = std::sync::OnceLock::new();
-    if *WANTED.get_or_init(|| std::env::var_os("RELAY_TRACE").is_some()) {
+    if traces() {
         log(format_args!("trace: {} {step}", String::from_utf8_lossy(id.as_bytes())));
     }
 }
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -1,6 +1,6 @@
 //! What a start needs of this machine, asked for until it is to be had.
 
-use super::machine::{RETRY, is_local};
+use super::machine::{RETRY, is_lasting, is_local};
 use super::{Seldom, log};
 use std::fmt::Display;
 use std::io::{self, ErrorKind};
@@ -17,12 +17,6 @@
 /// Between two tries to have the operators' address.
 const OPERATORS_AGAIN: Duration = Duration::from_millis(250);
 
-/// True if an operator has to change something: it does not come right by itself.
-fn is_lasting(error: &io::Error) -> bool {
-    let kinds = [ErrorKind::PermissionDenied, ErrorKind::NotADirectory, ErrorKind::ReadOnlyFilesystem];
-    kinds.contains(&error.kind())
-}
-
 /// An error that a failing machine may be the cause of.
 pub trait MayPass: Display {
     /// The system's error in it, if there is one.
