--- a/src/net/calls/answer.rs
+++ b/src/net/calls/answer.rs
@@ -74,6 +74,8 @@
 pub(super) struct CallAnswer {
     /// The endpoint has answered it.
     pub(super) is_from_endpoint: bool,
+    /// The whole head of that answer has come.
+    pub(super) is_whole: bool,
     pub(super) results: CallResults,
     /// The fields of the endpoint's load report.
     pub(super) load_report: Vec<f64>,
@@ -85,6 +87,7 @@
     pub(super) fn served() -> Self {
         CallAnswer {
             is_from_endpoint: true,
+            is_whole: false,
             results: CallResults::Same(AttemptResult::SERVED),
             load_report: Vec::new(),
             retry_after: None,
@@ -96,6 +99,7 @@
     fn from(outcome: Outcome) -> Self {
         CallAnswer {
             is_from_endpoint: false,
+            is_whole: false,
             results: CallResults::Same(outcome.into()),
             load_report: Vec::new(),
             retry_after: None,
@@ -129,6 +133,7 @@
     };
     CallAnswer {
         is_from_endpoint: true,
+        is_whole: true,
         results,
         load_report,
         retry_after,
--- a/src/net/calls/run.rs
+++ b/src/net/calls/run.rs
@@ -4,6 +4,7 @@
 use super::exchange::{CallProgress, exchange};
 use super::{Call, CallContext};
 use crate::net::events::{AttemptEnd, DriverInput};
+use crate::net::message_log::{self, IncompleteCall};
 use crate::net::pool::Traffic;
 use message_sender::pool::CloseReason;
 use message_sender::{Micros, Outcome};
@@ -153,12 +154,32 @@
             abandon(&context, &call, &progress, outcome, exchange.as_mut()).await
         }
     };
+    if !finished.answer.is_whole {
+        log_incomplete(&call, &progress, &finished.answer);
+    }
     reporter.report_rest(&finished.answer);
     if let Some(traffic) = finished.late_answer {
         listen_for_retry_after(&context, &call, &traffic, exchange.as_mut()).await;
     }
 }
 
+/// Logs a call that ended without a whole answer; one that was cancelled before any answer tells nothing.
+fn log_incomplete(call: &Call, progress: &CallProgress, answer: &CallAnswer) {
+    let outcome = answer.results.of_item(0).outcome;
+    let traffic = progress.traffic.borrow().clone();
+    let answer_bytes = traffic.as_ref().map_or(0, |traffic| traffic.answer_bytes());
+    if outcome == Outcome::Cancelled && answer_bytes == 0 {
+        return;
+    }
+    message_log::record_call(&IncompleteCall {
+        address: call.target.address,
+        ids: call.items.iter().map(|item| &item.id).collect(),
+        outcome,
+        answer_bytes,
+        answer_start: traffic.map_or_else(Vec::new, |traffic| traffic.answer_start()),
+    });
+}
+
 /// Abandons a call: an answer that had come before counts, and any other end is what it is abandoned for.
 async fn abandon(
     context: &CallContext,
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -6,6 +6,7 @@
 use crate::net::calls;
 use crate::net::events::{AttemptEnd, HandoverMessage};
 use crate::net::handover::LOST_CALL_OUTCOME;
+use crate::net::message_log::MessageEvent;
 use message_sender::decisions::InFlightAttempt;
 use message_sender::{Event, MessageId, Micros, Outcome};
 use tokio::time::Instant;
@@ -68,11 +69,11 @@
         if let Some(begun) = self.messages.attempt_mut(attempt.message, attempt.number) {
             begun.record = Some(record);
         }
-        let number = attempt.number;
-        self.trace(
-            attempt.message,
-            format_args!("attempt {number} begins at {uid}"),
-        );
+        let began = MessageEvent::AttemptBegan {
+            number: attempt.number,
+            endpoint: &uid,
+        };
+        self.log_event(attempt.message, &began);
         let send = Send {
             attempt,
             expires: request.expires,
@@ -149,13 +150,13 @@
         let Some(attempt) = self.messages.end_attempt(message, number) else {
             return self.count_unknown_outcome(message, number);
         };
-        self.trace(
-            message,
-            format_args!(
-                "attempt {number} ended: {:?}, closed {}",
-                end.outcome, end.closed
-            ),
-        );
+        let ended = MessageEvent::AttemptEnded {
+            number,
+            endpoint: self.endpoints.uid(attempt.endpoint),
+            outcome: end.outcome,
+            ends_message: end.closed,
+        };
+        self.log_event(message, &ended);
         self.end_call_item(end.call);
         let now = self.clock.at(Instant::now());
         let key_backoff = self.settings.safety.key_backoff;
@@ -220,7 +221,7 @@
         };
         let call = attempt.call;
         let item = attempt.item;
-        self.trace(message, format_args!("attempt {number} is cancelled"));
+        self.log_event(message, &MessageEvent::AttemptCancelled { number });
         let Some(in_flight) = self.calls_in_flight.get(call) else {
             return self.violations.count(
                 Violation::CancelUnknown,
--- a/src/net/driver/completion.rs
+++ b/src/net/driver/completion.rs
@@ -4,6 +4,7 @@
 use super::Driver;
 use crate::net::discovery::OutcomeNotification;
 use crate::net::journal::UndeliveredOutcome;
+use crate::net::message_log::{self, MessageEvent};
 use message_sender::decisions::DEADLINE_MARGIN;
 use message_sender::{Event, MessageId, Micros};
 use tokio::sync::mpsc;
@@ -74,7 +75,7 @@
         let id = pending.item.id.clone();
         let unfinished = self.journal.unfinished().get(&message.0);
         let deadline = unfinished.map_or(Micros::MIN, |unfinished| unfinished.accepted.deadline);
-        crate::net::trace(&id, format_args!("ended undelivered: {outcome:?}"));
+        message_log::record(&id, &MessageEvent::EndedUndelivered(outcome));
         self.journal.end_undelivered(message, outcome);
         self.lifecycle.close(message);
         self.messages.close(message);
@@ -101,6 +102,9 @@
     /// The platform has accepted the notifications of these messages.
     pub(super) fn notifications_delivered(&mut self, numbers: Vec<u64>) {
         for message in numbers.into_iter().map(MessageId) {
+            if let Some(held) = self.journal.unfinished().get(&message.0) {
+                message_log::record_text(&held.accepted.id, &MessageEvent::Notified);
+            }
             self.journal.complete(message);
             self.lifecycle.complete(message);
             self.events.push(Event::NotificationDelivered(message));
--- a/src/net/driver/endpoints.rs
+++ b/src/net/driver/endpoints.rs
@@ -71,6 +71,11 @@
             .map(|(&endpoint, record)| (endpoint, record))
     }
 
+    /// The endpoint's name in the list.
+    pub fn uid(&self, endpoint: EndpointId) -> Option<&str> {
+        Some(&self.get(endpoint)?.uid)
+    }
+
     pub fn id_of(&self, uid: &str) -> Option<EndpointId> {
         self.by_uid.get(uid).copied()
     }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -30,6 +30,7 @@
 use super::handover::{HandoverState, SuccessorRequest};
 use super::journal::Journal;
 use super::local_errors::RETRY_INTERVAL;
+use super::message_log::{self, MessageEvent};
 use calls_in_flight::CallsInFlight;
 use completion::Notifications;
 use endpoint_list::ListState;
@@ -353,13 +354,10 @@
         }
     }
 
-    /// Logs a step of the message, where steps are traced.
-    fn trace(&self, message: MessageId, step: std::fmt::Arguments<'_>) {
-        // no message is looked up for nothing
-        if super::traces()
-            && let Some(pending) = self.messages.get(message)
-        {
-            super::trace(&pending.item.id, step);
+    /// Logs a step of the message.
+    fn log_event(&self, message: MessageId, event: &MessageEvent<'_>) {
+        if let Some(held) = self.messages.get(message) {
+            message_log::record(&held.item.id, event);
         }
     }
 }
--- a/src/net/driver/recovery.rs
+++ b/src/net/driver/recovery.rs
@@ -6,6 +6,7 @@
 use crate::net::calls::Item;
 use crate::net::discovery::OutcomeNotification;
 use crate::net::journal::{RecordedAttempt, UnfinishedMessage};
+use crate::net::message_log::{self, MessageEvent};
 use hyper::header::HeaderValue;
 use message_sender::lifecycle::DeliveryGuarantee;
 use message_sender::wire::position;
@@ -121,7 +122,9 @@
     ) {
         let accepted = message.accepted;
         let Ok(id) = HeaderValue::from_str(&accepted.id) else {
-            return;
+            return crate::net::log(format_args!(
+                "journal: message {number:?} has an id that can't be read"
+            ));
         };
         let key = accepted.key.as_deref();
         let key = key.and_then(|key| HeaderValue::from_str(key).ok());
@@ -139,7 +142,13 @@
             record: Some(record),
         });
         let attempts = attempts.collect();
-        crate::net::trace(&id, format_args!("recovered after {} attempts", past.len()));
+        let attempts_before = past.len();
+        message_log::record(
+            &id,
+            &MessageEvent::Recovered {
+                attempts: attempts_before,
+            },
+        );
         self.events.push(Event::MessageRestored {
             message: new,
             attempts: past,
--- a/src/net/driver/submissions.rs
+++ b/src/net/driver/submissions.rs
@@ -6,6 +6,7 @@
 use crate::net::events::{Submission, SubmissionResult};
 use crate::net::handover::text;
 use crate::net::journal::{AcceptedMessage, ClassTerms, MessageOrigin};
+use crate::net::message_log::{self, MessageEvent};
 use hyper::header::HeaderValue;
 use message_sender::lifecycle::DeliveryGuarantee;
 use message_sender::wire::position;
@@ -104,6 +105,7 @@
         };
         pending.clients = pending.clients.saturating_sub(1);
         if pending.clients == 0 {
+            message_log::record(id, &MessageEvent::ClientLeft);
             self.events.push(Event::MessageAbandoned(message));
             self.complete(message);
         }
@@ -134,7 +136,7 @@
             _ => None,
         });
         let result = ended.unwrap_or_else(|| self.accept(message, &new));
-        crate::net::trace(&new.submission.id, format_args!("handed in: {result:?}"));
+        message_log::record(&new.submission.id, &MessageEvent::Answered(result));
         if result != SubmissionResult::Accepted {
             self.messages.close(message);
             if result == SubmissionResult::NotStored {
--- /dev/null
+++ b/src/net/message_log/tests.rs
@@ -0,0 +1,78 @@
+//! Which steps are logged by default, and what keeps the log short.
+
+use super::*;
+use std::time::Duration;
+
+#[test]
+fn ordinary_steps_are_left_to_the_trace_and_others_are_not() {
+    let ended = |number, outcome| MessageEvent::AttemptEnded {
+        number,
+        endpoint: Some("s-1"),
+        outcome,
+        ends_message: outcome == Outcome::Success,
+    };
+    let began = |number| MessageEvent::AttemptBegan {
+        number,
+        endpoint: "s-1",
+    };
+    for ordinary in [
+        MessageEvent::Answered(SubmissionResult::Accepted),
+        began(0),
+        ended(0, Outcome::Success),
+    ] {
+        assert!(ordinary.is_ordinary(), "{ordinary}");
+    }
+    for other in [
+        MessageEvent::Answered(SubmissionResult::NotStored),
+        MessageEvent::Answered(SubmissionResult::Rejected { retry_after: None }),
+        began(1),
+        ended(0, Outcome::Reset),
+        ended(1, Outcome::Success),
+        MessageEvent::ClientLeft,
+        MessageEvent::Notified,
+        MessageEvent::EndedUndelivered(UndeliveredOutcome::Failed),
+    ] {
+        assert!(!other.is_ordinary(), "{other}");
+    }
+}
+
+#[test]
+fn line_of_an_attempt_names_endpoint_outcome_and_whether_it_ends_the_message() {
+    let event = MessageEvent::AttemptEnded {
+        number: 2,
+        endpoint: Some("s-7"),
+        outcome: Outcome::Rejected {
+            retry_after: Some(500 * MILLISECOND),
+        },
+        ends_message: false,
+    };
+    assert_eq!(
+        event.to_string(),
+        "attempt 2 at s-7 ended: rejected for 500 ms"
+    );
+    let id = HeaderValue::from_static("m1");
+    let call = IncompleteCall {
+        address: ([127, 0, 0, 1], 9).into(),
+        ids: vec![&id],
+        outcome: Outcome::Reset,
+        answer_bytes: 13,
+        answer_start: b"HTTP/1.1 200 ".to_vec(),
+    };
+    assert_eq!(
+        call.to_string(),
+        "call to 127.0.0.1:9 ended: Reset, after 13 bytes of an answer (\"HTTP/1.1 200 \"), messages m1"
+    );
+}
+
+#[test]
+fn flood_of_lines_is_bounded_and_counted() {
+    let now = Instant::now();
+    let mut budget = LineBudget::new(now);
+    let burst = MAX_BURST_LINES as usize;
+    let logged = (0..burst + 50)
+        .filter(|_| budget.take(now).is_some())
+        .count();
+    assert_eq!(logged, burst);
+    assert_eq!(budget.take(now + Duration::from_secs(1)), Some(50));
+    assert_eq!(budget.take(now + Duration::from_secs(1)), Some(0));
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,7 @@
 pub mod ledger;
 pub mod local_errors;
 pub mod membership;
+pub mod message_log;
 pub mod pool;
 pub mod process;
 pub mod server;
@@ -43,22 +44,12 @@
         .write_all(format!("{line}\n").as_bytes());
 }
 
-/// Whether steps of messages are traced.
+/// Whether the ordinary steps of messages are logged too.
 pub fn traces() -> bool {
     static WANTED: std::sync::OnceLock<bool> = std::sync::OnceLock::new();
     *WANTED.get_or_init(|| std::env::var_os("RELAY_TRACE").is_some())
 }
 
-/// Logs a step of a message, with its id, where `RELAY_TRACE` is set: for operators who look for one message.
-pub fn trace(id: &hyper::header::HeaderValue, step: std::fmt::Arguments<'_>) {
-    if traces() {
-        log(format_args!(
-            "trace: {} {step}",
-            String::from_utf8_lossy(id.as_bytes())
-        ));
-    }
-}
-
 /// How often a fault that lasts is logged.
 const RATE_LIMITED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
--- a/src/net/pool/state.rs
+++ b/src/net/pool/state.rs
@@ -4,6 +4,7 @@
 use super::lease::{ConnectionLease, ConnectionWait, WaitAnswer};
 use super::{PoolResources, duration, micros};
 use crate::net::RateLimitedLog;
+use crate::net::message_log;
 use crate::net::stream::ConnectError;
 use message_sender::Micros;
 use message_sender::pool::{
@@ -165,6 +166,7 @@
 
     /// A lease ends, and its connection with it.
     pub(super) fn discard(self: &Rc<Self>, number: u64, reason: CloseReason) {
+        message_log::record_close(format_args!("connection {number}"), &reason);
         let now = self.now();
         self.update(|pool, commands| pool.discard(now, number, reason, commands));
     }
--- a/src/net/pool/traffic.rs
+++ b/src/net/pool/traffic.rs
@@ -18,6 +18,8 @@
     written: AtomicU64,
     /// The first bytes that came since the last request.
     answer_start: Mutex<Vec<u8>>,
+    /// How many bytes came since the last request.
+    answer_bytes: AtomicU64,
     abandonment: Mutex<Abandonment>,
     read_out: Notify,
 }
@@ -72,8 +74,22 @@
         self.abandonment().is_shut
     }
 
+    /// Bytes of an answer that have come.
+    pub fn answer_bytes(&self) -> u64 {
+        self.answer_bytes.load(Ordering::Relaxed)
+    }
+
+    /// The first bytes of the answer.
+    pub fn answer_start(&self) -> Vec<u8> {
+        self.answer_start
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
     /// What comes from now on is another answer.
     pub fn reset_answer(&self) {
+        self.answer_bytes.store(0, Ordering::Relaxed);
         self.answer_start
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -81,6 +97,8 @@
     }
 
     fn record_answer_bytes(&self, bytes: &[u8]) {
+        self.answer_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         let mut first = self
             .answer_start
             .lock()
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -6,6 +6,7 @@
 
 use super::connection::{self, ConnectionState, HttpSettings};
 use super::events::{DriverInput, MAX_BODY_BYTES, Submission, SubmissionResult};
+use super::message_log;
 pub use accept::accept;
 use bytes::Bytes;
 use error::RequestError;
@@ -117,7 +118,10 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let mut response = match handle(request, &server).await {
         Ok(response) => response,
-        Err(error) => error_response(error),
+        Err(error) => {
+            message_log::record_refused_request(&error);
+            error_response(error)
+        }
     };
     if server.draining.get() {
         close_after(&mut response);
