A message ends only by a typed proof, and a delivery by its whole first line

Cause: Traffic::has_success_status took 13 bytes of 'HTTP/1.1 200 OK' for a delivery, where a call broke (exchange) and where it timed out (abandon); what completed a message took no evidence, so nothing could see that the evidence was short.

The opposite error goes with it: a whole line ends its message at once (50 ms for the rest of the head), not only when its call ends. A success without a proof is a violation. The link's form is unchanged.

--- a/src/net/calls/answer.rs
+++ b/src/net/calls/answer.rs
@@ -1,11 +1,13 @@
 //! The answer to a call, and what it means for each of its messages.
 
 use super::{Call, CallContext, Item};
+use crate::net::end_proof::{BulkLine, EndProof};
 use crate::net::events::MAX_BODY_BYTES;
-use crate::net::pool::ConnectionLease;
+use crate::net::pool::{ConnectionLease, SuccessLine};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, RETRY_AFTER};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use message_sender::pool::{AnswerKind, CloseReason};
@@ -21,22 +23,31 @@
 const SLOTS_TAKEN: &str = "slots-taken";
 /// A longer Retry-After is cut to a day, in milliseconds.
 const MAX_RETRY_AFTER_MS: Micros = 86_400_000;
+/// The endpoint says that the call did not run its message.
+const NOT_SENT: Outcome = Outcome::NotSent { no_slot: false };
 
 /// How the attempt to deliver one message ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct AttemptResult {
     pub(super) outcome: Outcome,
-    /// Nothing more is to be sent or notified for the message.
-    pub(super) is_complete: bool,
+    /// Where nothing more is owed for the message: what proves that.
+    pub(super) proof: Option<EndProof>,
 }
 
 impl AttemptResult {
-    const SERVED: Self = AttemptResult::complete(Outcome::Success);
+    /// The message was delivered.
+    fn delivered(proof: EndProof) -> Self {
+        AttemptResult {
+            outcome: Outcome::Success,
+            proof: Some(proof),
+        }
+    }
 
-    const fn complete(outcome: Outcome) -> Self {
+    /// The message is over at its endpoint, which did not run it.
+    fn gone(proof: EndProof) -> Self {
         AttemptResult {
-            outcome,
-            is_complete: true,
+            outcome: NOT_SENT,
+            proof: Some(proof),
         }
     }
 }
@@ -45,7 +56,7 @@
     fn from(outcome: Outcome) -> Self {
         AttemptResult {
             outcome,
-            is_complete: false,
+            proof: None,
         }
     }
 }
@@ -83,12 +94,13 @@
 }
 
 impl CallAnswer {
-    /// The one message of a call was served, whatever else its answer was to tell.
-    pub(super) fn served() -> Self {
+    /// The one message of a call was delivered, whatever else its answer was to tell.
+    pub(super) fn of_status_line(line: &SuccessLine) -> Self {
+        let proof = EndProof::of_status_line(line);
         CallAnswer {
             is_from_endpoint: true,
             is_whole: false,
-            results: CallResults::Same(AttemptResult::SERVED),
+            results: CallResults::Same(AttemptResult::delivered(proof)),
             load_report: Vec::new(),
             retry_after: None,
         }
@@ -123,7 +135,17 @@
     }
     let is_bulk = call.items.len() > 1;
     let results = if is_bulk && head.status == StatusCode::OK {
-        read_bulk_results(body, &call.items, retry_after, lease).await
+        let is_length_told = is_length_told(&head.headers);
+        match read_bulk_text(body, lease).await {
+            Some(text) => {
+                let text = BulkText {
+                    text: &text,
+                    is_length_told,
+                };
+                CallResults::Each(bulk_results(text, &call.items, retry_after))
+            }
+            None => CallResults::Same(Outcome::Reset.into()),
+        }
     } else {
         // the result is known; the rest of the answer only frees the connection
         tokio::task::spawn_local(read_rest(body, lease));
@@ -141,7 +163,7 @@
 }
 
 /// What the answer tells the connection pool.
-fn answer_kind(head: &Parts) -> AnswerKind {
+pub(super) fn answer_kind(head: &Parts) -> AnswerKind {
     match head.status {
         StatusCode::OK => AnswerKind::Served,
         // all slots of this sender taken has nothing to do with its connections
@@ -163,9 +185,13 @@
 
 /// The result that an answer's status tells for all messages of a call.
 fn result_of_status(head: &Parts, is_bulk: bool, rejected: Outcome) -> AttemptResult {
-    const NOT_SENT: Outcome = Outcome::NotSent { no_slot: false };
+    if let Some(proof) = EndProof::of_gone_head(head) {
+        return AttemptResult::gone(proof);
+    }
+    if let Some(proof) = EndProof::of_delivered_head(head).filter(|_| !is_bulk) {
+        return AttemptResult::delivered(proof);
+    }
     match head.status {
-        StatusCode::OK => AttemptResult::SERVED,
         StatusCode::TOO_MANY_REQUESTS => rejected.into(),
         StatusCode::SERVICE_UNAVAILABLE => {
             let slots_taken = head.headers.get(SLOTS_TAKEN);
@@ -176,7 +202,6 @@
             }
         }
         StatusCode::GATEWAY_TIMEOUT => NOT_SENT.into(),
-        StatusCode::GONE => AttemptResult::complete(NOT_SENT),
         StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE if is_bulk => NOT_SENT.into(),
         _ => Outcome::Error.into(),
     }
@@ -203,27 +228,27 @@
     }
 }
 
-/// The whole answer to a bulk request tells each message's result.
-async fn read_bulk_results(
-    body: Incoming,
-    items: &[Item],
-    retry_after: Option<Micros>,
-    lease: ConnectionLease,
-) -> CallResults {
+/// Whether a head says where its body ends; without that the end of the connection does, which may cut it short.
+fn is_length_told(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// The body of an answer to a bulk request; none if it does not come as the head says.
+async fn read_bulk_text(body: Incoming, lease: ConnectionLease) -> Option<Bytes> {
     match Limited::new(body, MAX_BODY_BYTES).collect().await {
         Ok(text) => {
-            let results = bulk_results(&text.to_bytes(), items, retry_after);
             lease.release();
-            CallResults::Each(results)
+            Some(text.to_bytes())
         }
         Err(_) => {
             lease.discard(CloseReason::Unreadable);
-            CallResults::Same(Outcome::Reset.into())
+            None
         }
     }
 }
 
-async fn read_rest(body: Incoming, lease: ConnectionLease) {
+/// Reads the rest of an answer that has told all it had to, so that its connection can carry another call.
+pub(super) async fn read_rest(body: Incoming, lease: ConnectionLease) {
     let rest = Limited::new(body, MAX_BODY_BYTES).collect();
     match timeout(REST_OF_ANSWER_TIME, rest).await {
         Ok(Ok(_)) => lease.release(),
@@ -231,29 +256,45 @@
     }
 }
 
+/// The body of an answer to a bulk request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct BulkText<'a> {
+    pub(super) text: &'a [u8],
+    /// The answer's head said where it ends.
+    pub(super) is_length_told: bool,
+}
+
 /// Each message's result; one that the answer does not name, or names in no known word, may have run.
 pub(super) fn bulk_results(
-    text: &[u8],
+    answer: BulkText<'_>,
     items: &[Item],
     retry_after: Option<Micros>,
 ) -> Vec<AttemptResult> {
-    let words_by_id: HashMap<&[u8], &[u8]> = text
-        .split(|&byte| byte == b'\n')
-        .filter_map(|line| {
-            let space = line.iter().position(|&byte| byte == b' ')?;
-            Some((&line[..space], line[space + 1..].trim_ascii()))
-        })
+    let lines: HashMap<&[u8], BulkLine<'_>> = BulkLine::all_in(answer.text, answer.is_length_told)
+        .map(|line| (line.id(), line))
         .collect();
-    let result = |item: &Item| match words_by_id.get(item.id.as_bytes()).copied() {
-        Some(b"ok") => AttemptResult::SERVED,
-        Some(b"later") => Outcome::Rejected { retry_after }.into(),
-        Some(b"gone") => AttemptResult::complete(Outcome::NotSent { no_slot: false }),
-        Some(b"exhausted") => Outcome::NotSent { no_slot: false }.into(),
-        _ => Outcome::Error.into(),
+    let result = |item: &Item| match lines.get(item.id.as_bytes()) {
+        Some(line) => result_of_line(line, retry_after),
+        None => Outcome::Error.into(),
     };
     items.iter().map(result).collect()
 }
 
+/// The result that a line of a bulk answer tells.
+fn result_of_line(line: &BulkLine<'_>, retry_after: Option<Micros>) -> AttemptResult {
+    if let Some(proof) = EndProof::of_delivered_line(line) {
+        return AttemptResult::delivered(proof);
+    }
+    if let Some(proof) = EndProof::of_gone_line(line) {
+        return AttemptResult::gone(proof);
+    }
+    match line.word() {
+        b"later" => Outcome::Rejected { retry_after }.into(),
+        b"exhausted" => NOT_SENT.into(),
+        _ => Outcome::Error.into(),
+    }
+}
+
 /// The time of a `Retry-After` in seconds, with or without decimals; none where it cannot be read.
 pub(super) fn read_retry_after(headers: &HeaderMap) -> Option<Micros> {
     let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
--- a/src/net/calls/compatibility.rs
+++ b/src/net/calls/compatibility.rs
@@ -1,7 +1,7 @@
 //! Requests to endpoints, byte for byte, and what their answers come to.
 
 use super::Item;
-use super::answer::{AttemptResult, bulk_results, read_load_report, read_retry_after};
+use super::answer::{AttemptResult, BulkText, bulk_results, read_load_report, read_retry_after};
 use super::request::{CallRequest, call_request};
 use crate::net::http_golden as golden;
 use bytes::Bytes;
@@ -54,7 +54,7 @@
     let encoded = |end: &AttemptResult| {
         format!(
             "{:?}",
-            postcard::to_allocvec(&(end.outcome, end.is_complete)).expect("encoded")
+            postcard::to_allocvec(&(end.outcome, end.proof.is_some())).expect("encoded")
         )
     };
     ends.iter().map(encoded).collect::<Vec<_>>().join(" ")
@@ -80,9 +80,13 @@
 fn answers_of_endpoints_are_read_as_recorded() {
     let items = ["m1", "m2", "m3", "m4", "m5", "m6"].map(|id| item(id, None, b""));
     let text = b"m2 later\r\nm1 ok\nm3 gone\nm4 exhausted \nm6 what\nm9 ok\n";
-    let mut read = told(&bulk_results(text, &items, Some(5000)))
+    let answer = BulkText {
+        text,
+        is_length_told: true,
+    };
+    let mut read = told(&bulk_results(answer, &items, Some(5000)))
         + "\n"
-        + &told(&bulk_results(text, &items, None))
+        + &told(&bulk_results(answer, &items, None))
         + "\n";
     for wait in ["1", "0.0015", " 3 ", "-1", "soon", "99999999", "nan", "0"] {
         let headers = HeaderMap::from_iter([(RETRY_AFTER, HeaderValue::from_static(wait))]);
--- a/src/net/calls/exchange.rs
+++ b/src/net/calls/exchange.rs
@@ -1,15 +1,25 @@
 //! One call on one connection: the request goes out, and its answer is read.
 
-use super::answer::{CallAnswer, read_answer};
+use super::answer::{
+    CallAnswer, REST_OF_ANSWER_TIME, answer_kind, read_answer, read_rest, read_retry_after,
+};
 use super::request::call_request;
 use super::{Call, CallContext};
-use crate::net::pool::{ConnectionLease, LeaseError, Traffic};
+use crate::net::events::DriverInput;
+use crate::net::pool::{ConnectionLease, LeaseError, SuccessLine, Traffic};
+use hyper::Response;
+use hyper::body::Incoming;
 use message_sender::Outcome;
-use message_sender::pool::{CloseReason, DialFailure, LeaseDenied};
+use message_sender::pool::{CloseReason, DialFailure, EndpointAddress, LeaseDenied};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::time::{Instant, timeout_at};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// How long the rest of a head is waited for once its first line has told the end of the message: it comes with that line
+/// as a rule, and so much is the slack of the protocol's time limits.
+const REST_OF_HEAD_TIME: Duration = Duration::from_millis(50);
 
 /// What others see of a call in flight.
 #[derive(Default)]
@@ -40,14 +50,23 @@
         progress.traffic.replace(Some(traffic.clone()));
         let written_before = traffic.written();
         traffic.reset_answer();
-        let sent = connection.sender.try_send_request(request.request).await;
+        let mut answer = Box::pin(connection.sender.try_send_request(request.request));
+        let sent = tokio::select! {
+            biased;
+            sent = &mut answer => sent,
+            line = head_is_overdue(&traffic), if call.items.len() == 1 => {
+                let late = LateAnswer { context: context.clone(), target: call.target, lease };
+                tokio::task::spawn_local(late.read(answer));
+                return CallAnswer::of_status_line(&line);
+            }
+        };
         if let Ok(response) = sent {
             return read_answer(context, call, lease, response).await;
         }
         // what makes the rest unreadable takes nothing from a first line that tells the one message's end
-        if call.items.len() == 1 && traffic.has_success_status() {
+        if let Some(line) = traffic.success_line().filter(|_| call.items.len() == 1) {
             lease.discard(CloseReason::Unreadable);
-            return CallAnswer::served();
+            return CallAnswer::of_status_line(&line);
         }
         let written = traffic.written() - written_before;
         // an idle connection that had closed before a byte was written carried no call at all
@@ -66,6 +85,39 @@
     }
 }
 
+/// Waits until the rest of a head whose first line says 200 has had its time.
+async fn head_is_overdue(traffic: &Traffic) -> SuccessLine {
+    let line = traffic.wait_for_success_line().await;
+    sleep(REST_OF_HEAD_TIME).await;
+    line
+}
+
+/// The rest of an answer whose message is known to be delivered: it frees the connection, and a Retry-After in it holds.
+struct LateAnswer {
+    context: Rc<CallContext>,
+    target: EndpointAddress,
+    lease: ConnectionLease,
+}
+
+impl LateAnswer {
+    async fn read<E>(self, answer: impl Future<Output = Result<Response<Incoming>, E>>) {
+        let Ok(Ok(response)) = timeout(REST_OF_ANSWER_TIME, answer).await else {
+            return self.lease.discard(CloseReason::Unreadable);
+        };
+        let (head, body) = response.into_parts();
+        self.lease.record_answer(answer_kind(&head));
+        if let Some(wait) = read_retry_after(&head.headers) {
+            let endpoint = self.target.endpoint;
+            // nobody listens any more only when the process ends
+            let _ = self
+                .context
+                .inputs
+                .send(DriverInput::RetryAfter { endpoint, wait });
+        }
+        read_rest(body, self.lease).await;
+    }
+}
+
 /// Acquires a connection, in time for the call to begin.
 async fn acquire(
     context: &CallContext,
--- a/src/net/calls/run.rs
+++ b/src/net/calls/run.rs
@@ -57,7 +57,7 @@
             call: self.call,
             item,
             outcome: result.outcome,
-            closed: result.is_complete,
+            proof: result.proof,
             report: load_report,
             retry_after,
         };
@@ -214,15 +214,11 @@
             late_answer: None,
         };
     }
-    // a first line is true also where its head never ends
-    let is_served = needs_answer
-        && call.items.len() == 1
-        && traffic
-            .as_ref()
-            .is_some_and(|traffic| traffic.has_success_status());
-    if is_served {
+    // a whole first line is true also where its head never ends, and whatever the call was given up for
+    let line = traffic.as_ref().and_then(|traffic| traffic.success_line());
+    if let Some(line) = line.filter(|_| call.items.len() == 1) {
         return FinishedCall {
-            answer: CallAnswer::served(),
+            answer: CallAnswer::of_status_line(&line),
             late_answer: None,
         };
     }
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -92,7 +92,7 @@
                     .results,
                 CallResults::Same(AttemptResult {
                     outcome: Outcome::Success,
-                    is_complete: true
+                    proof: Some(_)
                 })
             ));
             // the rest of that answer is read and its connection given back
@@ -144,8 +144,8 @@
                 (whole.clone(), vec![]),
                 "reused {reused}, answer {length}"
             );
-            let told = length > b"HTTP/1.1 200".len();
-            let wanted = if told {
+            let is_line_whole = length >= b"HTTP/1.1 200 OK\r\n".len();
+            let wanted = if is_line_whole {
                 Outcome::Success
             } else {
                 Outcome::Reset
@@ -181,7 +181,7 @@
             answer.results,
             CallResults::Same(AttemptResult {
                 outcome: Outcome::NotSent { no_slot: false },
-                is_complete: false
+                proof: None
             })
         ));
         // the connection came up and stays idle, with nothing written
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -138,8 +138,25 @@
         );
     }
 
+    /// A success without a proof is none: the message may have run, and is still owed its end.
+    fn with_proved_success(&mut self, end: AttemptEnd) -> AttemptEnd {
+        if end.outcome != Outcome::Success || end.proof.is_some() {
+            return end;
+        }
+        let AttemptEnd { call, item, .. } = end;
+        self.violations.count(
+            Violation::UnprovedSuccess,
+            format_args!("call {call}, item {item}"),
+        );
+        AttemptEnd {
+            outcome: Outcome::Error,
+            ..end
+        }
+    }
+
     /// An attempt's call has reported how it ended.
     pub(super) fn attempt_ended(&mut self, end: AttemptEnd) {
+        let end = self.with_proved_success(end);
         let Some((message, number)) = self.calls_in_flight.attempt_at(end.call, end.item) else {
             let AttemptEnd { call, item, .. } = end;
             return self.violations.count(
@@ -154,7 +171,7 @@
             number,
             endpoint: self.endpoints.uid(attempt.endpoint),
             outcome: end.outcome,
-            ends_message: end.closed,
+            proof: end.proof,
         };
         self.log_event(message, &ended);
         self.end_call_item(end.call);
@@ -177,11 +194,11 @@
         if let Some(wait) = end.retry_after {
             self.retry_after(attempt.endpoint, wait);
         }
-        if end.closed {
+        if let Some(proof) = end.proof {
             if end.outcome == Outcome::Success {
                 self.messages.remember_delivered(message);
             }
-            self.complete(message);
+            self.complete(message, proof);
         }
         self.events.push(Event::AttemptEnded {
             message,
--- a/src/net/driver/completion.rs
+++ b/src/net/driver/completion.rs
@@ -3,6 +3,8 @@
 
 use super::Driver;
 use crate::net::discovery::OutcomeNotification;
+use crate::net::end_proof::EndProof;
+use crate::net::events::AcceptedNotifications;
 use crate::net::journal::UndeliveredOutcome;
 use crate::net::message_log::{self, MessageEvent};
 use message_sender::decisions::DEADLINE_MARGIN;
@@ -58,11 +60,12 @@
 }
 
 impl Driver {
-    /// Nothing more is to be done for the message.
-    pub(super) fn complete(&mut self, message: MessageId) {
+    /// Nothing more is owed for the message, as the proof shows.
+    pub(super) fn complete(&mut self, message: MessageId, proof: EndProof) {
         self.lifecycle.complete(message);
         if self.messages.close(message) {
-            self.journal.complete(message);
+            self.end_counts.count(proof);
+            self.journal.complete(message, proof);
         }
     }
 
@@ -99,13 +102,15 @@
         }
     }
 
-    /// The platform has accepted the notifications of these messages.
-    pub(super) fn notifications_delivered(&mut self, numbers: Vec<u64>) {
+    /// The platform has accepted notifications.
+    pub(super) fn notifications_accepted(&mut self, accepted: AcceptedNotifications) {
+        let AcceptedNotifications { numbers, proof } = accepted;
         for message in numbers.into_iter().map(MessageId) {
             if let Some(held) = self.journal.unfinished().get(&message.0) {
                 message_log::record_text(&held.accepted.id, &MessageEvent::Notified);
             }
-            self.journal.complete(message);
+            self.end_counts.count(proof);
+            self.journal.complete(message, proof);
             self.lifecycle.complete(message);
             self.events.push(Event::NotificationDelivered(message));
         }
--- a/src/net/driver/draining_predecessor.rs
+++ b/src/net/driver/draining_predecessor.rs
@@ -110,8 +110,8 @@
     async fn receive(&mut self, input: DriverInput) -> Result<(), LinkError> {
         match input {
             DriverInput::Submitted(submission) => self.forward_submission(submission).await,
-            DriverInput::ClientDisconnected(id) => {
-                let message = HandoverMessage::ClientDisconnected(text(&id));
+            DriverInput::ClientDisconnected(client) => {
+                let message = HandoverMessage::ClientDisconnected(text(&client.id));
                 self.writer.send_message(message).await
             }
             DriverInput::AttemptEnded(end) => self.report_attempt(end).await,
@@ -132,7 +132,7 @@
             | DriverInput::FleetView(_)
             | DriverInput::EndpointList(_)
             | DriverInput::ListStale(_)
-            | DriverInput::NotificationsDelivered(_)
+            | DriverInput::NotificationsAccepted(_)
             | DriverInput::ShuttingDown(_) => Ok(()),
         }
     }
--- a/src/net/driver/journal_state.rs
+++ b/src/net/driver/journal_state.rs
@@ -1,6 +1,7 @@
 //! The journal as the driver uses it: failures are logged, and the decision module learns whether records are taken.
 
 use crate::net::RateLimitedLog;
+use crate::net::end_proof::EndProof;
 use crate::net::journal::{
     AcceptedMessage, ClassTerms, Journal, JournalError, MessageOrigin, UndeliveredOutcome,
     UnfinishedMessage,
@@ -95,9 +96,9 @@
         self.logged(written);
     }
 
-    /// Nothing more is to be done for the message.
-    pub fn complete(&mut self, message: MessageId) {
-        let written = self.journal.complete(message.0);
+    /// Nothing more is owed for the message, as the proof shows.
+    pub fn complete(&mut self, message: MessageId, proof: EndProof) {
+        let written = self.journal.complete(message.0, proof);
         self.logged(written);
     }
 
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -9,6 +9,7 @@
 mod calls_in_flight;
 mod completion;
 mod draining_predecessor;
+mod end_counts;
 mod endpoint_list;
 mod endpoints;
 mod freeze_filter;
@@ -33,6 +34,7 @@
 use super::message_log::{self, MessageEvent};
 use calls_in_flight::CallsInFlight;
 use completion::Notifications;
+use end_counts::EndCounts;
 use endpoint_list::ListState;
 use endpoints::Endpoints;
 use freeze_filter::{AdmissionJitter, FreezeFilter};
@@ -113,6 +115,7 @@
     calls: Calls,
     calls_in_flight: CallsInFlight,
     notifications: Notifications,
+    end_counts: EndCounts,
     endpoints: Endpoints,
     list: ListState,
     /// What a freeze holds back of the list; none while it is off.
@@ -182,6 +185,7 @@
             calls,
             calls_in_flight: CallsInFlight::default(),
             notifications: Notifications::new(notifications),
+            end_counts: EndCounts::new(Instant::now()),
             endpoints: Endpoints::default(),
             list: ListState::default(),
             freeze: None,
@@ -294,6 +298,7 @@
     /// Regular work; true if a turn is due.
     fn sweep(&mut self) -> bool {
         self.calls.connections().run_maintenance();
+        self.end_counts.log_if_due(Instant::now());
         let journal_recovered = self.journal.retry();
         self.admit_unfrozen() || journal_recovered || self.notifications.has_pending()
     }
@@ -310,15 +315,18 @@
     fn receive(&mut self, input: DriverInput) {
         match input {
             DriverInput::Submitted(submission) => self.receive_submission(submission),
-            DriverInput::ClientDisconnected(id) => self.client_disconnected(&id),
-            DriverInput::ShuttingDown(at) => self.events.push(Event::ShuttingDown {
-                at: self.clock.at(at),
-            }),
+            DriverInput::ClientDisconnected(client) => self.client_disconnected(&client),
+            DriverInput::ShuttingDown(at) => {
+                self.end_counts.log(Instant::now());
+                self.events.push(Event::ShuttingDown {
+                    at: self.clock.at(at),
+                });
+            }
             DriverInput::AttemptEnded(end) => self.attempt_ended(end),
             DriverInput::RetryAfter { endpoint, wait } => self.retry_after(endpoint, wait),
             DriverInput::EndpointList(update) => self.receive_list(update),
             DriverInput::ListStale(stale) => self.events.push(Event::EndpointListStale(stale)),
-            DriverInput::NotificationsDelivered(numbers) => self.notifications_delivered(numbers),
+            DriverInput::NotificationsAccepted(accepted) => self.notifications_accepted(accepted),
             DriverInput::AgreedRules { rules, applied } => {
                 self.list.rules_agreed = rules.is_some();
                 self.events.push(Event::AgreedRules(rules));
--- a/src/net/driver/recovery.rs
+++ b/src/net/driver/recovery.rs
@@ -5,7 +5,7 @@
 use super::submissions::{guarantee_of, key_of};
 use crate::net::calls::Item;
 use crate::net::discovery::OutcomeNotification;
-use crate::net::journal::{RecordedAttempt, UnfinishedMessage};
+use crate::net::journal::{RecordedAttempt, UndeliveredOutcome, UnfinishedMessage};
 use crate::net::message_log::{self, MessageEvent};
 use hyper::header::HeaderValue;
 use message_sender::lifecycle::DeliveryGuarantee;
@@ -122,9 +122,7 @@
     ) {
         let accepted = message.accepted;
         let Ok(id) = HeaderValue::from_str(&accepted.id) else {
-            return crate::net::log(format_args!(
-                "journal: message {number:?} has an id that can't be read"
-            ));
+            return self.end_unreadable(number, new, accepted.id);
         };
         let key = accepted.key.as_deref();
         let key = key.and_then(|key| HeaderValue::from_str(key).ok());
@@ -161,6 +159,20 @@
         self.messages.insert(number, recovered);
     }
 
+    /// A message that no call can carry ends undelivered: its id, as it is recorded, makes no header.
+    fn end_unreadable(&mut self, number: MessageId, new: NewMessage, id: String) {
+        let outcome = UndeliveredOutcome::Failed;
+        message_log::record_text(&id, &MessageEvent::EndedUndelivered(outcome));
+        self.journal.end_undelivered(number, outcome);
+        self.lifecycle.close(number);
+        self.events.push(Event::NotificationPending(new));
+        self.notifications.send(OutcomeNotification {
+            number: number.0,
+            id,
+            outcome,
+        });
+    }
+
     fn past_attempt(&self, attempt: &RecordedAttempt) -> PastAttempt {
         PastAttempt {
             endpoint: self
--- a/src/net/driver/submissions.rs
+++ b/src/net/driver/submissions.rs
@@ -3,6 +3,7 @@
 use super::Driver;
 use super::messages::Message;
 use crate::net::calls::Item;
+use crate::net::end_proof::{DepartedClient, EndProof};
 use crate::net::events::{Submission, SubmissionResult};
 use crate::net::handover::text;
 use crate::net::journal::{AcceptedMessage, ClassTerms, MessageOrigin};
@@ -96,7 +97,8 @@
     }
 
     /// A client left before it had its answer; the message is abandoned with its last client.
-    pub(super) fn client_disconnected(&mut self, id: &HeaderValue) {
+    pub(super) fn client_disconnected(&mut self, client: &DepartedClient) {
+        let DepartedClient { id } = client;
         let Some(message) = self.messages.open_message(id) else {
             return;
         };
@@ -107,7 +109,7 @@
         if pending.clients == 0 {
             message_log::record(id, &MessageEvent::ClientLeft);
             self.events.push(Event::MessageAbandoned(message));
-            self.complete(message);
+            self.complete(message, EndProof::of_departed_client(client));
         }
     }
 
--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -5,6 +5,7 @@
 use super::messages::{Attempt, Message};
 use crate::net;
 use crate::net::calls::InFlightCall;
+use crate::net::end_proof::DepartedClient;
 use crate::net::events::{
     AdminResult, AttemptEnd, ForwardedSubmission, HandoverMessage, Submission, SubmissionResult,
 };
@@ -125,7 +126,7 @@
             HandoverMessage::AttemptEnded(end) => self.attempt_ended(end),
             HandoverMessage::ClientDisconnected(id) => {
                 if let Ok(id) = HeaderValue::from_str(&id) {
-                    self.client_disconnected(&id);
+                    self.client_disconnected(&DepartedClient { id });
                 }
             }
             HandoverMessage::Submitted { number, submission } => {
@@ -208,7 +209,7 @@
                 call,
                 item,
                 outcome: LOST_CALL_OUTCOME,
-                closed: false,
+                proof: None,
                 report: Vec::new(),
                 retry_after: None,
             });
--- a/src/net/driver/violations.rs
+++ b/src/net/driver/violations.rs
@@ -25,6 +25,9 @@
     /// The decision module cancelled an attempt whose call is not known.
     #[error("an attempt is cancelled whose call is not known")]
     CancelUnknown,
+    /// A call reported a delivery without what proves it.
+    #[error("an attempt succeeded without a proof")]
+    UnprovedSuccess,
     /// The decision module decided a call that what has happened forbids.
     #[error("a call must not begin: {0}")]
     CallForbidden(lifecycle::Violation),
--- /dev/null
+++ b/src/net/end_proof/tests.rs
@@ -0,0 +1,56 @@
+//! What proves an end, and what does not.
+
+use super::*;
+use hyper::Response;
+
+fn head(status: u16) -> Parts {
+    let response = Response::builder().status(status).body(());
+    response.expect("a status").into_parts().0
+}
+
+#[test]
+fn only_200_410_and_204_prove_the_end_that_each_stands_for() {
+    for status in 200..600 {
+        let head = head(status);
+        let delivered = EndProof::of_delivered_head(&head).is_some();
+        assert_eq!(delivered, status == 200, "{status}");
+        let gone = EndProof::of_gone_head(&head).is_some();
+        assert_eq!(gone, status == 410, "{status}");
+        let notified = EndProof::of_notification_answer(head.status).is_some();
+        assert_eq!(notified, status == 204, "{status}");
+    }
+}
+
+#[test]
+fn line_of_bulk_answer_cut_at_any_byte_proves_no_end() {
+    let text = b"m1 ok\r\nm2 gone\r\n";
+    for length in 0..=text.len() {
+        let proved: Vec<&[u8]> = BulkLine::all_in(&text[..length], false)
+            .filter(|line| {
+                EndProof::of_delivered_line(line)
+                    .or(EndProof::of_gone_line(line))
+                    .is_some()
+            })
+            .map(|line| line.id())
+            .collect();
+        let whole_lines = text[..length].iter().filter(|byte| **byte == b'\n').count();
+        let wanted: &[&[u8]] = &[b"m1", b"m2"];
+        assert_eq!(proved, wanted[..whole_lines], "{length} bytes");
+    }
+    // where the length is told, the last line is whole without its line feed
+    assert_eq!(BulkLine::all_in(b"m1 ok\nm2 ok", true).count(), 2);
+    assert_eq!(BulkLine::all_in(b"m1 ok\nm2 ok", false).count(), 1);
+}
+
+#[test]
+fn proof_in_a_frame_has_the_form_of_a_flag() {
+    #[derive(serde::Serialize, serde::Deserialize)]
+    struct End(#[serde(with = "in_frame")] Option<EndProof>);
+    let proof = EndProof::of_delivered_head(&head(200));
+    for (proof, flag) in [(proof, 1u8), (None, 0)] {
+        let bytes = postcard::to_allocvec(&End(proof)).expect("encoded");
+        assert_eq!(bytes, [flag]);
+        let End(read) = postcard::from_bytes(&bytes).expect("decoded");
+        assert_eq!(read.is_some(), proof.is_some());
+    }
+}
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -1,6 +1,7 @@
 //! Messages to the driver from the other tasks and from operators, and those between the two processes of a handover:
 //! data alone, known to all tasks.
 
+use super::end_proof::{DepartedClient, EndProof, in_frame};
 use super::freeze::settings::FreezeSettings;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -24,8 +25,8 @@
 pub enum DriverInput {
     /// A client hands a message in.
     Submitted(Submission),
-    /// A client left before it had its answer; the id of the message that it handed in.
-    ClientDisconnected(HeaderValue),
+    /// A client left before it had its answer.
+    ClientDisconnected(DepartedClient),
     /// The process shuts down gracefully and ends at this instant.
     ShuttingDown(Instant),
     /// An attempt to deliver one message ended.
@@ -41,8 +42,8 @@
     EndpointList(ListUpdate),
     /// The endpoint list became stale (true) or is current again (false).
     ListStale(bool),
-    /// The platform accepted the outcome notifications of these messages.
-    NotificationsDelivered(Vec<u64>),
+    /// The platform accepted outcome notifications.
+    NotificationsAccepted(AcceptedNotifications),
     /// The rules on which all senders agree changed.
     AgreedRules {
         /// The rules; none while agreement is off.
@@ -83,6 +84,15 @@
     HandoverLinkLost,
 }
 
+/// Outcome notifications that the platform has accepted.
+#[derive(Debug)]
+pub struct AcceptedNotifications {
+    /// The numbers of their messages.
+    pub numbers: Vec<u64>,
+    /// The platform's answer.
+    pub proof: EndProof,
+}
+
 /// What a sender could use of the fleet's limits.
 #[derive(Debug, Default)]
 pub struct DemandReport {
@@ -221,8 +231,9 @@
     pub item: usize,
     /// How it ended.
     pub outcome: Outcome,
-    /// The message is complete: nothing more is to be sent or notified for it.
-    pub closed: bool,
+    /// Where nothing more is owed for the message: what proves that.
+    #[serde(with = "in_frame")]
+    pub proof: Option<EndProof>,
     /// The fields of the endpoint's load report.
     pub report: Vec<f64>,
     /// A Retry-After that the outcome does not carry.
--- a/src/net/handover/tests.rs
+++ b/src/net/handover/tests.rs
@@ -2,6 +2,7 @@
 
 use super::lock::LOCK;
 use super::*;
+use crate::net::end_proof::EndProof;
 use crate::net::events::{AdminResult, AttemptEnd, ForwardedSubmission, SubmissionResult};
 use crate::net::golden::assert_same_bytes;
 use message_sender::wire::Names;
@@ -130,7 +131,7 @@
         call: 41,
         item: 2,
         outcome,
-        closed: true,
+        proof: Some(EndProof::REPORTED),
         report: vec![0.25, 1e9],
         retry_after: Some(3_000_003),
     }))
@@ -196,7 +197,7 @@
             call: 1,
             item: 0,
             outcome: Outcome::NotSent { no_slot: false },
-            closed: false,
+            proof: None,
             report: Vec::new(),
             retry_after: None,
         })),
--- a/src/net/journal/mod.rs
+++ b/src/net/journal/mod.rs
@@ -16,6 +16,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::net::end_proof::EndProof;
 use contents::Contents;
 pub use contents::UnfinishedMessage;
 use file::JournalFile;
@@ -255,11 +256,11 @@
         self.write_behind(Record::Undelivered(number, outcome))
     }
 
-    /// Nothing more is to be done for a message.
+    /// Nothing more is owed for a message, as the proof shows: the record itself does not hold it.
     ///
     /// # Errors
     /// It is pending: known here, and written as soon as the disk takes it.
-    pub fn complete(&mut self, number: u64) -> Result<(), JournalError> {
+    pub fn complete(&mut self, number: u64, _: EndProof) -> Result<(), JournalError> {
         if !self.contents.unfinished.contains_key(&number) {
             return Ok(());
         }
--- a/src/net/journal/tests.rs
+++ b/src/net/journal/tests.rs
@@ -107,7 +107,7 @@
         (3, Some(one)) => journal
             .end_undelivered(one, UndeliveredOutcome::Failed)
             .is_ok(),
-        (_, Some(one)) => journal.complete(one).is_ok(),
+        (_, Some(one)) => journal.complete(one, accepted_notification()).is_ok(),
     }
 }
 
@@ -208,3 +208,8 @@
         );
     }
 }
+
+/// The proof that a notification was accepted.
+fn accepted_notification() -> EndProof {
+    EndProof::of_notification_answer(hyper::StatusCode::NO_CONTENT).expect("it is 204")
+}
--- a/src/net/journal/tests/format.rs
+++ b/src/net/journal/tests/format.rs
@@ -229,7 +229,9 @@
     journal
         .end_undelivered(4, UndeliveredOutcome::Failed)
         .expect("written");
-    journal.complete(6).expect("written");
+    journal
+        .complete(6, accepted_notification())
+        .expect("written");
 }
 
 #[test]
@@ -251,7 +253,7 @@
     );
     assert_eq!(found.disabled_endpoints().collect::<Vec<_>>(), ["s-8"]);
     // what is written next stands behind what stood there
-    found.complete(5).expect("written");
+    found.complete(5, accepted_notification()).expect("written");
     let file = fs::read(&found.file.path).expect("read");
     assert_same_bytes("file gone on with", &file[..WRITTEN.len()], WRITTEN);
     assert_same_bytes(
--- a/src/net/message_log.rs
+++ b/src/net/message_log.rs
@@ -4,6 +4,7 @@
 //! come of their answers, and how such messages end. The ordinary steps are logged too where `RELAY_TRACE` is set.
 //! A line budget keeps a flood of failures from filling the log; what it leaves out is counted in the log.
 
+use super::end_proof::EndProof;
 use super::events::SubmissionResult;
 use super::journal::UndeliveredOutcome;
 use super::{log, traces};
@@ -46,8 +47,8 @@
         endpoint: Option<&'a str>,
         /// How the attempt ended.
         outcome: Outcome,
-        /// Nothing more is owed for the message.
-        ends_message: bool,
+        /// Where nothing more is owed for the message: what proves that.
+        proof: Option<EndProof>,
     },
     /// An attempt is cancelled, because the message has ended or another attempt goes on.
     AttemptCancelled {
@@ -97,19 +98,15 @@
                 number,
                 endpoint,
                 outcome,
-                ends_message,
+                proof,
             } => {
                 let endpoint = endpoint.unwrap_or("an endpoint that is gone");
-                let rest = if *ends_message {
-                    ", which ends the message"
-                } else {
-                    ""
-                };
                 let outcome = OutcomeText(*outcome);
-                write!(
-                    formatter,
-                    "attempt {number} at {endpoint} ended: {outcome}{rest}"
-                )
+                write!(formatter, "attempt {number} at {endpoint} ended: {outcome}")?;
+                match proof {
+                    Some(proof) => write!(formatter, ", which ends the message: {proof}"),
+                    None => Ok(()),
+                }
             }
             MessageEvent::AttemptCancelled { number } => {
                 write!(formatter, "attempt {number} is cancelled")
--- a/src/net/message_log/tests.rs
+++ b/src/net/message_log/tests.rs
@@ -9,7 +9,7 @@
         number,
         endpoint: Some("s-1"),
         outcome,
-        ends_message: outcome == Outcome::Success,
+        proof: None,
     };
     let began = |number| MessageEvent::AttemptBegan {
         number,
@@ -44,7 +44,7 @@
         outcome: Outcome::Rejected {
             retry_after: Some(500 * MILLISECOND),
         },
-        ends_message: false,
+        proof: None,
     };
     assert_eq!(
         event.to_string(),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod discovery;
 pub mod driver;
+pub mod end_proof;
 pub mod events;
 pub mod freeze;
 #[cfg(test)]
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -3,13 +3,14 @@
 //!
 //! `state` carries out the rules' commands, `connector` makes connections, `lease` is what a call holds, `limits`
 //! derives the limits from settings and descriptors, `report` is for operators, `traffic` watches one connection's
-//! bytes.
+//! bytes, `status_line` the first line of an answer.
 
 mod connector;
 mod lease;
 mod limits;
 mod report;
 mod state;
+mod status_line;
 mod traffic;
 
 use connector::Connector;
@@ -19,6 +20,7 @@
 use message_sender::pool::{PoolLimits, PoolSettings};
 use message_sender::{Micros, Settings};
 use state::PoolState;
+pub use status_line::SuccessLine;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/net/pool/traffic.rs
+++ b/src/net/pool/traffic.rs
@@ -1,5 +1,6 @@
 //! What goes over a connection: bytes written, the start of an answer, and how a call on it is abandoned.
 
+use super::status_line::{StatusLineReader, SuccessLine};
 use crate::net::stream::Stream;
 use std::io;
 use std::pin::Pin;
@@ -9,21 +10,28 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
-/// As much of an answer as tells its status.
-const STATUS_LINE_BYTES: usize = 16;
+/// Bytes of an answer that are kept for the log.
+const KEPT_ANSWER_BYTES: usize = 32;
 
 /// What has gone over a connection, beside what hyper tells of it.
 #[derive(Default)]
 pub struct Traffic {
     written: AtomicU64,
-    /// The first bytes that came since the last request.
-    answer_start: Mutex<Vec<u8>>,
-    /// How many bytes came since the last request.
-    answer_bytes: AtomicU64,
+    answer: Mutex<AnswerProgress>,
+    success_line_read: Notify,
     abandonment: Mutex<Abandonment>,
     read_out: Notify,
 }
 
+/// What has come since the last request.
+#[derive(Default)]
+struct AnswerProgress {
+    bytes: u64,
+    /// The first of them, up to [`KEPT_ANSWER_BYTES`].
+    start: Vec<u8>,
+    status_line: StatusLineReader,
+}
+
 /// How far a call is given up. It ends at the one moment at which the system has nothing more to read: an answer that
 /// has come by then counts.
 #[derive(Default)]
@@ -74,50 +82,51 @@
         self.abandonment().is_shut
     }
 
+    fn answer(&self) -> MutexGuard<'_, AnswerProgress> {
+        self.answer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Bytes of an answer that have come.
     pub fn answer_bytes(&self) -> u64 {
-        self.answer_bytes.load(Ordering::Relaxed)
+        self.answer().bytes
     }
 
     /// The first bytes of the answer.
     pub fn answer_start(&self) -> Vec<u8> {
-        self.answer_start
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.answer().start.clone()
     }
 
     /// What comes from now on is another answer.
     pub fn reset_answer(&self) {
-        self.answer_bytes.store(0, Ordering::Relaxed);
-        self.answer_start
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clear();
+        *self.answer() = AnswerProgress::default();
     }
 
     fn record_answer_bytes(&self, bytes: &[u8]) {
-        self.answer_bytes
-            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        let mut first = self
-            .answer_start
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let room = STATUS_LINE_BYTES.saturating_sub(first.len());
-        first.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        let mut answer = self.answer();
+        answer.bytes += bytes.len() as u64;
+        let room = KEPT_ANSWER_BYTES.saturating_sub(answer.start.len());
+        answer
+            .start
+            .extend_from_slice(&bytes[..bytes.len().min(room)]);
+        answer.status_line.read(bytes);
+        if answer.status_line.success().is_some() {
+            self.success_line_read.notify_one();
+        }
     }
 
-    /// True if an answer's first line says 200, whatever follows it.
-    pub fn has_success_status(&self) -> bool {
-        let first = self
-            .answer_start
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let rest = first
-            .strip_prefix(b"HTTP/1.1 200")
-            .or_else(|| first.strip_prefix(b"HTTP/1.0 200"));
-        rest.and_then(<[u8]>::first)
-            .is_some_and(|after| b" \r\n".contains(after))
+    /// The answer's first line, once it has come whole and says 200, whatever follows it.
+    pub fn success_line(&self) -> Option<SuccessLine> {
+        self.answer().status_line.success()
+    }
+
+    /// Waits for a whole first line that says 200.
+    pub async fn wait_for_success_line(&self) -> SuccessLine {
+        loop {
+            if let Some(line) = self.success_line() {
+                return line;
+            }
+            self.success_line_read.notified().await;
+        }
     }
 }
 
--- a/src/net/pool/traffic/tests.rs
+++ b/src/net/pool/traffic/tests.rs
@@ -31,7 +31,7 @@
         peer.write_all(b"HTTP/1.1 200 OK\r\n").expect("written");
         traffic.abandon_call().await;
         assert!(
-            traffic.has_success_status(),
+            traffic.success_line().is_some(),
             "the second look ended before what had come was read"
         );
         // one that has ended needs no look
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -5,6 +5,7 @@
 mod headers;
 
 use super::connection::{self, ConnectionState, HttpSettings};
+use super::end_proof::DepartedClient;
 use super::events::{DriverInput, MAX_BODY_BYTES, Submission, SubmissionResult};
 use super::message_log;
 pub use accept::accept;
@@ -177,7 +178,8 @@
         reply,
     };
     let mut guard = DisconnectGuard {
-        pending_id: Some(submission.id.clone()),
+        id: submission.id.clone(),
+        result: Some(result),
         inputs: &server.inputs,
     };
     if server
@@ -187,11 +189,7 @@
     {
         return Err(RequestError::ShuttingDown);
     }
-    let result = result.await;
-    guard.pending_id = None;
-    Ok(submission_response(
-        result.unwrap_or(SubmissionResult::NotStored),
-    ))
+    Ok(submission_response(guard.result().await))
 }
 
 fn readiness(method: &Method, server: &Server) -> Result<Response<Full<Bytes>>, RequestError> {
@@ -249,16 +247,39 @@
 /// Notifies the driver of a client that disconnects before its answer, since it submits its message again elsewhere:
 /// hyper drops the request then.
 struct DisconnectGuard<'a> {
-    pending_id: Option<HeaderValue>,
+    id: HeaderValue,
+    /// The driver's answer, as long as it has not been taken for the client.
+    result: Option<oneshot::Receiver<SubmissionResult>>,
     inputs: &'a mpsc::UnboundedSender<DriverInput>,
 }
 
+impl DisconnectGuard<'_> {
+    /// The driver's answer, which goes to the client from then on.
+    async fn result(&mut self) -> SubmissionResult {
+        let Some(result) = &mut self.result else {
+            return SubmissionResult::NotStored;
+        };
+        let result = result.await;
+        self.result = None;
+        result.unwrap_or(SubmissionResult::NotStored)
+    }
+}
+
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        if let Some(id) = self.pending_id.take() {
-            // nobody listens any more only when the process ends
-            let _ = self.inputs.send(DriverInput::ClientDisconnected(id));
+        let Some(mut result) = self.result.take() else {
+            return;
+        };
+        // a message that was refused is none that this client could withdraw: its id may name another's by now
+        let is_refused = |result: SubmissionResult| result != SubmissionResult::Accepted;
+        if result.try_recv().is_ok_and(is_refused) {
+            return;
         }
+        let client = DepartedClient {
+            id: self.id.clone(),
+        };
+        // nobody listens any more only when the process ends
+        let _ = self.inputs.send(DriverInput::ClientDisconnected(client));
     }
 }
 
--- a/tests/message_ends.rs
+++ b/tests/message_ends.rs
@@ -268,10 +268,7 @@
             &id,
             Fragment::of_status_line(STATUS_LINE.len(), Then::Silence),
         );
-        assert_eq!(
-            node.hand_in(class, &id, destination, LONG_MS, b"body"),
-            202
-        );
+        assert_eq!(node.hand_in(class, &id, destination, LONG_MS, b"body"), 202);
         let until = Instant::now() + Duration::from_secs(5);
         while Instant::now() < until
             && node.hand_in(class, &id, destination, LONG_MS, b"body") != 200
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -359,8 +359,9 @@
             let begun = *cutter.begun.lock().expect("not poisoned");
             *cutter.cut.lock().expect("not poisoned") = Some(cut);
             assert_eq!(node.hand_in("order", &id, dest, 20_000, b"body"), 202);
-            // the table: a first line with 200 is a delivery, anything less may have run, and is not sent again
-            let delivered = matches!(cut, Cut::Answer(length) if length > "HTTP/1.1 200".len());
+            // the table: a whole first line with 200 is a delivery, anything less may have run, and is not sent again
+            let delivered =
+                matches!(cut, Cut::Answer(length) if length >= "HTTP/1.1 200 OK\r\n".len());
             let notice = format!(r#"{{"id":"{id}","state":"failed"}}"#);
             if delivered {
                 wait_until("delivered", || {
