--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -1,10 +1,11 @@
 //! A real sender as a process of its own, with a scripted agent and scripted endpoints on loopback sockets.
 #![allow(dead_code)]
 
+pub mod fragments;
 pub mod registry;
 pub mod shim;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -196,6 +197,8 @@
     pub late: Arc<Mutex<Duration>>,
     /// So many requests with notices are answered 500 first.
     pub faults: Arc<AtomicUsize>,
+    /// The next answers to notices break off after so many bytes.
+    notice_cuts: Arc<Mutex<VecDeque<usize>>>,
 }
 
 impl Agent {
@@ -214,6 +217,7 @@
             held: Arc::default(),
             late: Arc::default(),
             faults: Arc::default(),
+            notice_cuts: Arc::default(),
         };
         let here = agent.clone();
         thread::spawn(move || {
@@ -225,6 +229,12 @@
         agent
     }
 
+    /// The next answers to notices break off after so many bytes, one after another.
+    pub fn cut_notices(&self, lengths: impl IntoIterator<Item = usize>) {
+        let mut cuts = self.notice_cuts.lock().expect("not poisoned");
+        cuts.extend(lengths);
+    }
+
     /// Tells a change to the watches that are open.
     pub fn tell(&self, line: String) {
         self.changes.lock().expect("not poisoned").push(line);
@@ -262,8 +272,10 @@
                 .expect("not poisoned")
                 .extend(text.lines().map(str::to_string));
         }
-        let _ =
-            stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes());
+        let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        let cut = agent.notice_cuts.lock().expect("not poisoned").pop_front();
+        let length = cut.unwrap_or(answer.len());
+        let _ = stream.write_all(&answer.as_bytes()[..length]);
         return;
     }
     if request.line.starts_with("GET /v1/freeze ") {
