--- a/tests/message_ends.rs
+++ b/tests/message_ends.rs
@@ -148,6 +148,33 @@
     assert_ends_after_restart(&node, &agent, &endpoint, &ids);
 }
 
+#[test]
+fn gone_answer_ends_its_message_only_with_its_whole_head() {
+    const GONE: &[u8] = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+    let endpoint = FragmentingEndpoint::new();
+    let agent = destinations_at(endpoint.address, "one", 100);
+    let node = sender(&agent);
+    let mut ids = Vec::new();
+    for length in 0..=GONE.len() {
+        let id = format!("m-{length}");
+        let bytes = GONE[..length].to_vec();
+        let then = Then::Close;
+        endpoint.break_off(&id, Fragment { bytes, then });
+        let destination = ids.len() as u64;
+        assert_eq!(
+            node.hand_in("webhook", &id, destination, LONG_MS, b"body"),
+            202
+        );
+        ids.push(id);
+    }
+    let whole = ids.pop().expect("the last one");
+    // what is cut may have run, and is called again
+    assert_proved_ends(&node, &agent, &endpoint, &ids);
+    assert!(ids.iter().all(|id| endpoint.calls(id) == 2));
+    assert_eq!(endpoint.calls(&whole), 1);
+    assert!(!is_notified(&agent, &whole));
+}
+
 #[test]
 fn bulk_answer_without_length_cut_at_any_byte_ends_only_messages_of_whole_lines() {
     let endpoint = FragmentingEndpoint::new();
