An earlier process leaves the folder to a later one that was first at the lock

Cause: acquire_folder asked whoever holds the lock, without asking who started later. Change: the peer's start time (SO_PEERCRED, /proc) is compared; a process that meets a later one ends. Where the system does not tell, as before. The link's form is unchanged.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -7,6 +7,7 @@
 mod link;
 mod lock;
 mod predecessor;
+mod process_age;
 mod state;
 mod successor;
 #[cfg(test)]
@@ -23,7 +24,7 @@
     AttemptState, CallItemState, CallState, EndpointState, HandoverState, MessageState,
 };
 use std::time::Duration;
-pub use successor::{ReceivedHandover, receive_handover};
+pub use successor::{FolderOwnership, ReceivedHandover, acquire_folder};
 
 /// What the two processes send each other, the state of the decision module included. To be raised with every change
 /// of [`Frame`], of what it holds, or of anything that the decision module keeps.
--- a/src/net/handover/link.rs
+++ b/src/net/handover/link.rs
@@ -27,6 +27,9 @@
     /// No frame came in time.
     #[error("no frame in time")]
     Timeout,
+    /// The process at the other end started later: it is the one to take over.
+    #[error("the other process started later")]
+    NewerProcess,
 }
 
 /// The link between two processes.
--- /dev/null
+++ b/src/net/handover/process_age.rs
@@ -0,0 +1,27 @@
+//! Which of two processes of this machine started later.
+
+/// The field of `/proc/PID/stat` that holds the start time, in clock ticks since the machine started; counted from 0 behind
+/// the program's name.
+const START_TIME_FIELD: usize = 19;
+
+/// True if the process with this id surely started after this one.
+pub(super) fn started_after_this(process: i32) -> bool {
+    let own = start_time("self");
+    let other = start_time(&process.to_string());
+    own.zip(other).is_some_and(|(own, other)| other > own)
+}
+
+/// When a process started; none where the system does not tell.
+fn start_time(process: &str) -> Option<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    start_time_in(&stat)
+}
+
+/// The start time in the text of `/proc/PID/stat`, whose second field is a name in parentheses that may hold anything.
+fn start_time_in(stat: &str) -> Option<u64> {
+    let (_, rest) = stat.rsplit_once(") ")?;
+    rest.split(' ').nth(START_TIME_FIELD)?.parse().ok()
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/handover/successor.rs
+++ b/src/net/handover/successor.rs
@@ -1,5 +1,6 @@
 //! The successor's side: it takes over from the process that holds the lock, if there is one.
 
+use super::process_age::started_after_this;
 use super::{
     FolderLock, Frame, HANDOVER_TIMEOUT, HandoverState, JOURNAL_ONLY, Link, LinkError, RETRY_DELAY,
     SOCKET, VERSION,
@@ -24,14 +25,24 @@
     pub link: Link,
 }
 
-/// Waits until this process holds the lock. Returns what a predecessor handed over; none where no process holds the lock.
-pub async fn receive_handover(lock: &FolderLock, folder: &Path) -> Option<ReceivedHandover> {
+/// Who owns the state folder.
+pub enum FolderOwnership {
+    /// This process: no other held the lock, or its holder can't be known.
+    Free,
+    /// This process: a predecessor handed over.
+    HandedOver(Box<ReceivedHandover>),
+    /// A process that started later, which this one must not take over from.
+    NewerProcess,
+}
+
+/// Waits until this process holds the lock, or a later one does.
+pub async fn acquire_folder(lock: &FolderLock, folder: &Path) -> FolderOwnership {
     let mut version = VERSION;
     let mut logged = String::new();
     let started = Instant::now();
     loop {
         match lock.try_acquire() {
-            Ok(true) => return None,
+            Ok(true) => return FolderOwnership::Free,
             Ok(false) => {}
             Err(_) if started.elapsed() < LOCK_TIMEOUT => {
                 sleep(RETRY_DELAY).await;
@@ -42,12 +53,15 @@
                 net::log(format_args!(
                     "handover: off, the lock is not available: {error}"
                 ));
-                return None;
+                return FolderOwnership::Free;
             }
         }
         match request_handover(folder, version).await {
-            Ok(received) if lock.try_acquire().unwrap_or(false) => return Some(received),
+            Ok(received) if lock.try_acquire().unwrap_or(false) => {
+                return FolderOwnership::HandedOver(Box::new(received));
+            }
             Ok(_) => {}
+            Err(LinkError::NewerProcess) => return FolderOwnership::NewerProcess,
             Err(error) => {
                 if matches!(error, LinkError::Unreadable(_)) {
                     version = JOURNAL_ONLY;
@@ -72,7 +86,11 @@
 
 async fn request_handover(folder: &Path, version: u32) -> Result<ReceivedHandover, LinkError> {
     let exchange = async {
-        let mut link = Link::new(UnixStream::connect(folder.join(SOCKET)).await?);
+        let stream = UnixStream::connect(folder.join(SOCKET)).await?;
+        if stream.peer_cred()?.pid().is_some_and(started_after_this) {
+            return Err(LinkError::NewerProcess);
+        }
+        let mut link = Link::new(stream);
         link.send(&Frame::Request { version }).await?;
         match link.receive().await? {
             Frame::State(mut state) => {
--- a/src/net/process.rs
+++ b/src/net/process.rs
@@ -78,10 +78,17 @@
     let parts = PartSettings::new(&config);
     let flags = Flags::new();
     start_control(&config, &senders, &flags).await;
-    let folder = tokio::select! {
+    let opened = tokio::select! {
         opened = open_state_folder(&config) => opened?,
         _ = terminate.recv() => return Ok(()),
     };
+    let Some(folder) = opened else {
+        net::log(format_args!(
+            "{}: handover: a process that started later owns the folder, this one ends",
+            config.name
+        ));
+        return Ok(());
+    };
     let process = Process {
         config,
         senders,
--- a/src/net/process/state_folder.rs
+++ b/src/net/process/state_folder.rs
@@ -4,7 +4,7 @@
 use crate::net;
 use crate::net::clock::Clock;
 use crate::net::config::Config;
-use crate::net::handover::{FolderLock, ReceivedHandover, receive_handover};
+use crate::net::handover::{FolderLock, FolderOwnership, ReceivedHandover, acquire_folder};
 use crate::net::journal::{Journal, Recovery};
 use crate::net::startup::retry_until_available;
 
@@ -17,14 +17,21 @@
     pub journal: Journal,
 }
 
-/// Opens the state folder, as soon as this process owns it and the machine can read it.
+/// Opens the state folder, as soon as this process owns it and the machine can read it; none where a process that started
+/// later owns it.
 ///
 /// # Errors
 /// It fails in a way that does not pass by itself.
-pub(super) async fn open_state_folder(config: &Config) -> Result<StateFolder, ProcessError> {
+pub(super) async fn open_state_folder(
+    config: &Config,
+) -> Result<Option<StateFolder>, ProcessError> {
     let open_lock = || FolderLock::open(&config.state_folder);
     let lock = retry_until_available("the folder's lock", open_lock).await?;
-    let received = receive_handover(&lock, &config.state_folder).await;
+    let received = match acquire_folder(&lock, &config.state_folder).await {
+        FolderOwnership::Free => None,
+        FolderOwnership::HandedOver(received) => Some(*received),
+        FolderOwnership::NewerProcess => return Ok(None),
+    };
     let resume_clock = || Clock::resume(&config.state_folder);
     let clock = retry_until_available("the clock", resume_clock).await?;
     let open_journal = || {
@@ -36,12 +43,12 @@
     };
     let (journal, recovery) = retry_until_available("the journal", open_journal).await?;
     log_recovery(&config.name, &journal, &recovery);
-    Ok(StateFolder {
+    Ok(Some(StateFolder {
         lock,
         received,
         clock,
         journal,
-    })
+    }))
 }
 
 /// Sends, outcomes and ends that the messages held at once may come to.
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -488,3 +488,33 @@
     assert_eq!(new.hand_in("webhook", "after", 7, 20_000, b"x"), 202);
     wait_until("it is delivered", || endpoint.times("after") == 1);
 }
+
+/// Two processes start while the lock can't be opened, and the later one is first at it: the earlier must not take the
+/// messages back from it.
+#[test]
+fn earlier_process_leaves_folder_to_later_one_that_was_first_at_the_lock() {
+    let sender = FaultySender::new();
+    let faults = &sender.faults;
+    faults.on("lock_open", EIO);
+    let mut earlier = faults.start_unseen();
+    let log = earlier.stderr.take().expect("piped");
+    let mut lines = std::io::BufRead::lines(std::io::BufReader::new(log)).map_while(Result::ok);
+    let waits = lines.find(|line| line.contains("the folder's lock is waited for"));
+    assert!(waits.is_some(), "it waits for the lock");
+    signal(&earlier, "STOP");
+    faults.off("lock_open");
+    let later = sender.start();
+    signal(&earlier, "CONT");
+    let ends = lines.find(|line| line.contains("a process that started later owns the folder"));
+    assert!(ends.is_some(), "it says why it ends");
+    assert!(earlier.wait().expect("it ends").success());
+    assert_eq!(later.hand_in("webhook", "m1", 99, 20_000, b"x"), 202);
+    assert!(!later.logged("handover: handed over"));
+}
+
+fn signal(process: &std::process::Child, name: &str) {
+    let status = std::process::Command::new("kill")
+        .args([format!("-{name}"), process.id().to_string()])
+        .status();
+    assert!(status.expect("kill runs").success());
+}
