--- a/lab/examples/faulty.rs
+++ b/lab/examples/faulty.rs
@@ -1,5 +1,6 @@
 //! A sender that breaks a rule on purpose, so that the checkers can be shown to catch it. `FAULTY` says which way:
-//! `drops` what it takes on, calls `uninvited`, delivers each message `twice`, or `crashes` at its third message.
+//! `drops` what it takes on, calls `uninvited`, delivers each message `twice`, `believes` that every call delivers, or
+//! `crashes` at its third message.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -86,6 +87,11 @@
         };
         match self.way.as_str() {
             "drops" => Ok(()),
+            // whatever has come of the answer
+            "believes" => {
+                let _ = call(id);
+                Ok(())
+            }
             "uninvited" => call(id).and_then(|()| call("nobody's")),
             "twice" => call(id).and_then(|()| call(id)),
             _ if number == 2 => std::process::exit(7),
--- a/lab/src/check/drains.rs
+++ b/lab/src/check/drains.rs
@@ -56,7 +56,7 @@
                 }
             }
             // another process is told again
-            Event::ProcessEnded { sender, .. } => {
+            Event::ProcessStarted { sender, .. } => {
                 self.down_since.retain(|pair, _| pair.sender != *sender);
             }
             Event::CallReceived {
--- a/lab/src/check/outcomes.rs
+++ b/lab/src/check/outcomes.rs
@@ -68,6 +68,8 @@
     submitted: HashMap<&'a str, Submission>,
     accepted: BTreeMap<&'a str, AcceptedMessage>,
     processes: HashMap<usize, ProcessState>,
+    /// The process of each sender that was started last.
+    last_process: HashMap<usize, u32>,
     outages: HashMap<usize, Vec<Outage>>,
     /// Since when all calls of a name fail, by sender and call.
     failing_since: HashMap<(usize, String), u64>,
@@ -120,8 +122,14 @@
             Event::StateLost { sender } => self.accepted.retain(|_, message| {
                 message.submission.sender != *sender || message.ended_us.is_some()
             }),
-            Event::ProcessEnded { sender, .. } => {
-                self.processes.insert(*sender, ProcessState::Down);
+            Event::ProcessStarted { sender, pid } => {
+                self.last_process.insert(*sender, *pid);
+            }
+            // the end of one that another process took over from leaves that one running
+            Event::ProcessEnded { sender, pid, .. } => {
+                if self.last_process.get(sender).is_none_or(|last| last == pid) {
+                    self.processes.insert(*sender, ProcessState::Down);
+                }
             }
             Event::ProcessReady { sender } => {
                 let settled_us = at_us + READY_SLACK_US;
--- a/lab/src/check/tests.rs
+++ b/lab/src/check/tests.rs
@@ -275,3 +275,47 @@
     };
     assert_eq!(outcomes::check(&others).len(), 1);
 }
+
+#[test]
+fn loss_is_found_though_the_sender_takes_it_for_an_end() {
+    let abandoned = Event::CallAbandoned {
+        id: "a".to_string(),
+        endpoint: 0,
+        sender: 1,
+    };
+    let lost = vec![
+        (0.0, handed("a", 1)),
+        (0.1, answered("a", 202)),
+        (0.2, called("a")),
+        // a part of an answer, and handed in again it is told to be delivered
+        (0.3, abandoned),
+        (0.5, answered("a", 200)),
+        (9.0, end()),
+    ];
+    assert_eq!(broken(lost), ["ends once"]);
+}
+
+#[test]
+fn end_of_a_superseded_process_excuses_no_loss() {
+    let started = |pid| Event::ProcessStarted { sender: 1, pid };
+    let ended = |pid| Event::ProcessEnded {
+        sender: 1,
+        pid,
+        intended: true,
+        status: String::new(),
+    };
+    let history = |ended_pid| {
+        vec![
+            (0.0, started(8)),
+            (0.0, Event::ProcessReady { sender: 1 }),
+            (0.1, handed("a", 1)),
+            (0.2, answered("a", 202)),
+            (1.0, started(9)),
+            (1.1, Event::ProcessReady { sender: 1 }),
+            (1.5, ended(ended_pid)),
+            (9.0, end()),
+        ]
+    };
+    assert_eq!(broken(history(8)), ["ends once"]);
+    assert!(broken(history(9)).is_empty(), "its sender is down");
+}
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -24,18 +24,56 @@
 /// How often a client retries, and its backoff before that where no Retry-After was given.
 const RETRIES: u32 = 2;
 const RETRY_BACKOFF: Duration = Duration::from_millis(500);
+/// How long new connections keep coming to a sender that got SIGTERM.
+const CONNECTS_AFTER_TERM: Duration = Duration::from_millis(300);
 /// Length of a message, bytes.
 const BODY_BYTES: usize = 200;
 
 type Connection = SendRequest<Full<Bytes>>;
 
+/// What the front end knows of a sender.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum SenderState {
+    /// It takes no messages.
+    Down,
+    /// It takes messages.
+    InUse,
+    /// It got SIGTERM. New connections come until then, and those that stay open are used for as long as they do.
+    Draining {
+        /// The last moment for new connections.
+        connects_until: Instant,
+    },
+}
+
+impl SenderState {
+    /// That of a sender that gets SIGTERM now.
+    pub fn draining() -> Self {
+        SenderState::Draining {
+            connects_until: Instant::now() + CONNECTS_AFTER_TERM,
+        }
+    }
+
+    fn accepts_connections(self) -> bool {
+        match self {
+            SenderState::Down => false,
+            SenderState::InUse => true,
+            SenderState::Draining { connects_until } => Instant::now() < connects_until,
+        }
+    }
+}
+
+/// A sender that a message is submitted to, on a kept connection if there is one.
+struct Target {
+    sender: usize,
+    kept: Option<Connection>,
+}
+
 /// What the front end knows of the senders.
 #[derive(Debug)]
 pub struct Frontend {
     net: Arc<Net>,
     senders: Vec<SocketAddr>,
-    /// Those that take messages, as far as the front end knows.
-    in_use: Mutex<Vec<bool>>,
+    states: Mutex<Vec<SenderState>>,
     idle: Vec<Mutex<Vec<Connection>>>,
     /// The last message of each key: the next is submitted once it has its answer.
     keys: Mutex<HashMap<u32, Arc<tokio::sync::Mutex<()>>>>,
@@ -43,21 +81,21 @@
 
 impl Frontend {
     pub fn new(net: Arc<Net>, senders: Vec<SocketAddr>) -> Arc<Self> {
-        let in_use = Mutex::new(vec![false; senders.len()]);
+        let states = Mutex::new(vec![SenderState::Down; senders.len()]);
         let idle = senders.iter().map(|_| Mutex::default()).collect();
         Arc::new(Frontend {
             net,
             senders,
-            in_use,
+            states,
             idle,
             keys: Mutex::default(),
         })
     }
 
-    /// Notes that a sender can be used, or no more.
-    pub fn set_in_use(&self, sender: usize, in_use: bool) {
-        lock(&self.in_use)[sender] = in_use;
-        if !in_use {
+    /// Notes what a sender can be used for.
+    pub fn set_state(&self, sender: usize, state: SenderState) {
+        lock(&self.states)[sender] = state;
+        if state == SenderState::Down {
             lock(&self.idle[sender]).clear();
         }
     }
@@ -85,7 +123,8 @@
         let deadline_us = self.net.history.now_us() + micros(class.deadline_s);
         for retry in 0..=RETRIES {
             let left_us = deadline_us.saturating_sub(self.net.history.now_us());
-            let Some(sender) = self.choose(&arrival, retry).filter(|_| left_us > 0) else {
+            let target = self.choose(&arrival, retry).await;
+            let Some(Target { sender, kept }) = target.filter(|_| left_us > 0) else {
                 return;
             };
             let id = format!("{:012x}{retry:04x}", arrival.number);
@@ -100,7 +139,7 @@
             });
             let answer = timeout(
                 ANSWER_TIMEOUT,
-                self.submit(&arrival, &id, sender, left_us, retry),
+                self.submit(&arrival, &id, Target { sender, kept }, left_us, retry),
             )
             .await;
             let (status, wait) = answer.ok().flatten().unwrap_or((0, None));
@@ -114,17 +153,41 @@
         }
     }
 
-    /// Messages of one key go to one sender while it runs.
-    fn choose(&self, arrival: &Arrival, retry: u32) -> Option<usize> {
-        let in_use = lock(&self.in_use);
-        let usable: Vec<usize> = (0..in_use.len()).filter(|&sender| in_use[sender]).collect();
+    /// Messages of one key go to one sender while it can be used.
+    async fn choose(&self, arrival: &Arrival, retry: u32) -> Option<Target> {
         let draw = match arrival.key {
             Some(key) => u64::from(key).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32,
             None => arrival.sender_choice.rotate_left(retry),
         };
-        usable
-            .get((draw % usable.len().max(1) as u64) as usize)
-            .copied()
+        loop {
+            let usable = self.usable_senders();
+            let index = draw.checked_rem(usable.len() as u64)? as usize;
+            let sender = *usable.get(index)?;
+            let kept = self.take_kept(sender).await;
+            if kept.is_some() || lock(&self.states)[sender].accepts_connections() {
+                return Some(Target { sender, kept });
+            }
+            // its last connection was closed meanwhile: another sender
+        }
+    }
+
+    fn usable_senders(&self) -> Vec<usize> {
+        let states = lock(&self.states).clone();
+        let is_usable = |sender: &usize| match states[*sender] {
+            SenderState::Down => false,
+            state => state.accepts_connections() || !lock(&self.idle[*sender]).is_empty(),
+        };
+        (0..states.len()).filter(is_usable).collect()
+    }
+
+    /// An idle connection that the sender has not closed.
+    async fn take_kept(&self, sender: usize) -> Option<Connection> {
+        loop {
+            let mut link = lock(&self.idle[sender]).pop()?;
+            if link.ready().await.is_ok() {
+                return Some(link);
+            }
+        }
     }
 
     /// The status and the Retry-After; none if no answer came.
@@ -132,7 +195,7 @@
         &self,
         arrival: &Arrival,
         id: &str,
-        sender: usize,
+        target: Target,
         left_us: u64,
         retry: u32,
     ) -> Option<(u16, Option<Duration>)> {
@@ -157,10 +220,9 @@
             };
             builder.body(Full::from(vec![b'x'; BODY_BYTES])).ok()
         };
-        // an idle connection that was closed meanwhile is no rejection: once more on a new one
-        let idle = lock(&self.idle[sender]).pop();
-        if let Some(mut link) = idle
-            && link.ready().await.is_ok()
+        let Target { sender, kept } = target;
+        // a connection that was closed meanwhile is no rejection: once more on a new one
+        if let Some(mut link) = kept
             && let Ok(response) = link.send_request(request()?).await
         {
             return self.answered(response, link, sender).await;
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -14,9 +14,13 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+use tokio::time::sleep;
 
 /// Source of the library that makes system calls fail; see there.
 const FAILING_CALLS_SOURCE: &str = include_str!("../shim/failing_calls.c");
+/// When SIGKILL follows SIGTERM: the earliest that the protocol allows.
+const KILL_AFTER_TERM: Duration = Duration::from_millis(3700);
 /// Begins the lines of a sender's log that report an invariant that did not hold.
 const VIOLATION_PREFIX: &str = "violation: ";
 
@@ -56,6 +60,10 @@
     control: Option<SocketAddr>,
     /// The control port of its last process.
     control_port: ControlPort,
+    /// Processes that got SIGTERM, and may still run.
+    terminated: Vec<LabProcess>,
+    /// Processes that others were started to take over from, and may still run.
+    superseded: Vec<LabProcess>,
 }
 
 impl Fleet {
@@ -66,6 +74,8 @@
             control: None,
             // the first process takes the other one
             control_port: ControlPort::Alternate,
+            terminated: Vec::new(),
+            superseded: Vec::new(),
         };
         let senders = options.discovery.iter().map(no_process).collect();
         Fleet {
@@ -110,8 +120,9 @@
     /// Its folder can't be written or the program can't be started.
     pub fn start(&mut self, sender: usize) -> anyhow::Result<()> {
         self.starts += 1;
-        if let Some(predecessor) = &self.senders[sender].process {
+        if let Some(predecessor) = self.senders[sender].process.take() {
             predecessor.mark_superseded();
+            self.senders[sender].superseded.push(predecessor);
         }
         // the predecessor may still be there, shutting down or handing over
         let port = self.senders[sender].control_port.other();
@@ -244,10 +255,37 @@
         }
     }
 
-    /// Sends a sender's process a signal that is meant to end it; none is sent to one that is gone.
-    pub fn end(&mut self, sender: usize, signal: Signal) {
-        if let Some(process) = self.senders[sender].process.take() {
-            process.end(signal);
+    /// Has a sender's process end by itself, and kills it if it still runs [`KILL_AFTER_TERM`] later.
+    pub fn terminate(&mut self, sender: usize) {
+        let sender = &mut self.senders[sender];
+        sender.terminated.retain(|process| !process.has_exited());
+        let Some(process) = sender.process.take() else {
+            return;
+        };
+        process.end(Signal::TERM);
+        sender.terminated.push(process.clone());
+        tokio::spawn(async move {
+            sleep(KILL_AFTER_TERM).await;
+            if !process.has_exited() {
+                process.end(Signal::KILL);
+            }
+        });
+    }
+
+    /// Kills a sender's process; where there is none, those that are ending by themselves.
+    pub fn kill(&mut self, sender: usize) {
+        match self.senders[sender].process.take() {
+            Some(process) => process.end(Signal::KILL),
+            None => self.kill_terminated(sender),
+        }
+    }
+
+    /// Kills the processes of a sender that were to end by themselves and still run.
+    fn kill_terminated(&mut self, sender: usize) {
+        for process in std::mem::take(&mut self.senders[sender].terminated) {
+            if !process.has_exited() {
+                process.end(Signal::KILL);
+            }
         }
     }
 
@@ -280,7 +318,11 @@
     /// Kills all processes that run.
     pub fn kill_all(&mut self) {
         for sender in 0..self.senders.len() {
-            self.end(sender, Signal::KILL);
+            self.kill(sender);
+            self.kill_terminated(sender);
+            for process in std::mem::take(&mut self.senders[sender].superseded) {
+                process.end(Signal::KILL);
+            }
         }
     }
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,10 +1,13 @@
 //! `fault-lab`: plays fleets of real senders on loopback, puts faults between them, and checks the rules.
 
 mod addresses;
+mod answers;
+mod bulk;
 mod check;
 mod clients;
 #[cfg(test)]
 mod compatibility_tests;
+mod crowd;
 mod deployment;
 mod destination;
 mod figures;
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -70,6 +70,11 @@
         self.flags.exited.clone()
     }
 
+    /// Whether the process has ended.
+    pub fn has_exited(&self) -> bool {
+        self.flags.exited.load(Ordering::SeqCst)
+    }
+
     /// Notes that another process takes over, after which this one may exit by itself.
     pub fn mark_superseded(&self) {
         self.flags.superseded.store(true, Ordering::SeqCst);
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -1,6 +1,7 @@
 //! Carries bytes and datagrams between parties as the links allow. A reader that does not read holds up its own
 //! connection alone, with no more memory than [`AHEAD`] pieces.
 
+use crate::answers::{AnswerTrack, Ending, Passage};
 use crate::history::{Event, History};
 use crate::links::Links;
 use crate::locking::lock;
@@ -116,6 +117,17 @@
         stream: TcpStream,
         outside: Party,
         inside: Party,
+    ) -> DuplexStream {
+        self.connect_tracked(stream, outside, inside, Arc::default())
+    }
+
+    /// The same for a connection on which answers go wrong.
+    pub fn connect_tracked(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        outside: Party,
+        inside: Party,
+        answers: Arc<AnswerTrack>,
     ) -> DuplexStream {
         // without it pieces wait for one another, and only that
         let _ = stream.set_nodelay(true);
@@ -132,18 +144,31 @@
                 }
             };
             let (mut stream, mut far) = (stream, far);
-            let was_reset = {
+            let ending = {
                 let (read, write) = stream.split();
                 let (far_read, far_write) = tokio::io::split(&mut far);
+                let requests = async {
+                    net.carry(read, far_write, outside, inside, None).await;
+                    answers.abandon();
+                };
+                let written = net.carry(far_read, write, inside, outside, Some(&answers));
+                let both = async {
+                    tokio::pin!(requests, written);
+                    tokio::select! {
+                        broken = &mut written => match broken {
+                            Some(ending) => return ending,
+                            None => requests.await,
+                        },
+                        () = &mut requests => return written.await.unwrap_or(Ending::Close),
+                    }
+                    Ending::Close
+                };
                 tokio::select! {
-                    () = reset => true,
-                    _ = async { tokio::join!(
-                        net.carry(read, far_write, outside, inside),
-                        net.carry(far_read, write, inside, outside),
-                    ) } => false,
+                    () = reset => Ending::Reset,
+                    ending = both => ending,
                 }
             };
-            if was_reset {
+            if ending == Ending::Reset {
                 // its peer is told by a reset, not by an end
                 let _ = stream.set_zero_linger();
             }
@@ -151,14 +176,15 @@
         near
     }
 
-    /// Carries one direction until its end, which is passed on.
+    /// Carries one direction until its end, which is passed on, or until an answer breaks off: how the connection ends then.
     async fn carry(
         &self,
         mut from: impl AsyncRead + Unpin,
         mut to: impl AsyncWrite + Unpin,
         sender: Party,
         receiver: Party,
-    ) {
+        answers: Option<&AnswerTrack>,
+    ) -> Option<Ending> {
         let (ahead, mut waiting) = mpsc::channel::<(Instant, Vec<u8>)>(AHEAD);
         let read = async move {
             loop {
@@ -182,15 +208,27 @@
             while let Some((due, piece)) = waiting.recv().await {
                 sleep_until(due).await;
                 self.uncut(sender, receiver).await;
-                if to.write_all(&piece).await.is_err() {
-                    return;
+                let passage = match answers {
+                    Some(answers) => answers.pass(piece),
+                    None => Passage::unchanged(piece),
+                };
+                if write_passage(&mut to, &passage, answers).await.is_err() {
+                    return None;
+                }
+                if let Some(ending @ (Ending::Close | Ending::Reset)) = passage.ending {
+                    return Some(ending);
                 }
             }
             self.uncut(sender, receiver).await;
             // one that has gone needs no end
             let _ = to.shutdown().await;
+            None
         };
-        tokio::join!(read, write);
+        tokio::select! {
+            ending = write => ending,
+            // the writer goes on until it has written all that was read
+            ending = async { read.await; std::future::pending().await } => ending,
+        }
     }
 
     /// Until something may pass: what a cut holds up comes when it heals, as over a real connection.
@@ -204,6 +242,23 @@
     }
 }
 
+async fn write_passage(
+    to: &mut (impl AsyncWrite + Unpin),
+    passage: &Passage,
+    answers: Option<&AnswerTrack>,
+) -> io::Result<()> {
+    let (Some(interval), Some(answers)) = (passage.interval, answers) else {
+        return to.write_all(&passage.bytes).await;
+    };
+    let last = passage.bytes.len().saturating_sub(1);
+    for (index, byte) in passage.bytes.iter().enumerate() {
+        answers.record(&[*byte], index == last);
+        to.write_all(&[*byte]).await?;
+        sleep(interval).await;
+    }
+    Ok(())
+}
+
 /// The membership socket of one sender.
 #[derive(Debug, Clone, Copy)]
 pub struct MembershipSocket {
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -21,6 +21,7 @@
 use anyhow::{Context, bail};
 use hyper::Method;
 use rustix::process::{Resource, getrlimit};
+use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -166,6 +167,7 @@
         frontend,
         fleet,
         replicas,
+        crowds: HashMap::new(),
         history,
     })
 }
--- a/lab/src/run/active_run.rs
+++ b/lab/src/run/active_run.rs
@@ -2,7 +2,8 @@
 //! nothing is left to happen.
 
 use crate::check::membership;
-use crate::clients::{self, Frontend};
+use crate::clients::{self, Frontend, SenderState};
+use crate::crowd::Crowd;
 use crate::fleet::Fleet;
 use crate::history::{Event, History};
 use crate::process::LabProcess;
@@ -15,6 +16,7 @@
 use anyhow::bail;
 use hyper::Method;
 use rustix::process::Signal;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -51,6 +53,8 @@
     pub fleet: Fleet,
     /// The registry, if the scenario has one.
     pub replicas: Option<Replicas>,
+    /// Idle clients, by sender.
+    pub crowds: HashMap<usize, Crowd>,
     /// What happens.
     pub history: Arc<History>,
 }
@@ -141,7 +145,7 @@
                     bail!("n{sender} never got ready: see its log");
                 }
                 self.history.record(Event::ProcessReady { sender });
-                self.frontend.set_in_use(sender, true);
+                self.frontend.set_state(sender, SenderState::InUse);
             }
         }
         tracing::info!(senders = count, "all are ready");
@@ -222,8 +226,25 @@
                 .change(|links| links.impair(*fault, from, to, *impairment)),
             FaultAction::Heal { fault } => self.net.change(|links| links.heal(*fault)),
             FaultAction::Reset { from, to } => self.net.reset(from.clone(), to.clone()),
-            FaultAction::Kill { sender } => self.end_sender(*sender, Signal::KILL),
-            FaultAction::Term { sender } => self.end_sender(*sender, Signal::TERM),
+            FaultAction::Kill { sender } => {
+                self.frontend.set_state(*sender, SenderState::Down);
+                self.fleet.kill(*sender);
+            }
+            FaultAction::Term { sender } => {
+                self.frontend.set_state(*sender, SenderState::draining());
+                self.fleet.terminate(*sender);
+            }
+            FaultAction::Crowd {
+                sender,
+                connections,
+            } => {
+                let address = self.fleet.addresses().client_address(*sender);
+                self.crowds
+                    .insert(*sender, Crowd::start(address, *connections));
+            }
+            FaultAction::SpoilAnswers { party, spoiled } => {
+                self.simulation.spoil_answers(*party, *spoiled)
+            }
             FaultAction::Start {
                 sender,
                 folder_lost,
@@ -262,11 +283,6 @@
         Ok(())
     }
 
-    fn end_sender(&mut self, sender: usize, signal: Signal) {
-        self.frontend.set_in_use(sender, false);
-        self.fleet.end(sender, signal);
-    }
-
     /// Has the registry list an endpoint as up or as draining, as soon as a replica can write it.
     fn list_endpoint(&self, endpoint: usize, up: bool) {
         let Some(client) = self.replicas.as_ref().map(Replicas::client) else {
@@ -312,7 +328,7 @@
             return;
         }
         self.history.record(Event::ProcessReady { sender });
-        self.frontend.set_in_use(sender, true);
+        self.frontend.set_state(sender, SenderState::InUse);
         if let Some(predecessor) = result.predecessor {
             predecessor.end(Signal::TERM);
         }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -2,6 +2,7 @@
 
 mod validation;
 
+use crate::answers::AnswerFaultKind;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use toml::Spanned;
@@ -110,6 +111,13 @@
     pub latency_ms: f64,
     /// Calls a second that a destination takes from all senders together; more are rejected.
     pub capacity: f64,
+    /// Messages that may go in one call.
+    #[serde(default = "one_message")]
+    pub bundle: usize,
+}
+
+fn one_message() -> usize {
+    1
 }
 
 /// Something that goes wrong, at a time. Keys that are not its own go to `kind`, which knows no others.
@@ -162,7 +170,8 @@
         #[serde(default)]
         folder_lost: bool,
     },
-    /// SIGTERM, and a start again after `seconds`, counted from the signal; 0 seconds: no start.
+    /// SIGTERM, SIGKILL 3.7 s later if it still runs, and a start after `seconds`, counted from the first signal; 0
+    /// seconds: no start.
     Term { who: String },
     /// SIGSTOP, and SIGCONT after `seconds`.
     Stop { who: String },
@@ -172,6 +181,14 @@
     Shut { who: String },
     /// Endpoints drain by the registry's list; after `seconds` they are up again, as after a start.
     Drain { who: String },
+    /// A share of the answers of endpoints, or of the platform to notifications (`discovery`), breaks off or comes wrongly.
+    Answers {
+        who: String,
+        how: AnswerFaultKind,
+        share: f64,
+    },
+    /// So many idle clients hold connections to each sender.
+    Crowd { who: String, connections: usize },
     /// Discovery answers 503 and ends its watches.
     DiscoveryDown {},
     /// System calls of senders fail, see `lab/shim/failing_calls.c` for the names and what the number says.
@@ -295,6 +312,9 @@
     /// A share is out of range.
     #[error("share is not from 0 to 1")]
     ShareOutOfRange,
+    /// A number of connections is out of range.
+    #[error("connections is not a number from 1 to 1000")]
+    ConnectionsOutOfRange,
     /// A percentage is out of range.
     #[error("percent is not from 1 to 100")]
     PercentOutOfRange,
--- a/lab/src/scenario/validation.rs
+++ b/lab/src/scenario/validation.rs
@@ -103,6 +103,11 @@
         is_positive(destinations.latency_ms),
         "a time above 0",
     )?;
+    settings.check(
+        "bundle",
+        (1..=100).contains(&destinations.bundle),
+        "a number from 1 to 100",
+    )?;
     settings.check(
         "capacity",
         is_positive(destinations.capacity),
@@ -175,6 +180,21 @@
             _ => Err(FaultError::NotEndpoints(who.clone())),
         },
         FaultKind::DiscoveryDown {} => Ok(()),
+        FaultKind::Answers { who, share, .. } => {
+            check_share(*share)?;
+            match scenario.group(who)? {
+                PartyGroup::Endpoint(_) | PartyGroup::Endpoints | PartyGroup::Discovery => Ok(()),
+                _ => Err(FaultError::NotEndpoints(who.clone())),
+            }
+        }
+        FaultKind::Crowd { who, connections } => {
+            check_senders(scenario, who)?;
+            if (1..=1000).contains(connections) {
+                Ok(())
+            } else {
+                Err(FaultError::ConnectionsOutOfRange)
+            }
+        }
         FaultKind::Calls {
             who, call, percent, ..
         } => {
--- a/lab/src/schedule.rs
+++ b/lab/src/schedule.rs
@@ -3,7 +3,7 @@
 mod action;
 mod faults;
 
-pub use action::{FaultAction, Impairment, Party, ReplicaAction, ScheduledAction};
+pub use action::{FaultAction, Impairment, Party, ReplicaAction, ScheduledAction, SpoiledAnswers};
 
 use crate::scenario::{FaultError, Scenario};
 use crate::workload::{Arrival, draw_arrivals};
--- a/lab/src/schedule/action.rs
+++ b/lab/src/schedule/action.rs
@@ -1,5 +1,6 @@
 //! What may be done to a fleet, and to whom.
 
+use crate::answers::AnswerFaultKind;
 use serde::{Deserialize, Serialize};
 
 /// A party of a link.
@@ -58,6 +59,14 @@
     Upgrade { sender: usize },
     /// An endpoint begins to reject all calls, or accepts them again.
     Shut { endpoint: usize, shut: bool },
+    /// Answers of an endpoint, or of the platform to notifications, begin to go wrong; none: no more.
+    SpoilAnswers {
+        party: Party,
+        #[serde(rename = "how")]
+        spoiled: Option<SpoiledAnswers>,
+    },
+    /// Idle clients connect to a sender, so many; 0: they leave.
+    Crowd { sender: usize, connections: usize },
     /// Discovery goes down or comes up.
     Discovery { up: bool },
     /// System calls of this name fail from now on.
@@ -80,6 +89,15 @@
     },
 }
 
+/// What goes wrong with answers, and how many of them.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct SpoiledAnswers {
+    /// What goes wrong.
+    pub kind: AnswerFaultKind,
+    /// Share of the answers.
+    pub share: f64,
+}
+
 /// What is done to a replica of the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/lab/src/schedule/faults.rs
+++ b/lab/src/schedule/faults.rs
@@ -1,6 +1,8 @@
 //! The actions that begin and end the faults of a scenario.
 
-use super::action::{FaultAction, Impairment, Party, ReplicaAction, ScheduledAction};
+use super::action::{
+    FaultAction, Impairment, Party, ReplicaAction, ScheduledAction, SpoiledAnswers,
+};
 use crate::scenario::{CutDirection, Fault, FaultError, FaultKind, PartyGroup, Scenario};
 use crate::workload::micros;
 use rand::seq::SliceRandom;
@@ -80,6 +82,8 @@
                 self.push(span.to_us, FaultAction::Discovery { up: true });
             }
             FaultKind::Kill { who, .. }
+            | FaultKind::Answers { who, .. }
+            | FaultKind::Crowd { who, .. }
             | FaultKind::Term { who }
             | FaultKind::Stop { who }
             | FaultKind::Upgrade { who }
@@ -162,6 +166,16 @@
 
 /// What begins and what ends a fault of one party.
 fn actions_on(kind: &FaultKind, party: Party) -> FaultActions {
+    if let FaultKind::Answers { how, share, .. } = kind {
+        let spoil = |spoiled| FaultAction::SpoilAnswers { party, spoiled };
+        return FaultActions {
+            begin: spoil(Some(SpoiledAnswers {
+                kind: *how,
+                share: *share,
+            })),
+            end: Some(spoil(None)),
+        };
+    }
     match party {
         Party::Sender(sender) => actions_on_sender(kind, sender),
         Party::Registry(replica) => actions_on_replica(kind, replica),
@@ -186,6 +200,13 @@
             Some(FaultAction::Continue { sender }),
         ),
         FaultKind::Upgrade { .. } => (FaultAction::Upgrade { sender }, None),
+        FaultKind::Crowd { connections, .. } => {
+            let crowd = |connections| FaultAction::Crowd {
+                sender,
+                connections,
+            };
+            (crowd(*connections), Some(crowd(0)))
+        }
         FaultKind::Calls {
             call,
             number,
--- a/lab/src/sender_config.rs
+++ b/lab/src/sender_config.rs
@@ -68,6 +68,7 @@
         let slots = (SLOTS_OVER_LOAD * messages_per_s * latency_ms / 1e3)
             .ceil()
             .max(MIN_SLOTS);
+        let bundle = self.scenario.destinations.bundle;
         let pending = (PENDING_LOAD_S * messages_per_s).ceil().max(MIN_PENDING);
         json!({
             "az": self.scenario.zones[zone],
@@ -91,7 +92,7 @@
             "overShareWorth": 0.1,
             "specifics": {
                 "callSlots": slots,
-                "bundleMax": [1, 1, 1],
+                "bundleMax": [bundle, bundle, bundle],
                 "routesApart": [false, false, false],
             },
             "safety": {
--- a/lab/src/serve.rs
+++ b/lab/src/serve.rs
@@ -1,12 +1,14 @@
 //! Endpoints and discovery as the senders meet them: HTTP over connections that pass the links.
 
+use crate::answers::{AnswerFaults, AnswerTrack, OpenCall};
+use crate::bulk::{bulk_answer, message_ids};
 use crate::destination::{CallOutcome, Destination};
-use crate::history::{Event, History};
+use crate::history::Event;
 use crate::listing::Listing;
 use crate::locking::lock;
 use crate::relay::Net;
 use crate::scenario::Scenario;
-use crate::schedule::Party;
+use crate::schedule::{Party, SpoiledAnswers};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
 use hyper::body::{Frame, Incoming};
@@ -34,6 +36,13 @@
 /// How often a watch is told that nothing changes.
 const EMPTY_LINE: Duration = Duration::from_secs(2);
 
+/// Keeps the draws of answers apart from other draws of a seed.
+const ANSWER_STREAM: u64 = 0xa25e << 32;
+
+fn answer_faults(seed: u64, stream: u64) -> Mutex<AnswerFaults> {
+    Mutex::new(AnswerFaults::new(seed ^ ANSWER_STREAM ^ stream))
+}
+
 type Body = UnsyncBoxBody<Bytes, Infallible>;
 
 /// The endpoints and discovery of a run.
@@ -45,6 +54,10 @@
     endpoints_of_each: usize,
     zones: Vec<String>,
     capacity: f64,
+    /// What goes wrong with the answers of each endpoint.
+    endpoint_answers: Vec<Mutex<AnswerFaults>>,
+    /// What goes wrong with the platform's answers to notifications.
+    notification_answers: Mutex<AnswerFaults>,
     discovery_up: watch::Sender<bool>,
     /// Replicas of the registry that lists come from; none: the lab's own list.
     replicas: Vec<SocketAddr>,
@@ -74,6 +87,10 @@
             endpoints_of_each: each,
             zones: scenario.zones.clone(),
             capacity: scenario.destinations.capacity,
+            endpoint_answers: (0..scenario.endpoints())
+                .map(|endpoint| answer_faults(seed, endpoint as u64 + 1))
+                .collect(),
+            notification_answers: answer_faults(seed, 0),
             discovery_up: watch::channel(true).0,
             replicas,
         })
@@ -86,6 +103,20 @@
         }
     }
 
+    /// Has answers of an endpoint or of the platform to notifications go wrong, or, without a fault, no more.
+    pub fn spoil_answers(&self, party: Party, spoiled: Option<SpoiledAnswers>) {
+        let faults = match party {
+            Party::Endpoint(endpoint) => self.endpoint_answers.get(endpoint),
+            Party::Discovery => Some(&self.notification_answers),
+            _ => None,
+        };
+        let Some(faults) = faults else { return };
+        match spoiled {
+            Some(SpoiledAnswers { kind, share }) => lock(faults).begin(kind, share),
+            None => lock(faults).end(),
+        }
+    }
+
     pub fn set_discovery(&self, up: bool) {
         self.discovery_up.send_replace(up);
     }
@@ -182,20 +213,25 @@
                 continue;
             };
             let (simulation, list) = (self.clone(), list.clone());
-            let io = self.net.connect(stream, Party::Sender(sender), party);
+            let answers = Arc::new(AnswerTrack::default());
+            let io =
+                self.net
+                    .connect_tracked(stream, Party::Sender(sender), party, answers.clone());
             tokio::spawn(async move {
                 let watches = AtomicBool::new(false);
                 let service = service_fn(|request: Request<Incoming>| {
                     let (simulation, list) = (simulation.clone(), list.clone());
+                    let answers = answers.clone();
                     // notices are answered even while discovery is down
                     let watch = party == Party::Discovery && request.method() == Method::GET;
                     watches.fetch_or(watch, Ordering::Relaxed);
                     async move {
                         match party {
                             Party::Endpoint(endpoint) => {
-                                simulation.call(request, endpoint, sender).await
+                                let link = EndpointLink { endpoint, sender };
+                                simulation.call(request, link, &answers).await
                             }
-                            _ => simulation.discover(request, &list).await,
+                            _ => simulation.discover(request, &list, &answers).await,
                         }
                     }
                 });
@@ -220,28 +256,25 @@
         }
     }
 
+    /// An endpoint's answer to a call, which passes on `answers`.
     async fn call(
         &self,
         request: Request<Incoming>,
-        endpoint: usize,
-        sender: usize,
+        link: EndpointLink,
+        answers: &AnswerTrack,
     ) -> Result<Response<Body>, io::Error> {
-        let id = request
-            .headers()
-            .get("x-request-id")
-            .and_then(|id| id.to_str().ok())
-            .unwrap_or_default();
-        let id = id.to_string();
-        let proper = request.method() == Method::POST && request.uri().path() == "/inbox";
-        let body = Limited::new(request.into_body(), MAX_BODY_BYTES)
-            .collect()
-            .await;
-        body.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let EndpointLink { endpoint, sender } = link;
+        let (head, body) = request.into_parts();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let body = body
+            .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?
+            .to_bytes();
+        let ids = message_ids(&head, &body);
         let history = &self.net.history;
         let outcome = match self
             .destinations
             .get(endpoint / self.endpoints_of_each)
-            .filter(|_| proper)
+            .filter(|_| !ids.is_empty())
         {
             Some(destination) => {
                 lock(destination).call(history.now_us(), endpoint % self.endpoints_of_each)
@@ -249,40 +282,32 @@
             None => CallOutcome::Rejected,
         };
         let executed = outcome != CallOutcome::Rejected;
-        history.record(Event::CallReceived {
-            id: id.clone(),
-            endpoint,
-            sender,
-            executed,
-        });
-        let mut call = OpenCall {
-            history: history.clone(),
-            id: id.clone(),
-            endpoint,
-            sender,
-            answered: false,
-        };
-        let status = match outcome {
+        for id in ids.iter().cloned() {
+            history.record(Event::CallReceived {
+                id,
+                endpoint,
+                sender,
+                executed,
+            });
+        }
+        let call = OpenCall::new(history.clone(), ids.clone(), endpoint, sender);
+        let response = match outcome {
             CallOutcome::Accepted { after_us } => {
                 sleep(Duration::from_micros(after_us)).await;
-                StatusCode::OK
+                plain(StatusCode::OK, &bulk_answer(&ids))
             }
-            CallOutcome::Rejected => StatusCode::SERVICE_UNAVAILABLE,
+            CallOutcome::Rejected => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
         };
-        call.answered = true;
-        history.record(Event::CallAnswered {
-            id,
-            endpoint,
-            sender,
-            status: status.as_u16(),
-        });
-        Ok(plain(status, ""))
+        let fault = lock(&self.endpoint_answers[endpoint]).draw();
+        answers.expect(Some(call), fault);
+        Ok(response)
     }
 
     async fn discover(
         &self,
         request: Request<Incoming>,
         source: &Source,
+        answers: &AnswerTrack,
     ) -> Result<Response<Body>, io::Error> {
         let query = request.uri().query().unwrap_or_default().to_string();
         match (request.method(), request.uri().path()) {
@@ -294,6 +319,8 @@
                 let body = body
                     .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?
                     .to_bytes();
+                let fault = lock(&self.notification_answers).draw();
+                answers.expect(None, fault);
                 Ok(self.noticed(&body))
             }
             (&Method::GET, "/v1/endpoints") if let Source::Registry(listing) = source => {
@@ -334,26 +361,11 @@
     }
 }
 
-/// A call that has not been answered; dropped before that, its connection has ended.
-struct OpenCall {
-    history: Arc<History>,
-    id: String,
+/// An endpoint as one sender sees it.
+#[derive(Debug, Clone, Copy)]
+struct EndpointLink {
     endpoint: usize,
     sender: usize,
-    answered: bool,
-}
-
-impl Drop for OpenCall {
-    fn drop(&mut self) {
-        if !self.answered {
-            let (id, endpoint, sender) = (std::mem::take(&mut self.id), self.endpoint, self.sender);
-            self.history.record(Event::CallAbandoned {
-                id,
-                endpoint,
-                sender,
-            });
-        }
-    }
 }
 
 /// Where a sender's list comes from.
--- a/lab/tests/fleets.rs
+++ b/lab/tests/fleets.rs
@@ -205,18 +205,29 @@
     let faulty = Path::new(env!("CARGO_BIN_EXE_fault-lab"))
         .with_file_name("examples")
         .join("faulty");
+    // every answer breaks off: within its first line, as often as not
+    let broken_answers = r#"
+        [[fault]]
+        at = 0
+        seconds = 5
+        kind = "answers"
+        who = "endpoints"
+        how = "close"
+        share = 1
+    "#;
     let ways = [
-        ("drops", "never ended"),
-        ("uninvited", "nobody's, which no client submitted"),
-        ("twice", "took effect twice"),
-        ("crashes", "ended by itself"),
+        ("drops", "", "never ended"),
+        ("uninvited", "", "nobody's, which no client submitted"),
+        ("twice", "", "took effect twice"),
+        ("believes", broken_answers, "never ended"),
+        ("crashes", "", "ended by itself"),
     ];
-    let caught = &|(way, rule): (&str, &str)| {
+    let caught = &|(way, faults, rule): (&str, &str, &str)| {
         let folder = tempfile::tempdir().expect("a folder");
         let text = SMALL
             .replace("senders = 5", "senders = 1")
             .replace("seconds = 3", "seconds = 0.8");
-        let path = scenario(&text, folder.path());
+        let path = scenario(&format!("{text}{faults}"), folder.path());
         let mut command = lab();
         command
             .env("FAULTY", way)
