A notification that waits for its answer holds up no other

Cause: post_notices had one request at a time. Change: up to 8 posts on their way at once, each answer waited for 0.5 s; a pause after a failure holds for all, as before.

--- a/lab/src/check/tests.rs
+++ b/lab/src/check/tests.rs
@@ -295,6 +295,17 @@
     assert_eq!(broken(lost), ["ends once"]);
 }
 
+#[test]
+fn notification_just_before_the_answer_is_an_end() {
+    let returned = vec![
+        (0.0, handed("a", 1)),
+        (0.1, notice("a", "returned")),
+        (0.1, answered("a", 202)),
+        (9.0, end()),
+    ];
+    assert!(broken(returned).is_empty());
+}
+
 #[test]
 fn end_of_a_superseded_process_excuses_no_loss() {
     let started = |pid| Event::ProcessStarted { sender: 1, pid };
--- a/src/net/discovery/notices.rs
+++ b/src/net/discovery/notices.rs
@@ -1,6 +1,5 @@
 //! The notices that end undelivered messages.
 
-use super::back_off_or_move;
 use super::backoff::RETRY_FIRST;
 use crate::net::end_proof::EndProof;
 use crate::net::events::{AcceptedNotifications, DriverInput};
@@ -16,11 +15,15 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::sync::watch::Receiver;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
 
-/// The agent answers notices at once.
-const ANSWER: Duration = Duration::from_secs(1);
+/// The agent answers notices at once; one that is posted again does no harm.
+const ANSWER: Duration = Duration::from_millis(500);
 /// A message's end is overdue 300 ms after its time: what fails for a moment must not delay it beyond that.
 const RETRY_MOST: Duration = Duration::from_millis(200);
+/// Posts on their way at once. Each may wait for its answer while others are due; a connection is a descriptor.
+const MAX_POSTS: usize = 8;
 /// Notices in one request, some 60 bytes each; the next request has the next ones.
 const BATCH: usize = 200;
 
@@ -51,70 +54,133 @@
     }
 }
 
-/// Posts notices until each has been answered 204.
+/// Posts notices until each has been answered 204. One that waits for its answer holds up no other.
 pub async fn post_notices(
-    mut agent: Receiver<SocketAddr>,
+    agent: Receiver<SocketAddr>,
     mut queue: mpsc::UnboundedReceiver<OutcomeNotification>,
     inputs: mpsc::UnboundedSender<DriverInput>,
 ) {
-    let mut owed: BTreeMap<u64, OutcomeNotification> = BTreeMap::new();
-    let mut delay = RETRY_FIRST;
-    let mut failing = false;
-    while receive_owed(&mut owed, &mut queue).await {
-        let batch: Vec<&OutcomeNotification> = owed.values().take(BATCH).collect();
-        let address = *agent.borrow_and_update();
-        match post(address, &batch).await {
-            Ok(accepted) => {
-                for number in &accepted.numbers {
-                    owed.remove(number);
-                }
-                (delay, failing) = (RETRY_FIRST, false);
-                if inputs
-                    .send(DriverInput::NotificationsAccepted(accepted))
-                    .is_err()
-                {
-                    return;
+    let mut poster = Poster::new(agent);
+    loop {
+        let retry_at = poster.retry_at;
+        tokio::select! {
+            notice = queue.recv() => {
+                let Some(notice) = notice else { return };
+                poster.add(notice);
+                while let Ok(notice) = queue.try_recv() {
+                    poster.add(notice);
                 }
             }
-            Err(error) => {
-                if !std::mem::replace(&mut failing, true) {
-                    crate::net::log(format_args!("discovery: {error}"));
+            Some(ended) = poster.posts.join_next() => {
+                // a post that panicked is none: what it carried is owed to the next process
+                let Ok(PostEnd { batch, result }) = ended else { continue };
+                match result {
+                    Ok(accepted) => {
+                        poster.accepted();
+                        if inputs.send(DriverInput::NotificationsAccepted(accepted)).is_err() {
+                            return;
+                        }
+                    }
+                    Err(error) => poster.failed(batch, &error),
                 }
-                let moved = back_off_or_move(delay, &mut agent).await;
-                delay = if moved || error.is_local() {
-                    RETRY_FIRST
-                } else {
-                    (delay * 2).min(RETRY_MOST)
-                };
             }
+            () = sleep_until(retry_at.unwrap_or_else(Instant::now)), if retry_at.is_some() => {
+                poster.retry_at = None;
+            }
+            Ok(()) = poster.agent.changed() => poster.moved(),
         }
+        poster.post_owed();
     }
 }
 
-/// Waits until a notification is owed and takes all that there are; false if none can come any more.
-async fn receive_owed(
-    owed: &mut BTreeMap<u64, OutcomeNotification>,
-    queue: &mut mpsc::UnboundedReceiver<OutcomeNotification>,
-) -> bool {
-    if owed.is_empty() {
-        match queue.recv().await {
-            Some(notice) => owed.insert(notice.number, notice),
-            None => return false,
-        };
+/// A post that has ended.
+struct PostEnd {
+    batch: Vec<OutcomeNotification>,
+    result: Result<AcceptedNotifications, PostError>,
+}
+
+/// The notifications that are owed, and the posts that are on their way.
+struct Poster {
+    agent: Receiver<SocketAddr>,
+    /// Those that no post carries now, by number.
+    owed: BTreeMap<u64, OutcomeNotification>,
+    posts: JoinSet<PostEnd>,
+    /// The next pause after a failure.
+    delay: Duration,
+    /// Nothing is posted before; none: at once.
+    retry_at: Option<Instant>,
+    /// The last post failed, which is logged.
+    failing: bool,
+}
+
+impl Poster {
+    fn new(agent: Receiver<SocketAddr>) -> Self {
+        Poster {
+            agent,
+            owed: BTreeMap::new(),
+            posts: JoinSet::new(),
+            delay: RETRY_FIRST,
+            retry_at: None,
+            failing: false,
+        }
+    }
+
+    fn add(&mut self, notice: OutcomeNotification) {
+        self.owed.insert(notice.number, notice);
+    }
+
+    /// Posts what is owed, unless there is a pause or as many posts are on their way as may be.
+    fn post_owed(&mut self) {
+        while self.retry_at.is_none() && !self.owed.is_empty() && self.posts.len() < MAX_POSTS {
+            let mut batch = Vec::new();
+            while batch.len() < BATCH
+                && let Some((_, notice)) = self.owed.pop_first()
+            {
+                batch.push(notice);
+            }
+            let address = *self.agent.borrow_and_update();
+            self.posts.spawn_local(async move {
+                let result = post(address, &batch).await;
+                PostEnd { batch, result }
+            });
+        }
+    }
+
+    fn accepted(&mut self) {
+        self.delay = RETRY_FIRST;
+        self.failing = false;
     }
-    while let Ok(notice) = queue.try_recv() {
-        owed.insert(notice.number, notice);
+
+    /// The batch is owed again, after a pause.
+    fn failed(&mut self, batch: Vec<OutcomeNotification>, error: &PostError) {
+        if !std::mem::replace(&mut self.failing, true) {
+            crate::net::log(format_args!("discovery: {error}"));
+        }
+        batch.into_iter().for_each(|notice| self.add(notice));
+        if self.retry_at.is_none() {
+            self.retry_at = Some(Instant::now() + self.delay);
+            self.delay = if error.is_local() {
+                RETRY_FIRST
+            } else {
+                (self.delay * 2).min(RETRY_MOST)
+            };
+        }
+    }
+
+    /// The platform has another address.
+    fn moved(&mut self) {
+        self.delay = RETRY_FIRST;
+        self.retry_at = None;
     }
-    true
 }
 
 /// Posts notifications in one request, on a connection of its own.
 async fn post(
     address: SocketAddr,
-    batch: &[&OutcomeNotification],
+    batch: &[OutcomeNotification],
 ) -> Result<AcceptedNotifications, PostError> {
     let count = batch.len();
-    let text: String = batch.iter().map(|notice| line_of(notice)).collect();
+    let text: String = batch.iter().map(line_of).collect();
     let request = Request::post("/v1/outcomes")
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/x-ndjson")
--- a/tests/node/agent.rs
+++ b/tests/node/agent.rs
@@ -33,6 +33,8 @@
     pub late: Arc<Mutex<Duration>>,
     /// So many requests with notices are answered 500 first.
     pub faults: Arc<AtomicUsize>,
+    /// So many of the next requests with notices get no answer, on connections that stay open.
+    pub silent_posts: Arc<AtomicUsize>,
     /// The next answers to notices break off after so many bytes.
     notice_cuts: Arc<Mutex<VecDeque<usize>>>,
 }
@@ -53,6 +55,7 @@
             held: Arc::default(),
             late: Arc::default(),
             faults: Arc::default(),
+            silent_posts: Arc::default(),
             notice_cuts: Arc::default(),
         };
         let here = agent.clone();
@@ -108,6 +111,16 @@
                 .expect("not poisoned")
                 .extend(text.lines().map(str::to_string));
         }
+        let silent = agent
+            .silent_posts
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+                left.checked_sub(1)
+            });
+        if silent.is_ok() {
+            // until the sender leaves
+            let _ = std::io::copy(&mut reader, &mut std::io::sink());
+            return;
+        }
         let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
         let cut = agent.notice_cuts.lock().expect("not poisoned").pop_front();
         let length = cut.unwrap_or(answer.len());
--- a/tests/other_ends.rs
+++ b/tests/other_ends.rs
@@ -59,6 +59,29 @@
     assert_eq!(endpoint.calls("m1"), 1);
 }
 
+#[test]
+fn unanswered_notification_holds_up_no_other() {
+    let endpoint = FragmentingEndpoint::new();
+    let agent = destinations_at(endpoint.address, "one", 2);
+    let node = sender(&agent);
+    agent
+        .silent_posts
+        .store(1, std::sync::atomic::Ordering::SeqCst);
+    for (id, destination) in [("m1", 0), ("m2", 1)] {
+        endpoint.break_off(id, Fragment::of_status_line(0, Then::Close));
+        assert_eq!(node.hand_in("order", id, destination, LONG_MS, b"x"), 202);
+        wait_until("its notification", || notifications_of(&agent, id) > 0);
+    }
+    // the second came while the first had no answer: that is posted again only after
+    let ids: Vec<bool> = agent
+        .notices()
+        .iter()
+        .map(|line| line.contains("m2"))
+        .collect();
+    assert_eq!(ids[..2], [false, true], "{:?}", agent.notices());
+    wait_until("the first again", || notifications_of(&agent, "m1") == 2);
+}
+
 /// Hands a message in and reads its whole answer; the connection.
 fn accepted(node: &Node, text: &[u8]) -> TcpStream {
     let mut stream = TcpStream::connect(node.address).expect("the sender accepts");
