Two starts within a clock tick are ordered by process id; their test can't hang

Cause: start times have ticks of 10 ms, and the two started within one; the log shows one process left, the earlier. Change: of two in one tick the later has the higher id. The test ends a process that runs on and fails, in place of waiting for its log for ever.

--- a/src/net/handover/process_age.rs
+++ b/src/net/handover/process_age.rs
@@ -4,11 +4,14 @@
 /// the program's name.
 const START_TIME_FIELD: usize = 19;
 
-/// True if the process with this id surely started after this one.
+/// True if the process with this id started after this one. Of two that started within a clock tick, the later has the
+/// higher id.
 pub(super) fn started_after_this(process: i32) -> bool {
     let own = start_time("self");
     let other = start_time(&process.to_string());
-    own.zip(other).is_some_and(|(own, other)| other > own)
+    let own_id = i64::from(std::process::id());
+    own.zip(other)
+        .is_some_and(|(own, other)| (other, i64::from(process)) > (own, own_id))
 }
 
 /// When a process started; none where the system does not tell.
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -505,9 +505,18 @@
     faults.off("lock_open");
     let later = sender.start();
     signal(&earlier, "CONT");
+    // one that took over instead would run on
+    let until = std::time::Instant::now() + Duration::from_secs(10);
+    while earlier.try_wait().expect("its state").is_none() && std::time::Instant::now() < until {
+        thread::sleep(Duration::from_millis(5));
+    }
+    let _ = earlier.kill();
+    assert!(
+        earlier.wait().expect("it ends").success(),
+        "it ends by itself"
+    );
     let ends = lines.find(|line| line.contains("a process that started later owns the folder"));
     assert!(ends.is_some(), "it says why it ends");
-    assert!(earlier.wait().expect("it ends").success());
     assert_eq!(later.hand_in("webhook", "m1", 99, 20_000, b"x"), 202);
     assert!(!later.logged("handover: handed over"));
 }
