A notification whose post panicked is owed again; one place for a Retry-After that comes late

Read again: a post that panicked left its batch to the next process, without a word: a way in which the sender stopped owing a message with no proof. What a post carries now stays with the poster, and is posted again. A head that comes after its first line noted its Retry-After, but not that endpoints send any, as the other head does; both use one function, as do the two reports of a late one. The tests' fragmenting endpoint reads requests by the reader that was there. No test for a panic: nothing in a post can be made to panic from outside.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -15,9 +15,9 @@
 use super::events::DriverInput;
 use super::pool::ConnectionPool;
 use bytes::Bytes;
-use hyper::header::HeaderValue;
-use message_sender::MessageId;
+use hyper::header::{HeaderMap, HeaderValue};
 use message_sender::pool::EndpointAddress;
+use message_sender::{MessageId, Micros};
 pub use request::bulk_size;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -76,6 +76,22 @@
     inputs: mpsc::UnboundedSender<DriverInput>,
 }
 
+impl CallContext {
+    /// The Retry-After of an answer, which is noted: abandoned calls are listened to from the first one on.
+    fn note_retry_after(&self, headers: &HeaderMap) -> Option<Micros> {
+        let wait = answer::read_retry_after(headers)?;
+        self.sees_retry_after.set(true);
+        Some(wait)
+    }
+
+    /// Reports a Retry-After that came after its call's end.
+    fn report_retry_after(&self, target: EndpointAddress, wait: Micros) {
+        let endpoint = target.endpoint;
+        // nobody listens any more only when the process ends
+        let _ = self.inputs.send(DriverInput::RetryAfter { endpoint, wait });
+    }
+}
+
 impl Calls {
     /// Calls that go over these connections and report to the driver.
     pub fn new(inputs: mpsc::UnboundedSender<DriverInput>, connections: ConnectionPool) -> Self {
--- a/src/net/calls/answer.rs
+++ b/src/net/calls/answer.rs
@@ -129,10 +129,7 @@
     let (head, body) = response.into_parts();
     let no_room = lease.record_answer(answer_kind(&head));
     let load_report = read_load_report(&head.headers, &context.report_fields.borrow());
-    let retry_after = read_retry_after(&head.headers);
-    if retry_after.is_some() {
-        context.sees_retry_after.set(true);
-    }
+    let retry_after = context.note_retry_after(&head.headers);
     let is_bulk = call.items.len() > 1;
     let results = if is_bulk && head.status == StatusCode::OK {
         let is_length_told = is_length_told(&head.headers);
--- a/src/net/calls/exchange.rs
+++ b/src/net/calls/exchange.rs
@@ -1,11 +1,8 @@
 //! One call on one connection: the request goes out, and its answer is read.
 
-use super::answer::{
-    CallAnswer, REST_OF_ANSWER_TIME, answer_kind, read_answer, read_rest, read_retry_after,
-};
+use super::answer::{CallAnswer, REST_OF_ANSWER_TIME, answer_kind, read_answer, read_rest};
 use super::request::call_request;
 use super::{Call, CallContext};
-use crate::net::events::DriverInput;
 use crate::net::pool::{ConnectionLease, LeaseError, SuccessLine, Traffic};
 use hyper::Response;
 use hyper::body::Incoming;
@@ -106,13 +103,8 @@
         };
         let (head, body) = response.into_parts();
         self.lease.record_answer(answer_kind(&head));
-        if let Some(wait) = read_retry_after(&head.headers) {
-            let endpoint = self.target.endpoint;
-            // nobody listens any more only when the process ends
-            let _ = self
-                .context
-                .inputs
-                .send(DriverInput::RetryAfter { endpoint, wait });
+        if let Some(wait) = self.context.note_retry_after(&head.headers) {
+            self.context.report_retry_after(self.target, wait);
         }
         read_rest(body, self.lease).await;
     }
--- a/src/net/calls/run.rs
+++ b/src/net/calls/run.rs
@@ -242,8 +242,7 @@
     tokio::select! {
         biased;
         late = &mut exchange => if let Some(wait) = late.retry_after {
-            let endpoint = call.target.endpoint;
-            let _ = context.inputs.send(DriverInput::RetryAfter { endpoint, wait });
+            context.report_retry_after(call.target, wait);
         },
         () = time_is_over => {}
     }
--- a/src/net/discovery/notices.rs
+++ b/src/net/discovery/notices.rs
@@ -9,13 +9,13 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::sync::watch::Receiver;
-use tokio::task::JoinSet;
+use tokio::task::{self, JoinError, JoinSet};
 use tokio::time::{Instant, sleep_until};
 
 /// The agent answers notices at once; one that is posted again does no harm.
@@ -42,13 +42,15 @@
     Status { count: usize, status: StatusCode },
     #[error("{count} notices not delivered: {error}")]
     Call { count: usize, error: CallError },
+    #[error("notices not delivered: {0}")]
+    Task(#[from] JoinError),
 }
 
 impl PostError {
     /// A fault of this machine, not of the platform.
     fn is_local(&self) -> bool {
         match self {
-            PostError::Status { .. } => false,
+            PostError::Status { .. } | PostError::Task(_) => false,
             PostError::Call { error, .. } => error.is_local(),
         }
     }
@@ -71,17 +73,11 @@
                     poster.add(notice);
                 }
             }
-            Some(ended) = poster.posts.join_next() => {
-                // a post that panicked is none: what it carried is owed to the next process
-                let Ok(PostEnd { batch, result }) = ended else { continue };
-                match result {
-                    Ok(accepted) => {
-                        poster.accepted();
-                        if inputs.send(DriverInput::NotificationsAccepted(accepted)).is_err() {
-                            return;
-                        }
-                    }
-                    Err(error) => poster.failed(batch, &error),
+            Some(ended) = poster.posts.join_next_with_id() => {
+                if let Some(accepted) = poster.post_ended(ended)
+                    && inputs.send(DriverInput::NotificationsAccepted(accepted)).is_err()
+                {
+                    return;
                 }
             }
             () = sleep_until(retry_at.unwrap_or_else(Instant::now)), if retry_at.is_some() => {
@@ -93,18 +89,17 @@
     }
 }
 
-/// A post that has ended.
-struct PostEnd {
-    batch: Vec<OutcomeNotification>,
-    result: Result<AcceptedNotifications, PostError>,
-}
+/// What came of a post.
+type PostResult = Result<AcceptedNotifications, PostError>;
 
 /// The notifications that are owed, and the posts that are on their way.
 struct Poster {
     agent: Receiver<SocketAddr>,
     /// Those that no post carries now, by number.
     owed: BTreeMap<u64, OutcomeNotification>,
-    posts: JoinSet<PostEnd>,
+    posts: JoinSet<PostResult>,
+    /// What each post carries, which is owed until it is accepted.
+    carried: HashMap<task::Id, Vec<OutcomeNotification>>,
     /// The next pause after a failure.
     delay: Duration,
     /// Nothing is posted before; none: at once.
@@ -119,6 +114,7 @@
             agent,
             owed: BTreeMap::new(),
             posts: JoinSet::new(),
+            carried: HashMap::new(),
             delay: RETRY_FIRST,
             retry_at: None,
             failing: false,
@@ -139,16 +135,34 @@
                 batch.push(notice);
             }
             let address = *self.agent.borrow_and_update();
-            self.posts.spawn_local(async move {
-                let result = post(address, &batch).await;
-                PostEnd { batch, result }
-            });
+            let numbers = batch.iter().map(|notice| notice.number).collect();
+            let text = batch.iter().map(line_of).collect();
+            let post = self.posts.spawn_local(post(address, numbers, text));
+            self.carried.insert(post.id(), batch);
         }
     }
 
-    fn accepted(&mut self) {
-        self.delay = RETRY_FIRST;
-        self.failing = false;
+    /// What the platform has accepted, if it has; else the batch is owed again, also where its task panicked.
+    fn post_ended(
+        &mut self,
+        ended: Result<(task::Id, PostResult), JoinError>,
+    ) -> Option<AcceptedNotifications> {
+        let (post, result) = match ended {
+            Ok(ended) => ended,
+            Err(error) => (error.id(), Err(error.into())),
+        };
+        let batch = self.carried.remove(&post).unwrap_or_default();
+        match result {
+            Ok(accepted) => {
+                self.delay = RETRY_FIRST;
+                self.failing = false;
+                Some(accepted)
+            }
+            Err(error) => {
+                self.failed(batch, &error);
+                None
+            }
+        }
     }
 
     /// The batch is owed again, after a pause.
@@ -175,12 +189,8 @@
 }
 
 /// Posts notifications in one request, on a connection of its own.
-async fn post(
-    address: SocketAddr,
-    batch: &[OutcomeNotification],
-) -> Result<AcceptedNotifications, PostError> {
-    let count = batch.len();
-    let text: String = batch.iter().map(line_of).collect();
+async fn post(address: SocketAddr, numbers: Vec<u64>, text: String) -> PostResult {
+    let count = numbers.len();
     let request = Request::post("/v1/outcomes")
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/x-ndjson")
@@ -194,7 +204,6 @@
         .status();
     let proof =
         EndProof::of_notification_answer(status).ok_or(PostError::Status { count, status })?;
-    let numbers = batch.iter().map(|notice| notice.number).collect();
     Ok(AcceptedNotifications { numbers, proof })
 }
 
--- a/tests/node/fragments.rs
+++ b/tests/node/fragments.rs
@@ -1,9 +1,10 @@
 //! An endpoint that breaks its answers off as it is told, and keeps its own record of what it has written.
 
+use super::http::read_http;
 use super::{Agent, Node, Request, list};
 use socket2::SockRef;
 use std::collections::{HashMap, HashSet};
-use std::io::{Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -88,7 +89,8 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        while let Some(request) = read_request(&mut stream) {
+        let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
+        while let Some(request) = read_http(&mut reader) {
             let fragment = self.answer_to(&request);
             if stream.write_all(&fragment.bytes).is_err() {
                 return;
@@ -160,30 +162,6 @@
     whole_lines.map(str::to_string).collect()
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<Request> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    let text = String::from_utf8_lossy(&head);
-    let mut lines = text.lines();
-    let mut request = Request {
-        line: lines.next()?.to_string(),
-        ..Request::default()
-    };
-    for (name, value) in lines.filter_map(|line| line.split_once(": ")) {
-        request
-            .headers
-            .insert(name.to_ascii_lowercase(), value.to_string());
-    }
-    let length = request.header("content-length").parse().unwrap_or(0);
-    request.body = vec![0; length];
-    stream.read_exact(&mut request.body).ok()?;
-    Some(request)
-}
-
 /// Discovery with one endpoint that serves so many destinations.
 pub fn destinations_at(address: SocketAddr, kind: &str, count: u64) -> Agent {
     let uids: Vec<String> = (0..count).map(|number| format!("s-{number}")).collect();
