Review: peers that send bad requests and do not read stop the sender's service

The rule: trouble with other clients frees no request of its final answer.

The test has 95 peers, ten more than the connections that clients may hold. Each sends 4 MB that is no proper request, stops in the middle of one and stays for 30 s without reading. Four sound clients hand in a message each a second, and each message is handed in again until its time is up.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 //!
 //! Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
+mod bad_peers;
 mod clients;
 mod endpoint;
 mod platform;
@@ -40,6 +41,7 @@
         std::process::exit(2);
     });
     let result = match case.as_str() {
+        "unread-answers" => bad_peers::play(&play),
         "state-folder" => state_folder::play(&play),
         other => Err(format!("no case {other}")),
     };
