Review: bodies in small chunks from peers that stop take a sender over its memory limit

The rule: over memory_mb the sender is killed, and a sender that is killed for memory has crashed.

The test has 180 peers at a time for 7 s. Each sends a request with a body in chunks of 16 bytes, stops before its end and stays until it is answered. The stand-in of the platform watches the sender's anonymous memory and kills it over 32 MiB.

The memory rises from 1 MB to over 32 MiB within half a second; where nothing kills the sender, to 49 MiB.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod bad_peers;
 mod clients;
 mod endpoint;
+mod memory;
 mod platform;
 mod record;
 mod state_folder;
@@ -43,6 +44,7 @@
     let result = match case.as_str() {
         "unread-answers" => bad_peers::play(&play),
         "state-folder" => state_folder::play(&play),
+        "memory" => memory::play(&play),
         other => Err(format!("no case {other}")),
     };
     let status = match result {
