review: a restart with a longer endpoint list fills the disk and stops the sender

Rule: a sender whose folder holds more than disk_mb has crashed.

Test: the folder is filled to 2.76 of 3 MB by 330 messages, the sender is killed once, and the configuration of its restart holds 2,400 listed endpoints in place of 8.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //! and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
 mod client;
+mod disk;
 mod endpoint;
 mod http;
 mod platform;
@@ -65,6 +66,7 @@
     });
     // a stand-in that fails ends the sender as well
     let play = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
+        "disk" => disk::play(&case),
         "spoilt" => spoilt::play(&case),
         _ => Verdict::CouldNotRun("no such case".into()),
     }));
