review: a message runs twice under new settings that do not bind yet

Test: SIGHUP changes a class from at_most_once to idempotent; messages are handed in for 1.0 s more; one call in five is answered with 500 by the endpoint that ran it.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod platform;
 mod record;
+mod retune;
 mod sender;
 mod spoilt;
 mod world;
@@ -67,6 +68,7 @@
     // a stand-in that fails ends the sender as well
     let play = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
         "disk" => disk::play(&case),
+        "retune" => retune::play(&case),
         "spoilt" => spoilt::play(&case),
         _ => Verdict::CouldNotRun("no such case".into()),
     }));
