review: the spoilt answer of the first case is a 429 that can't be read

The wait is no number and the body breaks off, so that no part of the answer is as the protocol defines it.

--- a/review/standins/spoilt.rs
+++ b/review/standins/spoilt.rs
@@ -9,8 +9,8 @@
 const CHARGES: u64 = 60;
 /// One charge in so many has a spoilt first answer.
 const SPOILT_EACH: u64 = 5;
-/// 64 bytes of a body are announced, four come, and the connection ends.
-const SPOILT: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 64\r\n\r\nshut";
+/// The wait can't be read as a number; 64 bytes of a body are announced, four come, and the connection ends.
+const SPOILT: &[u8] = b"HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.4x7\r\nContent-Length: 64\r\n\r\nshut";
 
 pub fn play(case: &Case) -> Verdict {
     let record = &case.record;
