review: peers that read nothing keep every client from an answer

Rule: trouble with other clients frees no request of its final answer.

Test: 85 peers, a third of 256 descriptors, send 4 MB of bad requests each, read nothing and stay for 27 s; four clients hand in a message a second each.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
 [ -x "$root/target/review/standins" ] || { echo "run review/build.sh first"; exit 2; }
-TROUBLE="${TROUBLE:-1}" exec "$root/target/review/standins" disk "$root" "$folder"
+TROUBLE="${TROUBLE:-1}" exec "$root/target/review/standins" peers "$root" "$folder"
--- a/review/standins/disk.rs
+++ b/review/standins/disk.rs
@@ -43,7 +43,7 @@
         known,
         disk_mb: DISK_MB,
         max_open: 60,
-        effect: "idempotent",
+        sockets: 1024,
     };
     if !world.start(&config(&old_list)) {
         return Verdict::CouldNotRun("the sender did not get ready".into());
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,9 +5,9 @@
 mod disk;
 mod endpoint;
 mod http;
+mod peers;
 mod platform;
 mod record;
-mod retune;
 mod sender;
 mod spoilt;
 mod world;
@@ -68,7 +68,7 @@
     // a stand-in that fails ends the sender as well
     let play = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
         "disk" => disk::play(&case),
-        "retune" => retune::play(&case),
+        "peers" => peers::play(&case),
         "spoilt" => spoilt::play(&case),
         _ => Verdict::CouldNotRun("no such case".into()),
     }));
--- a/review/standins/spoilt.rs
+++ b/review/standins/spoilt.rs
@@ -31,7 +31,7 @@
         known: &list,
         disk_mb: 3.0,
         max_open: 60,
-        effect: "idempotent",
+        sockets: 1024,
     }) {
         return Verdict::CouldNotRun("the sender did not get ready".into());
     }
