Believe a refusal only from its complete answer, so that no charge runs twice

Cause: read_answer took "never ran" from the status of 429, 503, 504 and 410, whatever became of the body and of Retry-After. Log before: "attempt 0 ... ended: rejected", then "attempt 1 begins".

Change: an outcome that counts as never run is made only from a NonExecution, and that from a CompleteAnswer (HTTP/1.1, length announced, body complete), a complete uncontradicted line of a bulk answer of announced length, no connection, or a request that was not written whole. A 429 needs a Retry-After of digits and decimals. A cut 410 is no end any more. A wait in an incomplete answer still counts, and is reported 20 ms after its head. New log line "answer STATUS of ADDRESS proves nothing".

In src/net/end_proof/tests.rs the 410 is asserted on a complete answer instead of a head: the proof takes that now.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -4,11 +4,15 @@
 //! message twice. If it is unknown whether the endpoint processed a call, the reported outcome says so.
 //!
 //! `run` races a call against its time limit and its cancellations, `exchange` makes the call on one connection,
-//! `request` builds the request, `answer` interprets the answer.
+//! `request` builds the request, `answer` interprets the answer, `non_execution` holds what proves that a call was not
+//! executed, `attempt_result` the result of one message.
 
 mod answer;
+mod attempt_result;
 mod exchange;
+mod non_execution;
 mod request;
+mod retry_after;
 mod run;
 
 use super::RateLimitedLog;
@@ -19,6 +23,7 @@
 use message_sender::pool::EndpointAddress;
 use message_sender::{MessageId, Micros};
 pub use request::bulk_size;
+use retry_after::RetryAfter;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -82,7 +87,7 @@
     /// Returns the Retry-After delay of an answer in microseconds, and records that endpoints send the header: from the
     /// first one on, abandoned calls wait for a late answer.
     fn note_retry_after(&self, headers: &HeaderMap) -> Option<Micros> {
-        let wait = answer::read_retry_after(headers)?;
+        let wait = RetryAfter::read(headers).delay()?;
         self.has_seen_retry_after.set(true);
         Some(wait)
     }
--- a/src/net/calls/answer.rs
+++ b/src/net/calls/answer.rs
@@ -1,88 +1,31 @@
 //! Interprets the answer to a call: the outcome of each of its messages, the load report and the Retry-After.
 
+use super::attempt_result::{AttemptResult, CallResults, MayHaveRun};
+use super::non_execution::{NonExecution, RefusalContext, SLOTS_TAKEN, Unproven};
 use super::{Call, CallContext, Item};
+use crate::net::complete_answer::{CompleteAnswer, is_length_known};
 use crate::net::end_proof::{BulkLine, EndProof};
 use crate::net::events::MAX_BODY_BYTES;
+use crate::net::message_log::{self, UnprovenAnswer};
 use crate::net::pool::{ConnectionLease, SuccessLine};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use message_sender::pool::{AnswerKind, CloseReason};
-use message_sender::{MILLISECOND, Micros, Outcome};
+use message_sender::{MILLISECOND, Micros};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
-/// Maximum time for the remainder of an answer after the results of its messages are known.
+/// Maximum time for the remainder of an answer after its head was received.
 pub(super) const ANSWER_REMAINDER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Header of a 503 answer that was sent because no call slot was free. Value 1 means that this sender itself occupies
-/// all of its slots at the endpoint.
-const SLOTS_TAKEN: &str = "slots-taken";
-/// Maximum Retry-After delay in milliseconds, one day; longer ones are cut to it.
-const MAX_RETRY_AFTER_MS: Micros = 86_400_000;
-/// Outcome of a message that the endpoint says it did not process.
-const NOT_SENT: Outcome = Outcome::NotSent { no_slot: false };
-
-/// Result of the attempt to deliver one message.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) struct AttemptResult {
-    pub(super) outcome: Outcome,
-    /// Proof that the message is complete and needs no further attempt; `None` if there is no such proof.
-    pub(super) proof: Option<EndProof>,
-}
-
-impl AttemptResult {
-    /// Creates the result of a delivered message.
-    fn delivered(proof: EndProof) -> Self {
-        AttemptResult {
-            outcome: Outcome::Success,
-            proof: Some(proof),
-        }
-    }
-
-    /// Creates the result of a message that the endpoint declares gone: the endpoint did not process it, and the
-    /// message must not be sent again.
-    fn gone(proof: EndProof) -> Self {
-        AttemptResult {
-            outcome: NOT_SENT,
-            proof: Some(proof),
-        }
-    }
-}
-
-impl From<Outcome> for AttemptResult {
-    fn from(outcome: Outcome) -> Self {
-        AttemptResult {
-            outcome,
-            proof: None,
-        }
-    }
-}
-
-/// Results of the messages of one call.
-pub(super) enum CallResults {
-    /// One result that applies to every message.
-    Same(AttemptResult),
-    /// One result for each message, by its position in the call.
-    Each(Vec<AttemptResult>),
-}
-
-impl CallResults {
-    /// Returns the result of the message at position `item`. A position without a result counts as an error, after
-    /// which the endpoint may have processed the message.
-    pub(super) fn of_item(&self, item: usize) -> AttemptResult {
-        match self {
-            CallResults::Same(result) => *result,
-            CallResults::Each(results) => {
-                results.get(item).copied().unwrap_or(Outcome::Error.into())
-            }
-        }
-    }
-}
+/// Time after which a Retry-After is reported before its answer is complete. Calls that begin within 100 ms of a
+/// Retry-After are still let through.
+const RETRY_AFTER_REPORT_DELAY: Duration = Duration::from_millis(20);
 
 /// Results of a whole call, with the further fields of its answer.
 pub(super) struct CallAnswer {
@@ -104,26 +47,67 @@
         let proof = EndProof::of_status_line(line);
         CallAnswer {
             is_from_endpoint: true,
-            is_head_complete: false,
-            results: CallResults::Same(AttemptResult::delivered(proof)),
-            load_report: Vec::new(),
-            retry_after: None,
+            ..AttemptResult::delivered(proof).into()
         }
     }
 }
 
-impl From<Outcome> for CallAnswer {
-    fn from(outcome: Outcome) -> Self {
+impl<T: Into<AttemptResult>> From<T> for CallAnswer {
+    /// Creates the answer of a call that ended with this result, without a head from the endpoint.
+    fn from(result: T) -> Self {
         CallAnswer {
             is_from_endpoint: false,
             is_head_complete: false,
-            results: CallResults::Same(outcome.into()),
+            results: CallResults::Same(result.into()),
             load_report: Vec::new(),
             retry_after: None,
         }
     }
 }
 
+/// What a status says of the messages of a call, which decides how much of the answer is needed as evidence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StatusMeaning {
+    /// The single message of the call was delivered.
+    Delivered,
+    /// The body holds a line for each message of the call.
+    BulkResults,
+    /// No message of the call was executed.
+    NotExecuted,
+    /// The messages are gone: none was executed, and none must be sent again.
+    Gone,
+    /// The call failed, and the endpoint may have executed it.
+    Failed,
+}
+
+impl StatusMeaning {
+    fn of(status: StatusCode, is_bulk: bool) -> Self {
+        match status {
+            StatusCode::OK if is_bulk => StatusMeaning::BulkResults,
+            StatusCode::OK => StatusMeaning::Delivered,
+            StatusCode::GONE => StatusMeaning::Gone,
+            StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::GATEWAY_TIMEOUT => StatusMeaning::NotExecuted,
+            StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE if is_bulk => {
+                StatusMeaning::NotExecuted
+            }
+            _ => StatusMeaning::Failed,
+        }
+    }
+}
+
+/// Answer whose head has been received, and the connection on which its body follows.
+struct ReceivedHead<'a> {
+    context: &'a Rc<CallContext>,
+    call: &'a Call,
+    lease: ConnectionLease,
+    head: Parts,
+    body: Incoming,
+    /// Retry-After delay of the head, in microseconds.
+    retry_after: Option<Micros>,
+}
+
 /// Reads the answer to a call. The connection is released once the whole answer has been read.
 pub(super) async fn read_answer(
     context: &Rc<CallContext>,
@@ -132,28 +116,33 @@
     response: Response<Incoming>,
 ) -> CallAnswer {
     let (head, body) = response.into_parts();
-    let connection_rejected = lease.record_answer(answer_kind(&head));
+    log_unexpected(context, call, head.status);
     let load_report = read_load_report(&head.headers, &context.report_fields.borrow());
     let retry_after = context.note_retry_after(&head.headers);
-    let is_bulk = call.items.len() > 1;
-    let results = if is_bulk && head.status == StatusCode::OK {
-        let is_length_known = is_length_known(&head.headers);
-        match read_bulk_text(body, lease).await {
-            Some(text) => {
-                let text = BulkText {
-                    text: &text,
-                    is_length_known,
-                };
-                CallResults::Each(bulk_results(text, &call.items, retry_after))
-            }
-            None => CallResults::Same(Outcome::Reset.into()),
+    let meaning = StatusMeaning::of(head.status, call.items.len() > 1);
+    let received = ReceivedHead {
+        context,
+        call,
+        lease,
+        head,
+        body,
+        retry_after,
+    };
+    let (results, retry_after) = match meaning {
+        StatusMeaning::Delivered => {
+            let delivered = EndProof::of_delivered_head(&received.head);
+            let result = delivered.map_or(MayHaveRun::Error.into(), AttemptResult::delivered);
+            (CallResults::Same(received.end_with(result)), retry_after)
+        }
+        StatusMeaning::Failed => {
+            let result = received.end_with(MayHaveRun::Error.into());
+            (CallResults::Same(result), retry_after)
+        }
+        StatusMeaning::BulkResults => (received.read_bulk_results().await, retry_after),
+        StatusMeaning::NotExecuted | StatusMeaning::Gone => {
+            let (result, retry_after) = received.read_refusal().await;
+            (CallResults::Same(result), retry_after)
         }
-    } else {
-        // the results are known; the remainder of the answer is read only to free the connection
-        tokio::task::spawn_local(read_remainder(body, lease));
-        log_unexpected(context, call, head.status);
-        let rejected = rejection(connection_rejected, retry_after);
-        CallResults::Same(result_of_status(&head, is_bulk, rejected))
     };
     CallAnswer {
         is_from_endpoint: true,
@@ -164,6 +153,93 @@
     }
 }
 
+impl ReceivedHead<'_> {
+    /// Returns the result that the head alone gives. The body is read only to free the connection.
+    fn end_with(self, result: AttemptResult) -> AttemptResult {
+        self.lease.record_answer(answer_kind(&self.head));
+        tokio::task::spawn_local(read_remainder(self.body, self.lease));
+        result
+    }
+
+    /// Reads the lines of a bulk answer.
+    async fn read_bulk_results(self) -> CallResults {
+        self.lease.record_answer(answer_kind(&self.head));
+        let is_length_known = is_length_known(&self.head.headers);
+        let Some(text) = read_bulk_text(self.body, self.lease).await else {
+            return CallResults::Same(MayHaveRun::Reset.into());
+        };
+        let text = BulkText {
+            text: &text,
+            is_length_known,
+        };
+        CallResults::Each(bulk_results(text, &self.call.items, self.retry_after))
+    }
+
+    /// Reads an answer that counts as proof only if it is complete, and returns its result and the rest of its
+    /// Retry-After delay. A delay in an incomplete answer still counts.
+    async fn read_refusal(self) -> (AttemptResult, Option<Micros>) {
+        let head_received_at = Instant::now();
+        let status = self.head.status;
+        let kind = answer_kind(&self.head);
+        let receive = CompleteAnswer::receive(self.head, self.body, ANSWER_REMAINDER_TIMEOUT);
+        tokio::pin!(receive);
+        let received = tokio::select! {
+            biased;
+            received = &mut receive => received,
+            () = sleep(RETRY_AFTER_REPORT_DELAY) => {
+                if let Some(delay) = self.retry_after {
+                    self.context.report_retry_after(self.call.target, delay);
+                }
+                receive.await
+            }
+        };
+        let retry_after = self
+            .retry_after
+            .map(|delay| remaining_delay(delay, head_received_at));
+        let answer = match received {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.lease.record_answer(AnswerKind::Other);
+                self.lease.discard(CloseReason::Unreadable);
+                log_unproven(self.call, status, error.into());
+                return (MayHaveRun::Reset.into(), retry_after);
+            }
+        };
+        let refusal = RefusalContext {
+            is_bulk: self.call.items.len() > 1,
+            connection_rejected: self.lease.record_answer(kind),
+            retry_after,
+        };
+        self.lease.release();
+        if let Some(proof) = EndProof::of_gone_answer(&answer) {
+            return (AttemptResult::gone(proof), retry_after);
+        }
+        match NonExecution::of_answer(&answer, refusal) {
+            Ok(proof) => (proof.into(), retry_after),
+            Err(reason) => {
+                log_unproven(self.call, status, reason);
+                (MayHaveRun::Error.into(), retry_after)
+            }
+        }
+    }
+}
+
+/// Returns what is left of a Retry-After delay (microseconds) that began at `since`, at least a millisecond.
+fn remaining_delay(delay: Micros, since: Instant) -> Micros {
+    let elapsed = Micros::try_from(since.elapsed().as_micros()).unwrap_or(Micros::MAX);
+    delay.saturating_sub(elapsed).max(MILLISECOND)
+}
+
+/// Logs an answer whose status says that the call was not executed, but that does not prove it.
+fn log_unproven(call: &Call, status: StatusCode, reason: Unproven) {
+    message_log::log_unproven_answer(&UnprovenAnswer {
+        address: call.target.address,
+        ids: call.items.iter().map(|item| &item.id).collect(),
+        status,
+        reason: &reason,
+    });
+}
+
 /// Returns the kind of an answer, from which the connection pool learns whether the endpoint accepts connections.
 pub(super) fn answer_kind(head: &Parts) -> AnswerKind {
     match head.status {
@@ -176,40 +252,6 @@
     }
 }
 
-/// Returns the outcome of a rejected call. A call that was rejected for lack of connection capacity, without a
-/// Retry-After, counts as not sent, since it says nothing about the endpoint's limit on calls.
-fn rejection(connection_rejected: bool, retry_after: Option<Micros>) -> Outcome {
-    if connection_rejected && retry_after.is_none() {
-        Outcome::NotSent { no_slot: false }
-    } else {
-        Outcome::Rejected { retry_after }
-    }
-}
-
-/// Returns the result that an answer's status gives to every message of the call.
-fn result_of_status(head: &Parts, is_bulk: bool, rejected: Outcome) -> AttemptResult {
-    if let Some(proof) = EndProof::of_gone_head(head) {
-        return AttemptResult::gone(proof);
-    }
-    if let Some(proof) = EndProof::of_delivered_head(head).filter(|_| !is_bulk) {
-        return AttemptResult::delivered(proof);
-    }
-    match head.status {
-        StatusCode::TOO_MANY_REQUESTS => rejected.into(),
-        StatusCode::SERVICE_UNAVAILABLE => {
-            let slots_taken = head.headers.get(SLOTS_TAKEN);
-            if slots_taken.is_some_and(|value| value == "1") {
-                Outcome::NotSent { no_slot: true }.into()
-            } else {
-                rejected.into()
-            }
-        }
-        StatusCode::GATEWAY_TIMEOUT => NOT_SENT.into(),
-        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE if is_bulk => NOT_SENT.into(),
-        _ => Outcome::Error.into(),
-    }
-}
-
 /// Logs an answer whose status the protocol with endpoints does not define.
 fn log_unexpected(context: &CallContext, call: &Call, status: StatusCode) {
     let address = call.target.address;
@@ -231,12 +273,6 @@
     }
 }
 
-/// Returns whether the head says where the body ends. Otherwise the body ends with the connection, so that a body that
-/// was cut short cannot be distinguished from a complete one.
-fn is_length_known(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Reads the body of an answer to a bulk request; `None` if the body is cut short, invalid or too long.
 async fn read_bulk_text(body: Incoming, lease: ConnectionLease) -> Option<Bytes> {
     match Limited::new(body, MAX_BODY_BYTES).collect().await {
@@ -276,42 +312,42 @@
     items: &[Item],
     retry_after: Option<Micros>,
 ) -> Vec<AttemptResult> {
-    let lines: HashMap<&[u8], BulkLine<'_>> =
-        BulkLine::parse_complete(answer.text, answer.is_length_known)
-            .map(|line| (line.id(), line))
-            .collect();
+    let mut lines: HashMap<&[u8], Vec<BulkLine<'_>>> = HashMap::new();
+    for line in BulkLine::parse_complete(answer.text, answer.is_length_known) {
+        lines.entry(line.id()).or_default().push(line);
+    }
     let result = |item: &Item| match lines.get(item.id.as_bytes()) {
-        Some(line) => result_of_line(line, retry_after),
-        None => Outcome::Error.into(),
+        Some(lines) => result_of_lines(answer, lines, retry_after),
+        None => MayHaveRun::Error.into(),
     };
     items.iter().map(result).collect()
 }
 
-/// Returns the result that one line of a bulk answer gives to its message.
-fn result_of_line(line: &BulkLine<'_>, retry_after: Option<Micros>) -> AttemptResult {
+/// Returns the result that the lines of one message in a bulk answer give. Lines that contradict one another prove
+/// nothing.
+fn result_of_lines(
+    answer: BulkText<'_>,
+    lines: &[BulkLine<'_>],
+    retry_after: Option<Micros>,
+) -> AttemptResult {
+    let mut statuses = lines.iter().map(BulkLine::status);
+    let first_status = statuses.next();
+    let Some(line) = lines
+        .first()
+        .filter(|_| statuses.all(|status| Some(status) == first_status))
+    else {
+        return MayHaveRun::Error.into();
+    };
     if let Some(proof) = EndProof::of_delivered_line(line) {
         return AttemptResult::delivered(proof);
     }
     if let Some(proof) = EndProof::of_gone_line(line) {
         return AttemptResult::gone(proof);
     }
-    match line.status() {
-        b"later" => Outcome::Rejected { retry_after }.into(),
-        b"exhausted" => NOT_SENT.into(),
-        _ => Outcome::Error.into(),
-    }
-}
-
-/// Parses a `Retry-After` in seconds, with or without decimals, and rounds it up to a whole millisecond. Returns
-/// microseconds, or `None` if the value is no positive number.
-pub(super) fn read_retry_after(headers: &HeaderMap) -> Option<Micros> {
-    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
-    let seconds: f64 = text.trim().parse().ok()?;
-    if !seconds.is_finite() || seconds <= 0.0 {
-        return None;
+    match NonExecution::of_line(answer, line, retry_after) {
+        Some(proof) => proof.into(),
+        None => MayHaveRun::Error.into(),
     }
-    let delay_ms = ((seconds * 1e3).ceil() as Micros).min(MAX_RETRY_AFTER_MS);
-    Some(delay_ms * MILLISECOND)
 }
 
 /// Returns the values of the endpoint's load report in the order of `fields`. The result is empty if a field is missing
--- a/src/net/calls/compatibility.rs
+++ b/src/net/calls/compatibility.rs
@@ -2,8 +2,10 @@
 //! as before.
 
 use super::Item;
-use super::answer::{AttemptResult, BulkText, bulk_results, read_load_report, read_retry_after};
+use super::answer::{BulkText, bulk_results, read_load_report};
+use super::attempt_result::AttemptResult;
 use super::request::{CallRequest, call_request};
+use super::retry_after::RetryAfter;
 use crate::net::http_golden as golden;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
@@ -55,7 +57,7 @@
     let encoded = |result: &AttemptResult| {
         format!(
             "{:?}",
-            postcard::to_allocvec(&(result.outcome, result.proof.is_some())).expect("encoded")
+            postcard::to_allocvec(&(result.outcome(), result.proof().is_some())).expect("encoded")
         )
     };
     results.iter().map(encoded).collect::<Vec<_>>().join(" ")
@@ -91,7 +93,10 @@
         + "\n";
     for wait in ["1", "0.0015", " 3 ", "-1", "soon", "99999999", "nan", "0"] {
         let headers = HeaderMap::from_iter([(RETRY_AFTER, HeaderValue::from_static(wait))]);
-        results += &format!("Retry-After {wait}: {:?}\n", read_retry_after(&headers));
+        results += &format!(
+            "Retry-After {wait}: {:?}\n",
+            RetryAfter::read(&headers).delay()
+        );
     }
     let fields = ["x0".to_string(), "x1".to_string()];
     for report in [
--- a/src/net/calls/exchange.rs
+++ b/src/net/calls/exchange.rs
@@ -3,13 +3,14 @@
 use super::answer::{
     ANSWER_REMAINDER_TIMEOUT, CallAnswer, answer_kind, read_answer, read_remainder,
 };
+use super::attempt_result::MayHaveRun;
+use super::non_execution::NonExecution;
 use super::request::call_request;
 use super::{Call, CallContext};
 use crate::net::pool::{ConnectionLease, LeaseError, SuccessLine, Traffic};
 use hyper::Response;
 use hyper::body::Incoming;
-use message_sender::Outcome;
-use message_sender::pool::{CloseReason, DialFailure, EndpointAddress, LeaseDenied};
+use message_sender::pool::{CloseReason, EndpointAddress};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,12 +40,12 @@
     loop {
         let mut lease = match acquire(context, call, close_reason).await {
             Ok(lease) => lease,
-            Err(error) => return outcome_without_connection(&error).into(),
+            Err(error) => return NonExecution::of_missing_connection(&error).into(),
         };
         let address = call.target.address;
         let Some(request) = call_request(address, &call.items, call.expires) else {
             lease.release();
-            return Outcome::NotSent { no_slot: false }.into();
+            return NonExecution::of_invalid_request().into();
         };
         let connection = lease.connection();
         let traffic = connection.traffic.clone();
@@ -78,12 +79,10 @@
             continue;
         }
         lease.discard(CloseReason::Reset);
-        let outcome = if written < request.min_bytes {
-            Outcome::NoConnection
-        } else {
-            Outcome::Reset
+        return match NonExecution::of_partial_request(written, request.min_bytes) {
+            Some(proof) => proof.into(),
+            None => MayHaveRun::Reset.into(),
         };
-        return outcome.into();
     }
 }
 
@@ -136,20 +135,3 @@
     }
     Ok(lease)
 }
-
-fn outcome_without_connection(error: &LeaseError) -> Outcome {
-    match error {
-        // a start that came too late, a Retry-After delay, a retired endpoint, the shutdown of this process and an
-        // error of the local host say nothing about the endpoint's health
-        LeaseError::TooLate
-        | LeaseError::Denied(
-            LeaseDenied::RetryAfter
-            | LeaseDenied::Retired
-            | LeaseDenied::ShuttingDown
-            | LeaseDenied::Dial(DialFailure::Local),
-        ) => Outcome::NotSent { no_slot: false },
-        LeaseError::DialTimeout | LeaseError::NoAnswer | LeaseError::Denied(_) => {
-            Outcome::NoConnection
-        }
-    }
-}
--- a/src/net/calls/run.rs
+++ b/src/net/calls/run.rs
@@ -1,7 +1,8 @@
 //! Runs one call from its start to the last reported attempt, racing its answer against its time limit and its
 //! cancellations.
 
-use super::answer::{AttemptResult, CallAnswer};
+use super::answer::CallAnswer;
+use super::attempt_result::{AttemptResult, MayHaveRun};
 use super::exchange::{CallProgress, exchange};
 use super::{Call, CallContext};
 use crate::net::events::{AttemptEnd, DriverInput};
@@ -64,8 +65,8 @@
         let end = AttemptEnd {
             call: self.call,
             position: item,
-            outcome: result.outcome,
-            proof: result.proof,
+            outcome: result.outcome(),
+            proof: result.proof(),
             load_report,
             retry_after,
         };
@@ -74,7 +75,7 @@
     }
 
     fn report_cancelled(&mut self, item: usize) {
-        self.report(item, Outcome::Cancelled.into(), Vec::new(), None);
+        self.report(item, MayHaveRun::Cancelled.into(), Vec::new(), None);
     }
 
     /// Reports all attempts that are still unreported. The answer's Retry-After delay is attached to the first of them
@@ -87,7 +88,7 @@
             }
             let result = answer.results.of_item(item);
             let carries_retry_after = matches!(
-                result.outcome,
+                result.outcome(),
                 Outcome::Rejected {
                     retry_after: Some(_)
                 }
@@ -102,7 +103,7 @@
     fn drop(&mut self) {
         for item in 0..self.unreported.len() {
             if self.unreported[item] {
-                self.report(item, Outcome::Reset.into(), Vec::new(), None);
+                self.report(item, MayHaveRun::Reset.into(), Vec::new(), None);
             }
         }
     }
@@ -113,7 +114,7 @@
     Answered(CallAnswer),
     /// The time limit has passed (`TimedOut`), or the last message without a reported attempt was cancelled
     /// (`Cancelled`).
-    Abandoned(Outcome),
+    Abandoned(MayHaveRun),
 }
 
 /// Ended call whose remaining attempts can be reported.
@@ -142,7 +143,7 @@
             answer = &mut exchange => break FirstEnd::Answered(answer),
             () = sleep_until(call.expires) => {
                 close_reason.set(CloseReason::TimedOut);
-                break FirstEnd::Abandoned(Outcome::TimedOut);
+                break FirstEnd::Abandoned(MayHaveRun::TimedOut);
             }
             Some(item) = cancellations.recv() => {
                 if !reporter.is_unreported(item) {
@@ -150,7 +151,7 @@
                 }
                 if reporter.unreported_count() == 1 {
                     // the attempts of all other messages have been reported, so the whole call is abandoned
-                    break FirstEnd::Abandoned(Outcome::Cancelled);
+                    break FirstEnd::Abandoned(MayHaveRun::Cancelled);
                 }
                 reporter.report_cancelled(item);
             }
@@ -177,7 +178,7 @@
 /// Logs a call that ended without a complete answer head. A call that was cancelled before a byte of the answer arrived
 /// is not logged, since its end says nothing about the endpoint.
 fn log_incomplete(call: &Call, progress: &CallProgress, answer: &CallAnswer) {
-    let outcome = answer.results.of_item(0).outcome;
+    let outcome = answer.results.of_item(0).outcome();
     let traffic = progress.traffic.borrow().clone();
     let answer_bytes = traffic.as_ref().map_or(0, |traffic| traffic.answer_bytes());
     if outcome == Outcome::Cancelled && answer_bytes == 0 {
@@ -199,13 +200,13 @@
     context: &CallContext,
     call: &Call,
     progress: &CallProgress,
-    outcome: Outcome,
+    outcome: MayHaveRun,
     mut exchange: Pin<&mut impl Future<Output = CallAnswer>>,
 ) -> FinishedCall {
     let traffic = progress.traffic.borrow().clone();
     let endpoints_send_retry_after = context.has_seen_retry_after.get();
     // a cancelled message needs no answer, but an answer's Retry-After applies to the destination
-    let needs_answer = outcome != Outcome::Cancelled || endpoints_send_retry_after;
+    let needs_answer = outcome != MayHaveRun::Cancelled || endpoints_send_retry_after;
     let abandoned = async {
         if let Some(traffic) = &traffic {
             let _ = timeout(LATE_ANSWER_WAIT, traffic.abandon_call()).await;
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of calls whose connection the endpoint closes after any number of bytes, and of abandoned calls.
 
 use super::super::pool::limits;
-use super::answer::{ANSWER_REMAINDER_TIMEOUT, AttemptResult, CallResults};
+use super::answer::ANSWER_REMAINDER_TIMEOUT;
+use super::attempt_result::CallResults;
 use super::exchange::{CallProgress, exchange};
 use super::*;
 use message_sender::Outcome;
@@ -96,27 +97,25 @@
             seen
         });
         if reused {
-            assert!(matches!(
-                exchange(&context, &call, &close_reason, &CallProgress::default())
-                    .await
-                    .results,
-                CallResults::Same(AttemptResult {
-                    outcome: Outcome::Success,
-                    proof: Some(_)
-                })
-            ));
+            let first = exchange(&context, &call, &close_reason, &CallProgress::default())
+                .await
+                .results
+                .of_item(0);
+            assert_eq!(first.outcome(), Outcome::Success);
+            assert!(first.proof().is_some());
             // wait until the remainder of the first answer has been read and the connection is back in the pool
             tokio::time::sleep(Duration::from_millis(1)).await;
             // the request states the remaining time, so the wait is added to make both requests equal
             call.expires += Duration::from_millis(1);
         }
-        let CallResults::Same(AttemptResult { outcome, .. }) =
+        let CallResults::Same(result) =
             exchange(&context, &call, &close_reason, &CallProgress::default())
                 .await
                 .results
         else {
             panic!("a call of one message has a single result");
         };
+        let outcome = result.outcome();
         drop(context);
         let seen = endpoint_task
             .await
@@ -205,13 +204,11 @@
             retry_after
         );
         let answer = answer.expect("the call ends at once");
-        assert!(matches!(
-            answer.results,
-            CallResults::Same(AttemptResult {
-                outcome: Outcome::NotSent { no_slot: false },
-                proof: None
-            })
-        ));
+        let CallResults::Same(result) = answer.results else {
+            panic!("a call of one message has a single result");
+        };
+        assert_eq!(result.outcome(), Outcome::NotSent { no_slot: false });
+        assert!(result.proof().is_none());
         // the dialled connection stays idle in the pool, and nothing was written to it
         assert!(
             timeout(ANSWER_REMAINDER_TIMEOUT, endpoint_side.read_u8())
--- a/src/net/end_proof.rs
+++ b/src/net/end_proof.rs
@@ -3,7 +3,7 @@
 //! A message is complete only after one of these. An answer or response counts only if the named
 //! part was received in full:
 //! - a status line with 200, up to its line feed
-//! - a response head with 410
+//! - an answer with 410, head and body
 //! - a line of a bulk answer that reports one of the two for a message
 //! - the platform's 204 to the outcome notification
 //! - the disconnection of every client that submitted the message, each before its response
@@ -18,6 +18,7 @@
 //! - [`EndProof::of_departed_client`] checks nothing; its caller must have checked that every
 //!   client has disconnected.
 
+use super::complete_answer::CompleteAnswer;
 use super::pool::SuccessLine;
 use hyper::StatusCode;
 use hyper::http::response::Parts;
@@ -34,7 +35,7 @@
     DeliveredByHead,
     DeliveredByStatusLine,
     DeliveredInBulk,
-    GoneByHead,
+    GoneByAnswer,
     GoneInBulk,
     ReportedByPredecessor,
     NotificationAccepted,
@@ -61,9 +62,9 @@
         (head.status == StatusCode::OK).then_some(EndProof(Evidence::DeliveredByHead))
     }
 
-    /// Returns a proof if the response head has status 410. Valid for each message of the call.
-    pub fn of_gone_head(head: &Parts) -> Option<Self> {
-        (head.status == StatusCode::GONE).then_some(EndProof(Evidence::GoneByHead))
+    /// Returns a proof if the answer has status 410. Valid for each message of the call.
+    pub fn of_gone_answer(answer: &CompleteAnswer) -> Option<Self> {
+        (answer.head().status == StatusCode::GONE).then_some(EndProof(Evidence::GoneByAnswer))
     }
 
     /// Returns a proof if the line of a bulk answer reports its message as delivered.
@@ -96,7 +97,7 @@
                 "delivered, complete 200 status line without the rest of the head"
             }
             Evidence::DeliveredInBulk => "delivered, in a bulk answer",
-            Evidence::GoneByHead => "gone at its endpoint, 410",
+            Evidence::GoneByAnswer => "gone at its endpoint, 410",
             Evidence::GoneInBulk => "gone at its endpoint, in a bulk answer",
             Evidence::ReportedByPredecessor => "end proof reported by the predecessor",
             Evidence::NotificationAccepted => "notification accepted",
--- a/src/net/end_proof/tests.rs
+++ b/src/net/end_proof/tests.rs
@@ -14,10 +14,10 @@
         let head = head(status);
         let delivered = EndProof::of_delivered_head(&head).is_some();
         assert_eq!(delivered, status == 200, "{status}");
-        let gone = EndProof::of_gone_head(&head).is_some();
-        assert_eq!(gone, status == 410, "{status}");
         let notified = EndProof::of_notification_answer(head.status).is_some();
         assert_eq!(notified, status == 204, "{status}");
+        let gone = EndProof::of_gone_answer(&CompleteAnswer::of_head(head)).is_some();
+        assert_eq!(gone, status == 410, "{status}");
     }
 }
 
--- a/src/net/message_log.rs
+++ b/src/net/message_log.rs
@@ -12,6 +12,7 @@
 use super::events::SubmissionResult;
 use super::journal::UndeliveredOutcome;
 use super::{log, trace_enabled};
+use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use message_sender::{MILLISECOND, Outcome};
 use std::cell::RefCell;
@@ -185,13 +186,46 @@
             write!(formatter, " ({:?})", String::from_utf8_lossy(shown))?;
         }
         formatter.write_str(", messages")?;
-        for id in ids {
-            write!(formatter, " {}", String::from_utf8_lossy(id.as_bytes()))?;
-        }
-        Ok(())
+        write_ids(formatter, ids)
+    }
+}
+
+/// Answer whose status says that its call was not executed, but that does not prove it.
+pub struct UnprovenAnswer<'a> {
+    /// Address that the call was sent to.
+    pub address: SocketAddr,
+    /// Ids of the messages in the call.
+    pub ids: Vec<&'a HeaderValue>,
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Why the answer proves nothing.
+    pub reason: &'a dyn fmt::Display,
+}
+
+impl fmt::Display for UnprovenAnswer<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let UnprovenAnswer {
+            address,
+            ids,
+            status,
+            reason,
+        } = self;
+        write!(
+            formatter,
+            "answer {} of {address} proves nothing, the call may have run: {reason}, messages",
+            status.as_u16()
+        )?;
+        write_ids(formatter, ids)
     }
 }
 
+fn write_ids(formatter: &mut fmt::Formatter<'_>, ids: &[&HeaderValue]) -> fmt::Result {
+    for id in ids {
+        write!(formatter, " {}", String::from_utf8_lossy(id.as_bytes()))?;
+    }
+    Ok(())
+}
+
 /// Logs an event of a message. Without `RELAY_TRACE`, accepted submissions and successful first
 /// attempts are not logged, and the rate limit may suppress the line.
 pub fn log_event(id: &HeaderValue, event: &MessageEvent<'_>) {
@@ -212,6 +246,11 @@
     write_line(format_args!("{call}"));
 }
 
+/// Logs an answer whose status says that its call was not executed, but that does not prove it.
+pub fn log_unproven_answer(answer: &UnprovenAnswer<'_>) {
+    write_line(format_args!("{answer}"));
+}
+
 /// Logs the error with which a client's request failed.
 pub fn log_failed_request(error: &dyn fmt::Display) {
     write_line(format_args!("client request failed: {error}"));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod agreement;
 pub mod calls;
 pub mod clock;
+pub mod complete_answer;
 pub mod config;
 pub mod connection;
 pub mod control;
