Close connections whose peers read no answers, so that they keep no client waiting

Cause: connection::serve had no bound for a write to the peer. While a write waits, hyper reads nothing, so no time limit applies; a close waited for the writes, and the search for room passed the connection over as closing already. After an upgrade the predecessor lived for as long as such a peer.

Change: a connection knows since when its peer has accepted no byte. It is closed after 3 s, or after 0.5 s where a new connection waits for its permit; an open request is answered first. Client connections get a send buffer of 16 KiB, so that a slow peer shows its progress. Responses to operators count as idle once they are produced. The log counts what the connections do. ClosePriority is an enum, in the order of closing.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -3,8 +3,13 @@
 //!
 //! A closing connection ends at an instant at which the kernel has no more bytes to read. Bytes that arrived before are
 //! treated as a request; bytes that arrive later were sent before the peer noticed the close, and are discarded.
+//!
+//! A peer that sends requests and does not read the answers fills the buffers, and then no more answers can be written.
+//! If the peer accepts no byte for [`STALL_TIMEOUT`], its connection is closed, unread bytes or not. A client has at most
+//! one answer that it has not read, which always fits into the buffers.
 
 use super::events::MAX_BODY_BYTES;
+use super::message_log;
 use super::stream::Stream;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -28,6 +33,11 @@
 /// at its client, and the first request of a new connection has arrived here. A request head that takes longer does not
 /// come from a proper client. Late bytes are read for the same time after the sending side is shut.
 pub const CLOSE_GRACE: Duration = Duration::from_millis(250);
+/// Maximum time for which a peer may accept no byte of the answers that wait for it. A peer that accepts some, however
+/// slowly, keeps its connection.
+const STALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Minimum time without a byte accepted by the peer before its connection may be closed to make room.
+const STALL_GRACE: Duration = Duration::from_millis(500);
 /// Maximum number of bytes that are read and discarded after the sending side is shut.
 const MAX_LATE_BYTES: usize = 4 * MAX_BODY_BYTES;
 
@@ -40,17 +50,32 @@
     Closing,
     /// The sending side is shut; late bytes are read and discarded.
     HalfClosed,
-    /// The connection is closed at once, since a new connection needs its permit.
+    /// The connection is closed at once: a new connection needs its permit, or its peer accepts no bytes.
     Evicted,
 }
 
 /// Sort key of the connections that may be closed to make room; the smallest is closed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ClosePriority {
-    /// True if the connection still accepts requests, false if its sending side is shut already.
-    pub is_open: bool,
-    /// Time since which no request has been open on the connection; the longest idle connection is closed first.
-    pub idle_since: Instant,
+pub enum ClosePriority {
+    /// The sending side is shut already, and no request has been open since this time.
+    HalfClosed(Instant),
+    /// The peer has accepted no byte of its answers since this time.
+    Stalled(Instant),
+    /// The connection accepts requests, and none has been open since this time.
+    Idle(Instant),
+}
+
+/// What a connection does, as counted in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Activity {
+    /// A request is open.
+    Busy,
+    /// No request is open.
+    Idle,
+    /// The connection closes as soon as its answers are written.
+    Closing,
+    /// The peer accepts no more bytes of its answers at the moment.
+    WriteBlocked,
 }
 
 /// State of one accepted connection, shared by the task that serves it and those that may ask it to close.
@@ -60,6 +85,9 @@
     idle_since: Cell<Option<Instant>>,
     /// Time at which the first byte was received of a request whose head is still incomplete; `None` if there is none.
     request_began: Cell<Option<Instant>>,
+    /// Time of the first write that the kernel's send buffer did not accept, since it last accepted one; `None` while it
+    /// accepts them.
+    write_blocked_since: Cell<Option<Instant>>,
     phase: Cell<Phase>,
     close_requested: Notify,
 }
@@ -70,6 +98,7 @@
         ConnectionState {
             idle_since: Cell::new(Some(now)),
             request_began: Cell::default(),
+            write_blocked_since: Cell::default(),
             phase: Cell::new(Phase::Open),
             close_requested: Notify::new(),
         }
@@ -89,33 +118,67 @@
 
     /// Returns the sort key for closing this connection to make room; `None` if it may not be closed now.
     pub fn close_priority(&self, now: Instant) -> Option<ClosePriority> {
-        let (is_open, is_closable) = match self.phase.get() {
-            Phase::Open => (true, self.may_close(now)),
-            Phase::HalfClosed => (false, true),
-            Phase::Closing | Phase::Evicted => (false, false),
-        };
-        let idle_since = self.idle_since.get().filter(|_| is_closable)?;
-        Some(ClosePriority {
-            is_open,
-            idle_since,
-        })
+        match self.phase.get() {
+            Phase::HalfClosed => self.idle_since.get().map(ClosePriority::HalfClosed),
+            Phase::Evicted => None,
+            Phase::Open | Phase::Closing if self.write_blocked_since.get().is_some() => self
+                .stalled_since(now, STALL_GRACE)
+                .map(ClosePriority::Stalled),
+            Phase::Open if self.may_close(now) => self.idle_since.get().map(ClosePriority::Idle),
+            Phase::Open | Phase::Closing => None,
+        }
     }
 
-    /// Asks the connection to close: as soon as no request is open, or at once if its sending side is already shut.
+    /// Returns what the connection does now.
+    pub fn activity(&self) -> Activity {
+        if self.write_blocked_since.get().is_some() {
+            Activity::WriteBlocked
+        } else if self.is_closing() {
+            Activity::Closing
+        } else if self.idle_since.get().is_some() {
+            Activity::Idle
+        } else {
+            Activity::Busy
+        }
+    }
+
+    /// Asks the connection to close as soon as no request is open and its answers are written.
     pub fn request_close(&self) {
-        self.phase.set(match self.phase.get() {
-            Phase::Open | Phase::Closing => Phase::Closing,
-            Phase::HalfClosed | Phase::Evicted => Phase::Evicted,
-        });
+        if self.phase.get() == Phase::Open {
+            self.phase.set(Phase::Closing);
+        }
         self.close_requested.notify_one();
     }
 
+    /// Asks the connection to close since a new one needs its permit: at once if its sending side is already shut or its
+    /// peer has accepted no byte for [`STALL_GRACE`], else as [`ConnectionState::request_close`].
+    pub fn make_room(&self, now: Instant) {
+        let is_stalled = self.stalled_since(now, STALL_GRACE).is_some();
+        if is_stalled || self.phase.get() == Phase::HalfClosed {
+            self.phase.set(Phase::Evicted);
+        }
+        self.request_close();
+    }
+
+    /// Returns the time since which the peer has accepted no byte of its answers, if that is at least `duration` and no
+    /// request is open. An open request gets its answer first.
+    fn stalled_since(&self, now: Instant, duration: Duration) -> Option<Instant> {
+        self.idle_since.get()?;
+        let since = self.write_blocked_since.get()?;
+        (since + duration <= now).then_some(since)
+    }
+
+    fn record_write(&self, is_blocked: bool) {
+        let since = self.write_blocked_since.get();
+        let since = since.or_else(|| Some(Instant::now()));
+        self.write_blocked_since.set(since.filter(|_| is_blocked));
+    }
+
     fn is_closing(&self) -> bool {
         self.phase.get() != Phase::Open
     }
 
-    /// Waits until a close is requested while late bytes are read after the sending side was shut: a new connection
-    /// then needs this one's permit at once.
+    /// Waits until the connection must be closed at once.
     async fn evicted(&self) {
         while self.phase.get() != Phase::Evicted {
             self.close_requested.notified().await;
@@ -129,8 +192,13 @@
         Some(self.request_began.get().unwrap_or(idle).max(idle) + CLOSE_GRACE)
     }
 
-    /// Returns the time of the next check, and asks the connection to close if it has been idle for `idle_timeout`.
+    /// Returns the time of the next check, and asks the connection to close if it has been idle for `idle_timeout` or
+    /// its peer has accepted no byte for [`STALL_TIMEOUT`].
     fn next_check(&self, now: Instant, idle_timeout: Duration) -> Instant {
+        if self.stalled_since(now, STALL_TIMEOUT).is_some() {
+            self.phase.set(Phase::Evicted);
+            return now;
+        }
         match self.idle_since.get() {
             // the close follows the answer of the open request by at least `CLOSE_GRACE`, so it is not due earlier
             None if self.is_closing() => now + CLOSE_GRACE,
@@ -163,8 +231,6 @@
 struct Socket {
     stream: Rc<RefCell<Stream>>,
     state: Rc<ConnectionState>,
-    /// True while the kernel's send buffer accepts no more bytes of the answers.
-    write_blocked: Rc<Cell<bool>>,
 }
 
 impl Socket {
@@ -175,7 +241,9 @@
     /// Returns whether the connection may end if the kernel has no more bytes to read: it is closing, the time returned
     /// by `closable_from` has passed, and the kernel has accepted all bytes of the answers that were written.
     fn may_end_if_drained(&self) -> bool {
-        self.state.is_closing() && !self.write_blocked.get() && self.state.may_close(Instant::now())
+        let state = &self.state;
+        let is_written = state.write_blocked_since.get().is_none();
+        state.is_closing() && is_written && state.may_close(Instant::now())
     }
 
     /// Reads from the kernel directly, since the runtime polls the socket only between task turns and a timer may fire
@@ -230,7 +298,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = self.with(|stream| stream.poll_write(context, bytes));
-        self.write_blocked.set(written.is_pending());
+        self.state.record_write(written.is_pending());
         written
     }
 
@@ -249,6 +317,9 @@
     pub http: http1::Builder,
     /// Time without a request after which the connection is closed.
     pub idle_timeout: Duration,
+    /// Size of the kernel's send buffer in bytes; `None` leaves it to the system. The kernel reports room for more bytes
+    /// only once about a third of it is free, so that with a large buffer a slow peer looks like one that has stopped.
+    pub send_buffer_bytes: Option<usize>,
 }
 
 /// Serves a connection until its peer closes it, an invalid request or the idle timeout ends it, it is asked to close
@@ -265,13 +336,16 @@
     let HttpSettings {
         mut http,
         idle_timeout,
+        send_buffer_bytes,
     } = settings;
     let stream = Stream::from(stream);
     stream.set_nodelay();
+    if let Some(bytes) = send_buffer_bytes {
+        stream.set_send_buffer(bytes);
+    }
     let socket = Socket {
         stream: Rc::new(RefCell::new(stream)),
         state: state.clone(),
-        write_blocked: Rc::default(),
     };
     // limits a head that arrives slowly; a connection on which no head has begun ends earlier, by `idle_timeout`
     http.timer(TokioTimer::new())
@@ -281,6 +355,10 @@
         tokio::pin!(connection, closing);
         loop {
             let next_check = state.next_check(Instant::now(), idle_timeout);
+            if state.phase.get() == Phase::Evicted {
+                message_log::log_stalled_peer();
+                return;
+            }
             tokio::select! {
                 // poll the connection first: received requests take precedence over a close, and its read decides
                 // whether the connection ends
@@ -288,7 +366,7 @@
                 // the result is ignored, since clients may disconnect at any time; the guard of an unanswered request
                 // informs the driver
                 _ = &mut connection => break,
-                () = state.close_requested.notified(), if !state.is_closing() => {}
+                () = state.close_requested.notified() => {}
                 _ = &mut closing, if !state.is_closing() => state.request_close(),
                 () = sleep_until(next_check) => {}
             }
@@ -337,3 +415,6 @@
         Poll::Ready(Ok(buffer.filled().len()))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -188,6 +188,8 @@
         HttpSettings {
             http,
             idle_timeout: HEAD_TIMEOUT,
+            // the system lets its buffer grow to the size of a report, which then reaches a slow operator after the close
+            send_buffer_bytes: None,
         },
         service,
         std::future::pending::<()>(),
@@ -201,7 +203,10 @@
     control: &Control,
     state: &Rc<ConnectionState>,
 ) -> Response<Full<Bytes>> {
-    match handle(request, control, state).await {
+    let handled = handle(request, control, state).await;
+    // from here on the connection may be closed in favour of a new one if its peer does not read the response
+    state.set_idle(true);
+    match handled {
         Ok(text) => Response::new(text_body(&text)),
         Err(error) => error_response(&error),
     }
--- a/src/net/message_log.rs
+++ b/src/net/message_log.rs
@@ -251,6 +251,13 @@
     write_line(format_args!("{answer}"));
 }
 
+/// Logs that a connection was closed because its peer did not read its answers.
+pub fn log_stalled_peer() {
+    write_line(format_args!(
+        "connection closed, its peer does not read its answers"
+    ));
+}
+
 /// Logs the error with which a client's request failed.
 pub fn log_failed_request(error: &dyn fmt::Display) {
     write_line(format_args!("client request failed: {error}"));
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -36,6 +36,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_millis(600);
 /// Size of a connection's read buffer in bytes, which also bounds the length of a request's head.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Size of a connection's send buffer in bytes; an answer takes a few hundred.
+const SEND_BUFFER_BYTES: usize = 16 * 1024;
 /// Path of the readiness check.
 const READINESS_PATH: &str = "/ready";
 
@@ -110,6 +112,7 @@
         HttpSettings {
             http,
             idle_timeout: IDLE_TIMEOUT,
+            send_buffer_bytes: Some(SEND_BUFFER_BYTES),
         },
         service,
         closing.wait_for(|closing| *closing),
--- a/src/net/server/accept.rs
+++ b/src/net/server/accept.rs
@@ -1,10 +1,11 @@
 //! Accepts connections, limits how many are open by permits, and closes idle ones when no permit is free.
 
 use crate::net::RateLimitedLog;
-use crate::net::connection::ConnectionState;
+use crate::net::connection::{Activity, ConnectionState};
 use crate::net::local_errors::{RETRY_INTERVAL, concerns_one_connection};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,8 +68,8 @@
 /// Acquires the permit of one more connection; `None` if the semaphore is closed.
 ///
 /// The limit keeps file descriptors free for calls to endpoints. At the limit, one accepted connection waits here for a
-/// permit and further ones wait in the kernel's queue. Meanwhile idle connections are closed to free a permit, since
-/// peers that send no requests could otherwise keep all permits.
+/// permit and further ones wait in the kernel's queue. Meanwhile idle connections, and those whose peers do not read
+/// their answers, are closed to free a permit, since such peers could otherwise keep all permits.
 async fn acquire_permit(
     subsystem: &'static str,
     permits: &Arc<Semaphore>,
@@ -79,11 +80,13 @@
         if let Ok(permit) = permits.clone().try_acquire_owned() {
             return Some(permit);
         }
-        if let Some(state) = connections.longest_idle(Instant::now()) {
-            error_log.log(format_args!(
-                "{subsystem}: connection limit reached; closing idle connections"
-            ));
-            state.request_close();
+        error_log.log(format_args!(
+            "{subsystem}: connection limit reached; closing idle and stalled connections: {}",
+            connections.counts()
+        ));
+        let now = Instant::now();
+        if let Some(state) = connections.first_to_close(now) {
+            state.make_room(now);
         }
         if let Ok(permit) = timeout(IDLE_CHECK_INTERVAL, permits.clone().acquire_owned()).await {
             return permit.ok();
@@ -111,9 +114,23 @@
         self.by_number.borrow_mut().remove(&number);
     }
 
-    /// Returns the connection to close first: one whose sending side is already shut, or else the one that has been
-    /// idle the longest. `None` if no connection may be closed yet.
-    fn longest_idle(&self, now: Instant) -> Option<Rc<ConnectionState>> {
+    /// Counts the connections by what they do.
+    fn counts(&self) -> ActivityCounts {
+        let mut counts = ActivityCounts::default();
+        for state in self.by_number.borrow().values() {
+            *match state.activity() {
+                Activity::Busy => &mut counts.busy,
+                Activity::Idle => &mut counts.idle,
+                Activity::Closing => &mut counts.closing,
+                Activity::WriteBlocked => &mut counts.write_blocked,
+            } += 1;
+        }
+        counts
+    }
+
+    /// Returns the connection to close first: one whose sending side is already shut, or else one whose peer does not
+    /// read its answers, or else the one that has been idle the longest. `None` if no connection may be closed yet.
+    fn first_to_close(&self, now: Instant) -> Option<Rc<ConnectionState>> {
         let by_number = self.by_number.borrow();
         let closable = by_number
             .values()
@@ -123,5 +140,29 @@
     }
 }
 
+/// Numbers of open connections, by what they do.
+#[derive(Debug, Default)]
+struct ActivityCounts {
+    busy: usize,
+    idle: usize,
+    closing: usize,
+    write_blocked: usize,
+}
+
+impl fmt::Display for ActivityCounts {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ActivityCounts {
+            busy,
+            idle,
+            closing,
+            write_blocked,
+        } = self;
+        write!(
+            formatter,
+            "{busy} busy, {idle} idle, {closing} closing, {write_blocked} whose peers do not read"
+        )
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -77,6 +77,12 @@
         let _ = self.0.set_nodelay(true);
     }
 
+    /// Sets the size of the kernel's send buffer in bytes, of which the kernel reserves twice as much. Errors are ignored:
+    /// the buffer then keeps the size that the system chooses.
+    pub fn set_send_buffer(&self, bytes: usize) {
+        let _ = SockRef::from(&self.0).set_send_buffer_size(bytes);
+    }
+
     /// Reads the bytes that are in the socket's receive buffer now, without regard to the readiness that the runtime
     /// has recorded.
     ///
