Take no bytes for a call's answer that came before it or straight after the last

A message counts as delivered that its endpoint never saw, or as never run while its call is on its way.

Cause: only the HTTP library looked for bytes between calls, when the runtime told it of them. The kernel may hold bytes that the runtime has not noticed, and bytes that arrived before the request was written were also read as its status line.

Change: before each write of a request the kernel is asked for received bytes; bytes before the request's last one end the connection, and the call takes another (nothing written) or never ran (not written whole). A connection rests 2 ms after an answer before it carries the next call.

The test of cut connections in src/net/calls/tests.rs waited 1 ms between its two calls and waits that rest now; it still compares all bytes of both requests.

--- a/src/net/calls/exchange.rs
+++ b/src/net/calls/exchange.rs
@@ -21,6 +21,10 @@
 /// together with that line; the protocol's time limits leave 50 ms of slack, so a longer wait could exceed them.
 const HEAD_REMAINDER_WAIT: Duration = Duration::from_millis(50);
 
+/// Minimum time between the end of an answer and the next call on its connection. Bytes that follow the answer within
+/// this time are recognized as belonging to no call; later ones could be taken for the next answer.
+pub(super) const REUSE_DELAY: Duration = Duration::from_millis(2);
+
 /// State of a call in flight, shared between [`exchange`] and its caller, which abandons the call when its time limit
 /// has passed.
 #[derive(Default)]
@@ -51,7 +55,7 @@
         let traffic = connection.traffic.clone();
         progress.traffic.replace(Some(traffic.clone()));
         let written_before = traffic.written();
-        traffic.reset_answer();
+        traffic.begin_call(request.min_bytes);
         let mut answer = Box::pin(connection.sender.try_send_request(request.request));
         let sent = tokio::select! {
             biased;
@@ -74,6 +78,11 @@
         // the endpoint had closed the idle connection and no byte of the request was written to it, so the call can use
         // another connection without any risk that its messages are processed twice
         if lease.idle_for.is_some() && written == 0 {
+            if traffic.has_stray_bytes() {
+                context.failure_log.log(format_args!(
+                    "calls: {address} sent bytes that belong to no call"
+                ));
+            }
             progress.traffic.take();
             lease.discard(CloseReason::ClosedByPeer);
             continue;
@@ -116,13 +125,29 @@
     }
 }
 
+/// Acquires a connection on which no answer has ended within [`REUSE_DELAY`].
+async fn acquire_settled(
+    context: &CallContext,
+    target: EndpointAddress,
+    close_reason: &Rc<Cell<CloseReason>>,
+) -> Result<ConnectionLease, LeaseError> {
+    let lease = context.connections.acquire(target, close_reason).await?;
+    let delay_left = lease
+        .idle_for
+        .and_then(|idle_for| REUSE_DELAY.checked_sub(idle_for));
+    if let Some(delay_left) = delay_left {
+        sleep(delay_left).await;
+    }
+    Ok(lease)
+}
+
 /// Acquires a connection for the call, and fails if the call can no longer begin by its `start_by`.
 async fn acquire(
     context: &CallContext,
     call: &Call,
     close_reason: &Rc<Cell<CloseReason>>,
 ) -> Result<ConnectionLease, LeaseError> {
-    let acquired = context.connections.acquire(call.target, close_reason);
+    let acquired = acquire_settled(context, call.target, close_reason);
     let Some(start_by) = call.start_by else {
         return acquired.await;
     };
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -3,7 +3,7 @@
 use super::super::pool::limits;
 use super::answer::ANSWER_REMAINDER_TIMEOUT;
 use super::attempt_result::CallResults;
-use super::exchange::{CallProgress, exchange};
+use super::exchange::{CallProgress, REUSE_DELAY, exchange};
 use super::*;
 use message_sender::Outcome;
 use message_sender::pool::CloseReason;
@@ -103,10 +103,10 @@
                 .of_item(0);
             assert_eq!(first.outcome(), Outcome::Success);
             assert!(first.proof().is_some());
-            // wait until the remainder of the first answer has been read and the connection is back in the pool
-            tokio::time::sleep(Duration::from_millis(1)).await;
+            // wait until the remainder of the first answer has been read and the connection may carry another call
+            tokio::time::sleep(REUSE_DELAY).await;
             // the request states the remaining time, so the wait is added to make both requests equal
-            call.expires += Duration::from_millis(1);
+            call.expires += REUSE_DELAY;
         }
         let CallResults::Same(result) =
             exchange(&context, &call, &close_reason, &CallProgress::default())
@@ -317,3 +317,58 @@
         .block_on(&runtime.expect("a runtime"), driver)
         .expect("the driver task does not panic");
 }
+
+/// Makes two calls over a connection whose endpoint sends `stray` after its first answer, `delay` after it. Returns the
+/// outcome of the second call, and whether its request was received over another connection.
+fn call_after_stray_bytes(stray: &'static [u8], delay: Duration) -> (Outcome, bool) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.expect("a runtime"), async move {
+        let ((pool_side, mut endpoint_side), (spare_pool_side, mut spare_endpoint)) =
+            (duplex(4096), duplex(4096));
+        let (context, call) = context_and_call(vec![pool_side, spare_pool_side]);
+        let close_reason = Rc::new(Cell::new(CloseReason::Cancelled));
+        tokio::task::spawn_local(async move {
+            read_bytes(&mut endpoint_side, usize::MAX).await;
+            endpoint_side.write_all(ANSWER).await.expect("written");
+            tokio::time::sleep(delay).await;
+            let _ = endpoint_side.write_all(stray).await;
+            std::future::pending::<()>().await;
+        });
+        let spare_task = tokio::task::spawn_local(async move {
+            let seen = read_bytes(&mut spare_endpoint, usize::MAX).await;
+            let _ = spare_endpoint.write_all(ANSWER).await;
+            seen
+        });
+        let progress = CallProgress::default();
+        exchange(&context, &call, &close_reason, &progress).await;
+        // the results of the call are known; let the remainder of its answer be read
+        tokio::task::yield_now().await;
+        let second = exchange(&context, &call, &close_reason, &progress);
+        let outcome = match timeout(ANSWER_REMAINDER_TIMEOUT, second).await {
+            Ok(answer) => answer.results.of_item(0).outcome(),
+            Err(_) => Outcome::TimedOut,
+        };
+        drop(context);
+        let seen = timeout(ANSWER_REMAINDER_TIMEOUT, spare_task).await;
+        let used_another = seen.is_ok_and(|seen| seen.is_ok_and(|seen| seen.ends_with(b"body")));
+        (outcome, used_another)
+    })
+}
+
+/// Guards against taking bytes that follow an answer for the answer to the next call, which its endpoint has not seen
+/// then.
+#[test]
+fn bytes_straight_after_answer_are_not_answer_of_next_call() {
+    const REFUSAL: &[u8] = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    for stray in [ANSWER, REFUSAL, b"\r\n", b"noise"] {
+        for delay in [Duration::ZERO, REUSE_DELAY / 2] {
+            let result = call_after_stray_bytes(stray, delay);
+            let text = String::from_utf8_lossy(stray);
+            assert_eq!(result, (Outcome::Success, true), "{text:?} after {delay:?}");
+        }
+    }
+}
--- a/src/net/pool/traffic.rs
+++ b/src/net/pool/traffic.rs
@@ -5,9 +5,9 @@
 use crate::net::stream::Stream;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
@@ -18,6 +18,10 @@
 #[derive(Default)]
 pub struct Traffic {
     written: AtomicU64,
+    /// Value of `written` at which the request of the current call is complete.
+    request_end: AtomicU64,
+    /// True if bytes arrived that belong to no call.
+    has_stray_bytes: AtomicBool,
     answer: Mutex<AnswerProgress>,
     success_line_read: Notify,
     abandonment: Mutex<Abandonment>,
@@ -100,9 +104,32 @@
         self.answer().start.clone()
     }
 
-    /// Discards the record of the previous answer; bytes received from now on belong to the next call's answer.
-    pub fn reset_answer(&self) {
+    /// Begins a call whose request has this length in bytes, and discards the record of the previous answer. Bytes that
+    /// arrive before the whole request is written are not the answer to it: they belong to no call, and the connection
+    /// ends.
+    pub fn begin_call(&self, request_length: u64) {
         *self.answer() = AnswerProgress::default();
+        let request_end = self.written() + request_length;
+        self.request_end.store(request_end, Ordering::Relaxed);
+    }
+
+    /// Returns whether the whole request of the current call has been written.
+    fn is_request_written(&self) -> bool {
+        self.written() >= self.request_end.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether bytes arrived that belong to no call, so that the connection was closed.
+    pub fn has_stray_bytes(&self) -> bool {
+        self.has_stray_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Records bytes that belong to no call, and returns the error that ends their connection.
+    fn stray_bytes_error(&self) -> io::Error {
+        self.has_stray_bytes.store(true, Ordering::Relaxed);
+        io::Error::new(
+            io::ErrorKind::InvalidData,
+            "bytes arrived before the whole request was written",
+        )
     }
 
     fn record_answer_bytes(&self, bytes: &[u8]) {
@@ -152,6 +179,27 @@
     }
 }
 
+impl<S: ImmediateRead> TrafficStream<S> {
+    /// Checks that nothing has been received before the next bytes of a request are written. Asks the kernel, since the
+    /// runtime may not have noticed received bytes yet. `Pending` if a signal interrupted the check.
+    fn poll_nothing_received(&self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.traffic.is_request_written() {
+            return Poll::Ready(Ok(()));
+        }
+        match self.stream.read_now(&mut [0]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Ready(Ok(())),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Err(error) => Poll::Ready(Err(error)),
+            // the endpoint has closed its side, so no answer can follow
+            Ok(0) => Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
+            Ok(_) => Poll::Ready(Err(self.traffic.stray_bytes_error())),
+        }
+    }
+}
+
 impl<S> Drop for TrafficStream<S> {
     fn drop(&mut self) {
         // nothing more can be read from a closed connection, so a task that waits in `abandon_call` may continue
@@ -227,18 +275,23 @@
                 }
             }
         }
-        self.traffic
-            .record_answer_bytes(&buffer.filled()[filled_before..]);
+        let received = &buffer.filled()[filled_before..];
+        if !received.is_empty() && !self.traffic.is_request_written() {
+            buffer.set_filled(filled_before);
+            return Poll::Ready(Err(self.traffic.stray_bytes_error()));
+        }
+        self.traffic.record_answer_bytes(received);
         result
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for TrafficStream<S> {
+impl<S: AsyncWrite + ImmediateRead + Unpin> AsyncWrite for TrafficStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_nothing_received(context))?;
         let result = Pin::new(&mut self.stream).poll_write(context, buffer);
         self.record_written(result)
     }
@@ -248,6 +301,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_nothing_received(context))?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
         self.record_written(result)
     }
