Write no further byte of a request after bytes that belong to no call

Cause: after such bytes the call counts as never executed if its request was not written whole, but the HTTP library may still flush the rest of the request while it closes the connection, and the endpoint would then execute the call.

Change: once stray bytes were seen, each write on that connection fails.

Measured: bytes_before_the_end_of_the_request_are_no_answer writes the last byte after them; the write fails, 7 of 8 bytes are written.

--- a/src/net/pool/traffic.rs
+++ b/src/net/pool/traffic.rs
@@ -186,6 +186,10 @@
         if self.traffic.is_request_written() {
             return Poll::Ready(Ok(()));
         }
+        if self.traffic.has_stray_bytes() {
+            // the call counts as never executed, so the rest of its request must not be written
+            return Poll::Ready(Err(self.traffic.stray_bytes_error()));
+        }
         match self.stream.read_now(&mut [0]) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Ready(Ok(())),
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {
--- a/src/net/pool/traffic/tests.rs
+++ b/src/net/pool/traffic/tests.rs
@@ -96,6 +96,9 @@
         peer.write_all(b"HTTP/1.1 200 OK\r\n\r\n").expect("written");
         let error = stream.read(&mut [0; 64]).await.expect_err("not read");
         assert_eq!(error.kind(), io::ErrorKind::InvalidData);
+        // the call now counts as never executed, so its last byte must not be written
+        assert!(stream.write_all(b"!").await.is_err());
+        assert_eq!(traffic.written(), 7);
         assert!(traffic.success_line().is_none());
         assert_eq!(traffic.answer_bytes(), 0);
     });
