Log the process's memory at each new peak, and the id of a request that fails

The evidence could not answer how much memory a process held, nor whose requests failed: no log line told either. limits.memory_mb is read now and stands in the line, with anonymous memory, the files of the state folder, client connections, held messages and calls; a line comes only with a peak that is a sixteenth of the limit above the last. A failed request whose head could be read is logged by its id. The error of a bad limit names megabytes, as the key does.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -124,6 +124,8 @@
     pub text: Vec<u8>,
     /// Maximum size of the journal in bytes: the disk limit less the space for other files of the state folder.
     pub journal_bytes: u64,
+    /// Maximum memory of the process in bytes, files of the state folder included.
+    pub memory_bytes: u64,
     /// Maximum number of file descriptors of the process.
     pub max_descriptors: usize,
     /// Endpoint list to use until discovery sends one, if the file holds one.
@@ -177,6 +179,15 @@
     sockets: usize,
     /// Maximum size of the state folder in megabytes of 10^6 bytes.
     disk_mb: f64,
+    /// Maximum memory of the process in megabytes of 10^6 bytes.
+    #[serde(default = "default_memory_mb")]
+    memory_mb: f64,
+}
+
+/// Returns the least memory that a deployment gives a sender, in megabytes. It applies where the configuration states no
+/// memory.
+fn default_memory_mb() -> f64 {
+    32.0
 }
 
 impl Config {
@@ -266,7 +277,8 @@
         let control = control.transpose()?;
         let passed_socket = read_passed_socket()?;
         let seed = read_seed(&file.seed)?;
-        let disk_bytes = read_disk_limit(file.limits.disk_mb)?;
+        let disk_bytes = read_megabytes("limits.disk_mb", file.limits.disk_mb)?;
+        let memory_bytes = read_megabytes("limits.memory_mb", file.limits.memory_mb)?;
         let pool = read_pool_settings(&file.pool, file.limits.sockets)?;
         let (settings, names) = read_sender_settings(&file.settings)?;
         let membership = membership::settings::read(&file.membership, &name, settings.senders)?;
@@ -290,6 +302,7 @@
             seed,
             journal_bytes: disk_bytes.saturating_sub(last_valid_bytes + members_bytes),
             text,
+            memory_bytes,
             max_descriptors: file.limits.sockets,
             known_list: parse_list(&file.known),
             settings,
@@ -324,13 +337,13 @@
     })
 }
 
-/// Converts the limit of the state folder from megabytes to bytes.
-fn read_disk_limit(megabytes: f64) -> Result<u64, ConfigError> {
+/// Converts a limit from megabytes to bytes. `name` is the path of its key.
+fn read_megabytes(name: &'static str, megabytes: f64) -> Result<u64, ConfigError> {
     let bytes = megabytes * 1e6;
     if !(bytes.is_finite() && bytes >= 0.0) {
         return Err(ConfigError::Value {
-            name: "limits.disk_mb",
-            found: bytes.to_string(),
+            name,
+            found: megabytes.to_string(),
             wanted: "a size of zero or more",
         });
     }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -35,6 +35,7 @@
 use super::handover::{HandoverState, SuccessorRequest};
 use super::journal::Journal;
 use super::local_errors::RETRY_INTERVAL;
+use super::memory_log::{HeldForPeers, MemoryLog};
 use super::message_log::{self, MessageEvent};
 use calls_in_flight::CallsInFlight;
 use completion::Notifications;
@@ -77,6 +78,8 @@
     pub notifications: mpsc::UnboundedSender<OutcomeNotification>,
     /// Set to true once an endpoint is listed; the process then reports itself as ready.
     pub ready: watch::Sender<bool>,
+    /// Log of the memory of the process.
+    pub memory_log: MemoryLog,
     /// Seed of the random delays between admissions of endpoints after a freeze.
     pub seed: u64,
 }
@@ -140,6 +143,7 @@
     /// rules or quotas that a task sent.
     waiting_for_turn: Vec<oneshot::Sender<()>>,
     violations: Violations,
+    memory_log: MemoryLog,
     ready: watch::Sender<bool>,
     process: ProcessState,
     /// Predecessor process, while it still has calls in flight or clients connected.
@@ -184,6 +188,7 @@
             calls,
             notifications,
             ready,
+            memory_log,
             seed,
         } = dependencies;
         Driver {
@@ -207,6 +212,7 @@
             timer: None,
             waiting_for_turn: Vec::new(),
             violations: Violations::default(),
+            memory_log,
             ready,
             process,
             predecessor: None,
@@ -316,6 +322,11 @@
     fn run_maintenance(&mut self) -> bool {
         self.calls.connections().run_maintenance();
         self.end_counts.log_if_due(Instant::now());
+        self.memory_log.measure_if_due(HeldForPeers {
+            client_connections: self.process.client_slots.in_use(),
+            messages: self.journal.unfinished().len(),
+            calls: self.calls_in_flight.len(),
+        });
         let journal_recovered = self.journal.retry();
         self.admit_unfrozen() || journal_recovered || self.notifications.has_pending()
     }
--- a/src/net/message_log.rs
+++ b/src/net/message_log.rs
@@ -258,9 +258,15 @@
     ));
 }
 
-/// Logs the error with which a client's request failed.
-pub fn log_failed_request(error: &dyn fmt::Display) {
-    write_line(format_args!("client request failed: {error}"));
+/// Logs the error with which a client's request failed, with the id of its message if that is known.
+pub fn log_failed_request(id: Option<&HeaderValue>, error: &dyn fmt::Display) {
+    match id {
+        Some(id) => write_line(format_args!(
+            "message {}: client request failed: {error}",
+            String::from_utf8_lossy(id.as_bytes())
+        )),
+        None => write_line(format_args!("client request failed: {error}")),
+    }
 }
 
 /// Logs why a connection was closed, if `RELAY_TRACE` is set. Reports on the control address count
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,6 +24,7 @@
 pub mod ledger;
 pub mod local_errors;
 pub mod membership;
+pub mod memory_log;
 pub mod message_log;
 pub mod pool;
 pub mod process;
--- a/src/net/process.rs
+++ b/src/net/process.rs
@@ -16,6 +16,7 @@
 use crate::net::events::{DriverInput, FreezeChange, SettingsUpdate};
 use crate::net::handover::{Frame, HandoverState, Link, LinkError, ReceivedHandover};
 use crate::net::journal::JournalError;
+use crate::net::memory_log::MemoryLog;
 use crate::net::pool::{ConnectionPool, PoolResources, limits};
 use crate::net::server::{Classes, Server, serve};
 use crate::net::startup;
@@ -223,6 +224,7 @@
             calls: self.calls(),
             notifications: self.senders.notifications.clone(),
             ready: self.flags.ready.clone(),
+            memory_log: MemoryLog::new(self.config.memory_bytes, self.config.state_folder.clone()),
             seed: self.config.seed,
         };
         let (sender, handover, link) = match folder.received {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -126,8 +126,8 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let mut response = match handle(request, &server).await {
         Ok(response) => response,
-        Err(error) => {
-            message_log::log_failed_request(&error);
+        Err(FailedRequest { id, error }) => {
+            message_log::log_failed_request(id.as_ref(), &error);
             error_response(error)
         }
     };
@@ -156,15 +156,44 @@
     response.headers_mut().insert(CONNECTION, close);
 }
 
+/// Request that failed without a decision of the driver, for the log and the answer.
+struct FailedRequest {
+    /// Id of the message, if the head of the request is valid.
+    id: Option<HeaderValue>,
+    error: RequestError,
+}
+
+impl From<RequestError> for FailedRequest {
+    fn from(error: RequestError) -> Self {
+        FailedRequest { id: None, error }
+    }
+}
+
 async fn handle(
     request: Request<Incoming>,
     server: &Server,
-) -> Result<Response<Full<Bytes>>, RequestError> {
+) -> Result<Response<Full<Bytes>>, FailedRequest> {
     let received_at = Instant::now();
     if request.uri().path() == READINESS_PATH {
-        return readiness(request.method(), server);
+        return Ok(readiness(request.method(), server)?);
     }
     let head = MessageHead::read(&request, &server.classes.borrow())?;
+    let id = head.id.clone();
+    submit(request, head, received_at, server)
+        .await
+        .map_err(|error| FailedRequest {
+            id: Some(id),
+            error,
+        })
+}
+
+/// Reads the body of a message, submits it to the driver and returns the answer with its decision.
+async fn submit(
+    request: Request<Incoming>,
+    head: MessageHead,
+    received_at: Instant,
+    server: &Server,
+) -> Result<Response<Full<Bytes>>, RequestError> {
     let body = read_body(request).await?;
     if !*server.ready.borrow() {
         return Err(RequestError::NotReady);
