--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -4,6 +4,7 @@
 mod agent;
 mod client;
 mod config;
+mod crowd;
 mod endpoint;
 pub mod fragments;
 mod http;
@@ -14,6 +15,7 @@
 pub use agent::*;
 pub use client::*;
 pub use config::*;
+pub use crowd::*;
 pub use endpoint::*;
 pub use http::Request;
 pub use process::*;
