Let 1,024 connections wait to be accepted, so that a crowd does not delay a client by a second

Callers saw: beside 400 clients that connect at once, a proper client's answer took 1.0 to 1.3 s. Cause: the listening socket was bound with a queue of 128 connections; the system drops the first packet of those beyond it, and they try again after a second. Change: the clients' address listens with a queue of 1,024. A socket that the platform passes keeps its queue.

--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::os::fd::{BorrowedFd, RawFd};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{Instant, sleep};
 
 /// Time for which an address that is in use is retried. A predecessor exits and releases the address within it.
@@ -17,6 +17,9 @@
 /// Time for which binding the address is retried after other local errors, for example while the host does not have
 /// the address yet. A sender has to be ready within this time.
 const ADDRESS_MISSING_TIMEOUT: Duration = Duration::from_secs(30);
+/// Number of connections that may wait to be accepted. The system drops the first packet of those beyond it, and they try
+/// again only after a second.
+const LISTEN_BACKLOG: u32 = 1024;
 /// Delay between two attempts to bind the operators' address.
 const OPERATORS_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -125,7 +128,7 @@
     let started_at = Instant::now();
     let errors = RateLimitedLog::default();
     loop {
-        let error = match TcpListener::bind(address).await {
+        let error = match bind(address) {
             Ok(listener) => return Ok(listener),
             Err(error) => error,
         };
@@ -147,6 +150,18 @@
     }
 }
 
+/// Binds the address and listens with a queue of [`LISTEN_BACKLOG`] connections.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // a restarted process must be able to bind the address while old connections are in TIME_WAIT
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Binds the operators' address once. Returns `None` after an error, because the sender serves messages without
 /// operators as well.
 pub async fn listen_for_operators(name: &str, address: SocketAddr) -> Option<TcpListener> {
