Divide limits.memory_mb into shares, and count what clients make the process hold against them

Callers saw: a process over its memory limit, killed, while hundreds of clients were connected that wrote slowly, stopped within a large request or sent long heads.

Cause: what peers could make the process hold had no sum. limits.memory_mb was not read; a body was collected in pieces, each of which kept its whole read buffer of 8 to 32 KiB in memory, and was then copied twice; 341 connections, from the descriptors alone, could do that at once.

A read takes at most 4 KiB, pieces are copied at once into a buffer of the announced length, and that length is reserved first; who finds no room waits unread, or hears 503 within 250 ms. Bodies that the kernel has received whole have a part of their own, so that whole requests do not wait behind stopped ones. Under pressure requests that have stopped for 100 ms, or take 300 ms, are refused, and connections in use take turns. One request of a connection is handled at a time, with other tasks between, and none while an answer waits to be written. A submission holds its memory until the driver has decided; a message that finds no room in its share is refused. Two reports at a time are held for operators.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod decisions;
 pub mod interface;
 pub mod lifecycle;
+pub mod memory;
 mod message_index;
 pub mod pool;
 pub mod wire;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -23,6 +23,7 @@
 use super::settings_object::SettingsObjectError;
 use completeness::{check_complete, check_numbers};
 use flatten::flatten;
+use message_sender::memory::{MemoryShares, ProcessLimits};
 use message_sender::pool::PoolSettings;
 use message_sender::wire::{Names, Pairs, read_settings};
 use message_sender::{Settings, SettingsError};
@@ -124,6 +125,8 @@
     pub text: Vec<u8>,
     /// Maximum size of the journal in bytes: the disk limit less the space for other files of the state folder.
     pub journal_bytes: u64,
+    /// Maximum size of the state folder in bytes.
+    pub disk_bytes: u64,
     /// Maximum memory of the process in bytes, files of the state folder included.
     pub memory_bytes: u64,
     /// Maximum number of file descriptors of the process.
@@ -191,6 +194,15 @@
 }
 
 impl Config {
+    /// Returns the shares of the memory limit.
+    pub fn memory_shares(&self) -> MemoryShares {
+        MemoryShares::divide(ProcessLimits {
+            memory_bytes: self.memory_bytes as usize,
+            disk_bytes: self.disk_bytes as usize,
+            descriptors: self.max_descriptors,
+        })
+    }
+
     /// Reads the configuration file again in a running process. `before` is the content of the file in force, whose keys
     /// the new file must all have. The address of discovery comes from the file and not from `RELAY_DISCOVERY`: the
     /// environment of a running process does not change, so only the file can hold a new address.
@@ -302,6 +314,7 @@
             seed,
             journal_bytes: disk_bytes.saturating_sub(last_valid_bytes + members_bytes),
             text,
+            disk_bytes,
             memory_bytes,
             max_descriptors: file.limits.sockets,
             known_list: parse_list(&file.known),
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,24 +1,25 @@
 //! The HTTP API for operators on the control address. Each connection carries one request.
 
+use super::body;
 use super::connection::{self, ConnectionState, HttpSettings};
 use super::events::{AdminCommand, AdminResult, ReportRequest};
-use super::server::accept;
+use super::server::{OpenConnections, accept};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::time::timeout;
 
 /// Maximum number of open connections. At the limit, a connection that has sent no complete request is closed in favour
@@ -30,6 +31,11 @@
 const BODY_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum time from accepting a connection to the end of its response.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum number of connections that hold a report, which may be long.
+const MAX_REPORTS: usize = 2;
+/// Maximum time for which a request for a report waits until fewer connections hold one. Operators are owed an answer
+/// within a second.
+const REPORT_WAIT: Duration = Duration::from_millis(500);
 /// Maximum size of a request body in bytes. The body holds only the uid of one endpoint.
 const MAX_BODY_BYTES: usize = 4096;
 /// Maximum size of a request head in bytes.
@@ -168,17 +174,37 @@
 pub async fn serve(listener: TcpListener, control: Rc<Control>) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let (_close_sender, close) = watch::channel(false);
-    accept("control", listener, permits, close, move |stream, state| {
-        let control = control.clone();
-        async move { serve_connection(stream, control, &state).await }
-    })
+    let reports = Arc::new(Semaphore::new(MAX_REPORTS));
+    let connections = Rc::new(OpenConnections::default());
+    accept(
+        "control",
+        listener,
+        permits,
+        connections,
+        close,
+        move |stream, state| {
+            let (control, reports) = (control.clone(), reports.clone());
+            async move { serve_connection(stream, control, reports, &state).await }
+        },
+    )
     .await;
 }
 
-async fn serve_connection(stream: TcpStream, control: Rc<Control>, state: &Rc<ConnectionState>) {
+async fn serve_connection(
+    stream: TcpStream,
+    control: Rc<Control>,
+    reports: Arc<Semaphore>,
+    state: &Rc<ConnectionState>,
+) {
+    let operator = Rc::new(Operator {
+        control,
+        state: state.clone(),
+        reports,
+        held_report: RefCell::default(),
+    });
     let service = service_fn(move |request| {
-        let control = control.clone();
-        async move { Ok::<_, Infallible>(answer(request, &control, state).await) }
+        let operator = operator.clone();
+        async move { Ok::<_, Infallible>(operator.answer(request).await) }
     });
     let mut http = http1::Builder::new();
     http.keep_alive(false).max_buf_size(MAX_HEAD_BYTES);
@@ -190,34 +216,71 @@
             idle_timeout: HEAD_TIMEOUT,
             // the system lets its buffer grow to the size of a report, which then reaches a slow operator after the close
             send_buffer_bytes: None,
+            free_bytes: None,
         },
-        service,
+        |_| service,
         std::future::pending::<()>(),
     );
     // an error of the connection needs no handling: the operator has disconnected or was too slow
     let _ = timeout(CONNECTION_TIMEOUT, served).await;
 }
 
-async fn answer(
-    request: Request<Incoming>,
-    control: &Control,
-    state: &Rc<ConnectionState>,
-) -> Response<Full<Bytes>> {
-    let handled = handle(request, control, state).await;
-    // from here on the connection may be closed in favour of a new one if its peer does not read the response
-    state.set_idle(true);
-    match handled {
-        Ok(text) => Response::new(text_body(&text)),
-        Err(error) => error_response(&error),
+/// Connection of an operator, which carries one request.
+struct Operator {
+    control: Rc<Control>,
+    state: Rc<ConnectionState>,
+    reports: Arc<Semaphore>,
+    /// Permit for a report, held until the connection ends.
+    held_report: RefCell<Option<OwnedSemaphorePermit>>,
+}
+
+impl Operator {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let handled = self.handle(request).await;
+        // from here on the connection may be closed in favour of a new one if its peer does not read the response
+        self.state.set_idle(true);
+        match handled {
+            Ok(text) => Response::new(text_body(text)),
+            Err(error) => error_response(&error),
+        }
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Result<String, ControlError> {
+        let control = &self.control;
+        match Operation::of(request.method(), request.uri().path())? {
+            Operation::Readiness if *control.ready.borrow() && !control.draining.get() => {
+                Ok("ready".to_string())
+            }
+            Operation::Readiness => Err(ControlError::NotReady),
+            Operation::Report(subject) => {
+                self.state.set_idle(false);
+                self.hold_report().await?;
+                control.report(subject).await
+            }
+            Operation::SetDisabled(disabled) => {
+                let uid = read_target(request).await?;
+                self.state.set_idle(false);
+                control.set_disabled(uid, disabled).await
+            }
+        }
+    }
+
+    /// Waits until the connection may hold a report.
+    async fn hold_report(&self) -> Result<(), ControlError> {
+        let permit = timeout(REPORT_WAIT, self.reports.clone().acquire_owned()).await;
+        let permit = permit.ok().and_then(Result::ok).ok_or(ControlError::Busy)?;
+        self.held_report.replace(Some(permit));
+        Ok(())
     }
 }
 
-fn text_body(text: &str) -> Full<Bytes> {
-    Full::from(format!("{text}\n"))
+fn text_body(mut text: String) -> Full<Bytes> {
+    text.push('\n');
+    Full::from(text)
 }
 
 fn error_response(error: &ControlError) -> Response<Full<Bytes>> {
-    let mut response = Response::new(text_body(&error.to_string()));
+    let mut response = Response::new(text_body(error.to_string()));
     *response.status_mut() = error.status();
     if let Some(method) = error.allowed_method() {
         let method = HeaderValue::from_static(method);
@@ -226,37 +289,18 @@
     response
 }
 
-async fn handle(
-    request: Request<Incoming>,
-    control: &Control,
-    state: &ConnectionState,
-) -> Result<String, ControlError> {
-    match Operation::of(request.method(), request.uri().path())? {
-        Operation::Readiness if *control.ready.borrow() && !control.draining.get() => {
-            Ok("ready".to_string())
-        }
-        Operation::Readiness => Err(ControlError::NotReady),
-        Operation::Report(subject) => {
-            state.set_idle(false);
-            control.report(subject).await
-        }
-        Operation::SetDisabled(disabled) => {
-            let uid = read_target(request).await?;
-            state.set_idle(false);
-            control.set_disabled(uid, disabled).await
-        }
-    }
-}
-
 /// Reads the uid of the endpoint from the request's body.
 async fn read_target(request: Request<Incoming>) -> Result<String, ControlError> {
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
-    let body = timeout(BODY_TIMEOUT, body)
+    let mut text = Vec::new();
+    let received = body::receive(request.into_body(), MAX_BODY_BYTES, |piece| {
+        text.extend_from_slice(piece);
+    });
+    timeout(BODY_TIMEOUT, received)
         .await
         .map_err(|_| ControlError::BodyTimeout)?
         .map_err(|_| ControlError::MalformedBody)?;
     let body: EndpointBody =
-        serde_json::from_slice(&body.to_bytes()).map_err(|_| ControlError::InvalidBody)?;
+        serde_json::from_slice(&text).map_err(|_| ControlError::InvalidBody)?;
     Ok(body.target)
 }
 
--- a/src/net/driver/journal_state.rs
+++ b/src/net/driver/journal_state.rs
@@ -127,6 +127,10 @@
         self.journal.unfinished()
     }
 
+    pub fn compacted_bytes(&self) -> u64 {
+        self.journal.compacted_bytes()
+    }
+
     pub fn has_records(&self) -> bool {
         self.journal.has_records()
     }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -28,6 +28,7 @@
 mod turn;
 mod violations;
 
+use super::RateLimitedLog;
 use super::calls::Calls;
 use super::clock::Clock;
 use super::discovery::OutcomeNotification;
@@ -47,6 +48,7 @@
 
 use journal_state::JournalState;
 use message_sender::lifecycle::Lifecycle;
+use message_sender::memory::MemoryShares;
 use message_sender::wire::Names;
 use message_sender::{AgreedRules, Event, MessageId, Micros, Quotas, RuleBounds, Sender, Settings};
 use messages::Messages;
@@ -78,12 +80,39 @@
     pub notifications: mpsc::UnboundedSender<OutcomeNotification>,
     /// Set to true once an endpoint is listed; the process then reports itself as ready.
     pub ready: watch::Sender<bool>,
-    /// Log of the memory of the process.
-    pub memory_log: MemoryLog,
+    /// Memory of the process.
+    pub memory: DriverMemory,
     /// Seed of the random delays between admissions of endpoints after a freeze.
     pub seed: u64,
 }
 
+/// Shares of the memory limit, and the log of what the process uses of it.
+pub struct DriverMemory {
+    /// Shares of the memory limit.
+    pub shares: MemoryShares,
+    /// Log of the memory of the process.
+    pub log: MemoryLog,
+    refusals: RateLimitedLog,
+}
+
+impl DriverMemory {
+    /// Creates the memory of a process with these shares.
+    pub fn new(shares: MemoryShares, log: MemoryLog) -> Self {
+        DriverMemory {
+            shares,
+            log,
+            refusals: RateLimitedLog::default(),
+        }
+    }
+
+    fn log_refusal(&self) {
+        let share = self.shares.message_bytes;
+        self.refusals.log(format_args!(
+            "memory: messages are refused, the share of {share} bytes for held messages is full"
+        ));
+    }
+}
+
 /// State with which the driver starts.
 pub struct InitialState {
     /// Decision module, either new or handed over by the predecessor.
@@ -143,7 +172,7 @@
     /// rules or quotas that a task sent.
     waiting_for_turn: Vec<oneshot::Sender<()>>,
     violations: Violations,
-    memory_log: MemoryLog,
+    memory: DriverMemory,
     ready: watch::Sender<bool>,
     process: ProcessState,
     /// Predecessor process, while it still has calls in flight or clients connected.
@@ -188,7 +217,7 @@
             calls,
             notifications,
             ready,
-            memory_log,
+            memory,
             seed,
         } = dependencies;
         Driver {
@@ -212,7 +241,7 @@
             timer: None,
             waiting_for_turn: Vec::new(),
             violations: Violations::default(),
-            memory_log,
+            memory,
             ready,
             process,
             predecessor: None,
@@ -322,7 +351,7 @@
     fn run_maintenance(&mut self) -> bool {
         self.calls.connections().run_maintenance();
         self.end_counts.log_if_due(Instant::now());
-        self.memory_log.measure_if_due(HeldForPeers {
+        self.memory.log.measure_if_due(HeldForPeers {
             client_connections: self.process.client_slots.in_use(),
             messages: self.journal.unfinished().len(),
             calls: self.calls_in_flight.len(),
--- a/src/net/driver/recovery.rs
+++ b/src/net/driver/recovery.rs
@@ -160,7 +160,7 @@
             message: new,
             attempts: past,
         });
-        let body = accepted.body.into();
+        let body = accepted.body;
         let recovered = Message {
             attempts,
             ..Message::new(Item { id, key, body })
--- a/src/net/driver/submissions.rs
+++ b/src/net/driver/submissions.rs
@@ -18,6 +18,10 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// Upper bound of the bytes of a message's journal record without the body: id, key, subject and tenant
+/// of 256 bytes each, and the rest.
+const MAX_RECORD_HEAD_BYTES: usize = 1536;
+
 /// Returns the number that stands for a subject in the decision module. If two subjects hash to the
 /// same number, their messages are merely delivered one at a time.
 pub(super) fn key_of(subject: &str) -> u64 {
@@ -183,17 +187,31 @@
             destination: submission.destination,
             received_at: new.received_at,
             deadline: new.received_at + submission.time_limit,
-            body: submission.body.to_vec(),
+            body: submission.body.clone(),
         };
         let origin = MessageOrigin {
             subject: submission.subject.clone(),
             tenant: submission.tenant.clone(),
         };
         let guarantee = guarantee_of(&terms, &origin);
+        if !self.has_room_for(&accepted) {
+            self.memory.log_refusal();
+            return SubmissionResult::NotStored;
+        }
         if !self.journal.accept(message, accepted, origin, terms) {
             return SubmissionResult::NotStored;
         }
         self.lifecycle.accept(message, guarantee);
         SubmissionResult::Accepted
     }
+
+    /// Returns whether the share of the memory for held messages has room for one more.
+    fn has_room_for(&self, message: &AcceptedMessage) -> bool {
+        let record_bytes = message.body.len() + MAX_RECORD_HEAD_BYTES;
+        let held_bytes = usize::try_from(self.journal.compacted_bytes()).unwrap_or(usize::MAX);
+        let messages = self.journal.unfinished().len();
+        self.memory
+            .shares
+            .has_message_room(messages, held_bytes, record_bytes)
+    }
 }
--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -190,6 +190,7 @@
             resubmitted: forwarded.resubmitted,
             previous_sender_failed: forwarded.previous_sender_failed,
             body: forwarded.body.into(),
+            memory: None,
             reply,
         })
     }
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -3,6 +3,7 @@
 
 use super::end_proof::{DepartedClient, EndProof, in_frame};
 use super::freeze::settings::FreezeSettings;
+use super::request_memory::SubmissionMemory;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use message_sender::pool::PoolSettings;
@@ -17,8 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Maximum size of a message body in bytes.
-pub const MAX_BODY_BYTES: usize = 64 * 1024;
+pub use message_sender::memory::MAX_BODY_BYTES;
 
 /// Input that the other tasks of the process send to the driver.
 #[derive(Debug)]
@@ -206,6 +206,10 @@
     pub previous_sender_failed: bool,
     /// Message body as received from the client, at most [`MAX_BODY_BYTES`].
     pub body: Bytes,
+    /// Memory reserved for the submission until the driver has decided on it; `None` if the predecessor of a handover
+    /// forwarded it.
+    #[expect(dead_code, reason = "held until the driver has decided")]
+    pub memory: Option<SubmissionMemory>,
     /// Channel on which the client's response is sent.
     pub reply: oneshot::Sender<SubmissionResult>,
 }
--- a/src/net/journal/contents.rs
+++ b/src/net/journal/contents.rs
@@ -170,7 +170,7 @@
     /// # Errors
     /// Returns an error if a record can't be encoded.
     pub fn compacted(&self) -> Result<Vec<u8>, postcard::Error> {
-        let mut bytes = Vec::new();
+        let mut bytes = Vec::with_capacity(self.compacted_bytes as usize);
         for uid in self.disabled_endpoints.keys() {
             bytes.extend(encode(&Record::EndpointDisabled(uid.clone()))?);
         }
--- a/src/net/journal/mod.rs
+++ b/src/net/journal/mod.rs
@@ -178,6 +178,11 @@
         &self.contents.unfinished
     }
 
+    /// Returns the size in bytes that a compacted file would have now.
+    pub fn compacted_bytes(&self) -> u64 {
+        self.contents.compacted_bytes
+    }
+
     /// Returns the uids of the endpoints that operators have disabled.
     pub fn disabled_endpoints(&self) -> impl Iterator<Item = &str> {
         self.contents.disabled_endpoints.keys().map(String::as_str)
--- a/src/net/journal/records.rs
+++ b/src/net/journal/records.rs
@@ -1,5 +1,6 @@
 //! Records of the journal and their format on disk: a marker, the length, a checksum and the encoded record.
 
+use bytes::Bytes;
 use message_sender::{Class, Effect, Micros};
 use serde::{Deserialize, Serialize};
 
@@ -38,8 +39,8 @@
     pub received_at: Micros,
     /// Time after which the message is no longer delivered, in microseconds of module time.
     pub deadline: Micros,
-    /// Body that the endpoint receives.
-    pub body: Vec<u8>,
+    /// Body that the endpoint receives, shared with the driver's copy of the message.
+    pub body: Bytes,
 }
 
 /// Subject and tenant of a message. A later process needs them to keep the order of a subject's messages and to count
--- a/src/net/journal/tests.rs
+++ b/src/net/journal/tests.rs
@@ -3,6 +3,7 @@
 mod format;
 
 use super::*;
+use bytes::Bytes;
 use message_sender::{Class, Effect};
 use std::fs::File;
 
@@ -18,7 +19,7 @@
         destination: 7,
         received_at: 0,
         deadline: 1,
-        body: Vec::new(),
+        body: Bytes::new(),
     };
     let class = Class {
         name: "order".into(),
@@ -64,7 +65,7 @@
         destination: 7,
         received_at: 0,
         deadline: 1,
-        body: vec![b'x'; 100],
+        body: vec![b'x'; 100].into(),
     };
     (
         accepted,
--- a/src/net/journal/tests/format.rs
+++ b/src/net/journal/tests/format.rs
@@ -20,7 +20,7 @@
         destination: 77,
         received_at: 1_700_000_000_000_001,
         deadline: 1_700_000_020_000_002,
-        body: b"body \0\xff".to_vec(),
+        body: Bytes::from_static(b"body \0\xff"),
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! clients of discovery and the registry. Each subsystem has its own module.
 
 pub mod agreement;
+pub mod body;
 pub mod calls;
 pub mod clock;
 pub mod complete_answer;
@@ -16,6 +17,7 @@
 #[cfg(test)]
 mod golden;
 pub mod handover;
+pub mod head_memory;
 pub mod http_client;
 #[cfg(test)]
 mod http_golden;
@@ -28,6 +30,7 @@
 pub mod message_log;
 pub mod pool;
 pub mod process;
+pub mod request_memory;
 pub mod server;
 pub mod settings_object;
 pub mod sorted_json;
--- a/src/net/process.rs
+++ b/src/net/process.rs
@@ -12,13 +12,16 @@
 use crate::net::clock::ClockError;
 use crate::net::config::Config;
 use crate::net::control::{self, Control};
-use crate::net::driver::{ClientSlots, Dependencies, Driver, InitialState, ProcessState};
+use crate::net::driver::{
+    ClientSlots, Dependencies, Driver, DriverMemory, InitialState, ProcessState,
+};
 use crate::net::events::{DriverInput, FreezeChange, SettingsUpdate};
 use crate::net::handover::{Frame, HandoverState, Link, LinkError, ReceivedHandover};
 use crate::net::journal::JournalError;
 use crate::net::memory_log::MemoryLog;
 use crate::net::pool::{ConnectionPool, PoolResources, limits};
-use crate::net::server::{Classes, Server, serve};
+use crate::net::request_memory::RequestMemory;
+use crate::net::server::{Classes, OpenConnections, Server, serve};
 use crate::net::startup;
 use crate::net::{agreement, ledger};
 use channels::{Channels, Flags, Receivers, Senders};
@@ -40,9 +43,6 @@
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2500);
 /// Time from SIGTERM until the process exits. The platform sends SIGKILL no sooner than 3.7 s after SIGTERM.
 const EXIT_AFTER: Duration = Duration::from_millis(3300);
-/// Divisor of the descriptor limit: client connections may use a third of all descriptors. Calls, idle connections and
-/// files share the rest.
-const CLIENT_DESCRIPTOR_DIVISOR: usize = 3;
 
 /// Error with which the process fails to start, or ends.
 #[derive(Debug, Error)]
@@ -224,7 +224,7 @@
             calls: self.calls(),
             notifications: self.senders.notifications.clone(),
             ready: self.flags.ready.clone(),
-            memory_log: MemoryLog::new(self.config.memory_bytes, self.config.state_folder.clone()),
+            memory: self.driver_memory(),
             seed: self.config.seed,
         };
         let (sender, handover, link) = match folder.received {
@@ -235,6 +235,12 @@
         Ok((Driver::new(dependencies, initial), link))
     }
 
+    fn driver_memory(&self) -> DriverMemory {
+        let config = &self.config;
+        let log = MemoryLog::new(config.memory_bytes, config.state_folder.clone());
+        DriverMemory::new(config.memory_shares(), log)
+    }
+
     fn new_sender(&self) -> Result<Sender, SettingsError> {
         Sender::new(self.config.settings.clone(), self.config.seed)
     }
@@ -270,10 +276,10 @@
         Calls::new(self.senders.inputs.clone(), connections)
     }
 
-    /// Calculates how many client connections this process may accept: the descriptor limit divided by
-    /// [`CLIENT_DESCRIPTOR_DIVISOR`], minus the connections that the predecessor still holds, but at least one.
+    /// Calculates how many client connections this process may accept: those that its descriptors and its memory allow,
+    /// minus the connections that the predecessor still holds, but at least one.
     fn client_capacity(&self, received: Option<&ReceivedHandover>) -> ClientCapacity {
-        let total = (self.config.max_descriptors / CLIENT_DESCRIPTOR_DIVISOR).max(1);
+        let total = self.config.memory_shares().client_connections;
         let held = received.map_or(0, |received| received.state.client_connections);
         let held_by_predecessor = held.min(total - 1);
         ClientCapacity {
@@ -283,12 +289,16 @@
     }
 
     fn server(&self, slots: &ClientSlots) -> Server {
+        let shares = self.config.memory_shares();
+        let connections = Rc::new(OpenConnections::default());
         Server {
             classes: Classes::default(),
             inputs: self.senders.inputs.clone(),
             ready: self.flags.ready.subscribe(),
             draining: self.flags.draining.clone(),
             connection_permits: slots.free.clone(),
+            connections: connections.clone(),
+            memory: RequestMemory::new(&shares, connections),
             handed_over: self.flags.handed_over.subscribe(),
             closing: self.flags.close_clients.subscribe(),
         }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,21 +4,24 @@
 mod accept;
 mod error;
 mod headers;
+mod request_body;
 
-use super::connection::{self, ConnectionState, HttpSettings};
+use super::connection::{self, ClientPresence, ConnectionState, HttpSettings};
 use super::end_proof::DepartedClient;
-use super::events::{DriverInput, MAX_BODY_BYTES, Submission, SubmissionResult};
+use super::events::{DriverInput, Submission, SubmissionResult};
 use super::message_log;
-pub use accept::accept;
+use super::request_memory::RequestMemory;
+pub use accept::{OpenConnections, accept};
 use bytes::Bytes;
 use error::RequestError;
 use headers::MessageHead;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::header::{ALLOW, CONNECTION, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use message_sender::memory::MAX_HEAD_BYTES;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -26,16 +29,12 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 /// Time without a request after which a connection is closed; 2 s is the minimum. A head that has begun by then gets
-/// [`connection::CLOSE_GRACE`] more, and a body [`BODY_TIMEOUT`] more: the sum must stay below 3 s, the limit for
-/// closing the connection of a peer that sends no complete request.
+/// [`connection::CLOSE_GRACE`] more, and a body [`request_body::BODY_TIMEOUT`] more: the sum must stay below 3 s, the limit
+/// for closing the connection of a peer that sends no complete request.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2100);
-/// Maximum time for receiving a body. Clients wait only 400 ms for their answer.
-const BODY_TIMEOUT: Duration = Duration::from_millis(600);
-/// Size of a connection's read buffer in bytes, which also bounds the length of a request's head.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Size of a connection's send buffer in bytes; an answer takes a few hundred.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
 /// Path of the readiness check.
@@ -67,6 +66,10 @@
     pub draining: Rc<Cell<bool>>,
     /// One permit for each client connection that may be open at once.
     pub connection_permits: Arc<Semaphore>,
+    /// Connections that are open at present.
+    pub connections: Rc<OpenConnections>,
+    /// Memory for requests that need more than the share of their connection.
+    pub memory: RequestMemory,
     /// Turns true when the successor has taken over the listening socket; this process then stops accepting
     /// connections.
     pub handed_over: watch::Receiver<bool>,
@@ -77,11 +80,13 @@
 /// Accepts and serves client connections until the successor takes over.
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
     let permits = server.connection_permits.clone();
+    let connections = server.connections.clone();
     let handed_over = server.handed_over.clone();
     accept(
         "clients",
         listener,
         permits,
+        connections,
         handed_over,
         move |stream, state| {
             let server = server.clone();
@@ -93,17 +98,27 @@
 
 async fn serve_connection(stream: TcpStream, server: Rc<Server>, state: &Rc<ConnectionState>) {
     let mut closing = server.closing.clone();
-    let service = service_fn(move |request| {
-        let server = server.clone();
-        // mark the connection as busy before the handler is first polled: it must not be closed between the head of a
-        // request and its handling
-        state.set_idle(false);
-        async move {
-            let answer = answer(request, server).await;
-            state.set_idle(true);
-            answer
-        }
-    });
+    let free_bytes = server.memory.free_head_bytes();
+    let service = move |presence: ClientPresence| {
+        service_fn(move |request| {
+            let client = Client {
+                state: state.clone(),
+                presence: presence.clone(),
+            };
+            // before the handler is first polled: the connection must not be closed between the head of a request and its
+            // handling
+            client.state.begin_request();
+            let server = server.clone();
+            async move {
+                client.state.answers_written().await;
+                client.state.set_idle(false);
+                client.state.take_turn().await;
+                let answer = answer(request, &server, &client).await;
+                client.state.end_request();
+                answer
+            }
+        })
+    };
     let mut http = http1::Builder::new();
     http.max_buf_size(MAX_HEAD_BYTES);
     connection::serve(
@@ -113,6 +128,7 @@
             http,
             idle_timeout: IDLE_TIMEOUT,
             send_buffer_bytes: Some(SEND_BUFFER_BYTES),
+            free_bytes: Some(free_bytes),
         },
         service,
         closing.wait_for(|closing| *closing),
@@ -120,18 +136,25 @@
     .await;
 }
 
+/// Client whose request is handled.
+struct Client {
+    state: Rc<ConnectionState>,
+    presence: ClientPresence,
+}
+
 async fn answer(
     request: Request<Incoming>,
-    server: Rc<Server>,
+    server: &Server,
+    client: &Client,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let mut response = match handle(request, &server).await {
-        Ok(response) => response,
-        Err(FailedRequest { id, error }) => {
-            message_log::log_failed_request(id.as_ref(), &error);
-            error_response(error)
-        }
-    };
-    if server.draining.get() {
+    let handled = handle(request, server, client).await;
+    let mut response = handled.unwrap_or_else(|FailedRequest { id, error }| {
+        message_log::log_failed_request(id.as_ref(), &error);
+        error_response(error)
+    });
+    let gives_way = client.state.is_closing()
+        || client.state.holds_head_memory() && server.memory.is_head_memory_short();
+    if server.draining.get() || gives_way {
         close_after(&mut response);
     }
     Ok(response)
@@ -144,7 +167,7 @@
         let method = HeaderValue::from_static(method);
         response.headers_mut().insert(ALLOW, method);
     }
-    if error.leaves_body_unread() {
+    if error.ends_connection() {
         close_after(&mut response);
     }
     response
@@ -172,6 +195,7 @@
 async fn handle(
     request: Request<Incoming>,
     server: &Server,
+    client: &Client,
 ) -> Result<Response<Full<Bytes>>, FailedRequest> {
     let received_at = Instant::now();
     if request.uri().path() == READINESS_PATH {
@@ -179,7 +203,7 @@
     }
     let head = MessageHead::read(&request, &server.classes.borrow())?;
     let id = head.id.clone();
-    submit(request, head, received_at, server)
+    submit(request, head, received_at, server, client)
         .await
         .map_err(|error| FailedRequest {
             id: Some(id),
@@ -193,11 +217,13 @@
     head: MessageHead,
     received_at: Instant,
     server: &Server,
+    client: &Client,
 ) -> Result<Response<Full<Bytes>>, RequestError> {
-    let body = read_body(request).await?;
+    let body = request_body::read(request, client, &server.memory).await?;
     if !*server.ready.borrow() {
         return Err(RequestError::NotReady);
     }
+    let memory = server.memory.submission(body.reservation).await?;
     let (reply, result) = oneshot::channel();
     let submission = Submission {
         id: head.id,
@@ -210,7 +236,8 @@
         received_at,
         resubmitted: head.resubmitted,
         previous_sender_failed: head.previous_sender_failed,
-        body,
+        body: body.bytes,
+        memory: Some(memory),
         reply,
     };
     let mut guard = DisconnectGuard {
@@ -239,28 +266,6 @@
     }
 }
 
-/// Reads a message's body and copies it, so that a pending message does not keep the connection's read buffer in
-/// memory.
-async fn read_body(request: Request<Incoming>) -> Result<Bytes, RequestError> {
-    // hyper removes Content-Length if Transfer-Encoding is present, so a request with both, whose body has two possible
-    // ends, cannot be recognised: every Transfer-Encoding is rejected
-    let has_transfer_encoding = request.headers().contains_key(TRANSFER_ENCODING);
-    if request.body().size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(RequestError::BodyTooLong);
-    }
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
-    let body = match timeout(BODY_TIMEOUT, body).await {
-        Err(_) => return Err(RequestError::BodyTimeout),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(RequestError::BodyTooLong),
-        Ok(Err(_)) => return Err(RequestError::MalformedBody),
-        Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
-    };
-    if has_transfer_encoding {
-        return Err(RequestError::LengthRequired);
-    }
-    Ok(body)
-}
-
 fn submission_response(result: SubmissionResult) -> Response<Full<Bytes>> {
     let mut response = Response::default();
     *response.status_mut() = match result {
--- a/src/net/server/accept.rs
+++ b/src/net/server/accept.rs
@@ -1,7 +1,7 @@
 //! Accepts connections, limits how many are open by permits, and closes idle ones when no permit is free.
 
 use crate::net::RateLimitedLog;
-use crate::net::connection::{Activity, ConnectionState};
+use crate::net::connection::{Activity, ConnectionState, StalledRequest};
 use crate::net::local_errors::{RETRY_INTERVAL, concerns_one_connection};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,19 +18,22 @@
 /// Interval between searches for an idle connection to close while a new connection waits for a permit.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Maximum number of connections that one search closes.
+const MAX_CLOSED_AT_ONCE: usize = 16;
+
 /// Accepts connections until `stop` turns true and runs `handle` on each in a task of its own. The number of permits
-/// limits the connections that are open at once; `subsystem` is the prefix of log lines.
+/// limits the connections that are open at once, which `connections` lists; `subsystem` is the prefix of log lines.
 pub async fn accept<F>(
     subsystem: &'static str,
     listener: TcpListener,
     permits: Arc<Semaphore>,
+    connections: Rc<OpenConnections>,
     mut stop: watch::Receiver<bool>,
     handle: impl Fn(TcpStream, Rc<ConnectionState>) -> F,
 ) where
     F: Future<Output = ()> + 'static,
 {
     let error_log = RateLimitedLog::default();
-    let connections = Rc::new(OpenConnections::default());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -68,8 +71,9 @@
 /// Acquires the permit of one more connection; `None` if the semaphore is closed.
 ///
 /// The limit keeps file descriptors free for calls to endpoints. At the limit, one accepted connection waits here for a
-/// permit and further ones wait in the kernel's queue. Meanwhile idle connections, and those whose peers do not read
-/// their answers, are closed to free a permit, since such peers could otherwise keep all permits.
+/// permit and further ones wait in the kernel's queue. Meanwhile idle connections, those whose peers do not read their
+/// answers, and those whose peers have stopped within a request are closed to free permits, since such peers could
+/// otherwise keep all of them.
 async fn acquire_permit(
     subsystem: &'static str,
     permits: &Arc<Semaphore>,
@@ -85,9 +89,7 @@
             connections.counts()
         ));
         let now = Instant::now();
-        if let Some(state) = connections.first_to_close(now) {
-            state.make_room(now);
-        }
+        connections.make_room(now, MAX_CLOSED_AT_ONCE);
         if let Ok(permit) = timeout(IDLE_CHECK_INTERVAL, permits.clone().acquire_owned()).await {
             return permit.ok();
         }
@@ -96,7 +98,7 @@
 
 /// Open connections by number, in the order in which they were accepted.
 #[derive(Default)]
-struct OpenConnections {
+pub struct OpenConnections {
     by_number: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     next_number: Cell<u64>,
 }
@@ -128,15 +130,65 @@
         counts
     }
 
-    /// Returns the connection to close first: one whose sending side is already shut, or else one whose peer does not
-    /// read its answers, or else the one that has been idle the longest. `None` if no connection may be closed yet.
-    fn first_to_close(&self, now: Instant) -> Option<Rc<ConnectionState>> {
+    /// Closes up to `count` connections to make room for others: those whose sending side is already shut come first,
+    /// then those whose peers do not read their answers, then those that have been idle the longest. If there are none,
+    /// refuses requests whose clients have stopped sending them. If all clients use their connections, those that were
+    /// accepted first end after their next answers, so that clients take turns.
+    fn make_room(&self, now: Instant, count: usize) {
+        let closable = self.first_to_close(now, count);
+        for state in &closable {
+            state.make_room(now);
+        }
+        if closable.is_empty() && self.refuse_stalled(now, count, |_| true) == 0 {
+            for state in self.first_by(count, |state| state.in_use_since(now)) {
+                state.request_close();
+            }
+        }
+    }
+
+    /// Returns the first `count` connections to close; fewer if not that many may be closed yet.
+    fn first_to_close(&self, now: Instant, count: usize) -> Vec<Rc<ConnectionState>> {
+        self.first_by(count, |state| state.close_priority(now))
+    }
+
+    /// Refuses up to `count` stalled requests that hold reserved memory, those without progress for the longest time
+    /// first.
+    pub fn free_request_memory(&self, now: Instant, count: usize) {
+        self.refuse_stalled(now, count, |request| request.holds_memory);
+    }
+
+    /// Refuses up to `count` stalled requests and returns how many there were.
+    fn refuse_stalled(
+        &self,
+        now: Instant,
+        count: usize,
+        is_eligible: impl Fn(&StalledRequest) -> bool,
+    ) -> usize {
+        let stalled_since = |state: &ConnectionState| {
+            let request = state.stalled_request(now).filter(&is_eligible)?;
+            Some(request.since)
+        };
+        let stalled = self.first_by(count, stalled_since);
+        for state in &stalled {
+            state.refuse_stalled_request();
+        }
+        stalled.len()
+    }
+
+    /// Returns the `count` connections with the smallest keys, of those that have a key.
+    fn first_by<K: Ord>(
+        &self,
+        count: usize,
+        key: impl Fn(&ConnectionState) -> Option<K>,
+    ) -> Vec<Rc<ConnectionState>> {
         let by_number = self.by_number.borrow();
-        let closable = by_number
+        let mut candidates: Vec<_> = by_number
             .values()
-            .filter_map(|state| Some((state.close_priority(now)?, state)));
-        let (_, state) = closable.min_by_key(|(priority, _)| *priority)?;
-        Some(state.clone())
+            .filter_map(|state| Some((key(state)?, state)))
+            .collect();
+        candidates.sort_by(|(first, _), (second, _)| first.cmp(second));
+        let first = candidates.into_iter().take(count);
+        first.map(|(_, state)| state.clone()).collect()
     }
 }
 
--- a/src/net/server/accept/tests.rs
+++ b/src/net/server/accept/tests.rs
@@ -14,18 +14,19 @@
     first.set_idle_since(Some(at_ms(30))); // its first request has been answered
     assert!(
         connections
-            .first_to_close(at_ms(20) + CLOSE_GRACE - IDLE_CHECK_INTERVAL)
-            .is_none(),
+            .first_to_close(at_ms(20) + CLOSE_GRACE - IDLE_CHECK_INTERVAL, 1)
+            .is_empty(),
         "the first request of a new connection may still be arriving"
     );
     let longest_idle = |at| {
         connections
-            .first_to_close(at)
+            .first_to_close(at, 1)
+            .pop()
             .expect("a closable connection")
     };
     assert!(Rc::ptr_eq(&longest_idle(at_ms(1000)), &second));
     second.request_close();
     assert!(Rc::ptr_eq(&longest_idle(at_ms(1000)), &first));
     connections.remove(number);
-    assert!(connections.first_to_close(at_ms(1000)).is_none());
+    assert!(connections.first_to_close(at_ms(1000), 1).is_empty());
 }
--- a/src/net/server/compatibility.rs
+++ b/src/net/server/compatibility.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::net::http_golden as golden;
+use message_sender::memory::{MemoryShares, ProcessLimits};
 
 /// Returns the result with which the simulated driver answers a message; each message id stands for one result.
 fn answer_of(id: &str) -> SubmissionResult {
@@ -169,6 +170,12 @@
             key_required,
         };
         let draining = Rc::new(Cell::new(false));
+        let connections = Rc::new(OpenConnections::default());
+        let shares = MemoryShares::divide(ProcessLimits {
+            memory_bytes: 32_000_000,
+            disk_bytes: 3_000_000,
+            descriptors: 256,
+        });
         let server = Server {
             classes: Rc::new(RefCell::new(vec![
                 class("webhook", 0, true),
@@ -178,6 +185,8 @@
             ready,
             draining: draining.clone(),
             connection_permits: Arc::new(Semaphore::new(8)),
+            connections: connections.clone(),
+            memory: RequestMemory::new(&shares, connections),
             handed_over,
             closing,
         };
--- a/src/net/server/error.rs
+++ b/src/net/server/error.rs
@@ -1,5 +1,6 @@
 //! Errors of client requests that fail without a decision of the driver.
 
+use crate::net::request_memory::NoRoom;
 use hyper::StatusCode;
 use thiserror::Error;
 
@@ -38,6 +39,12 @@
     BodyTooLong,
     #[error("the body did not come in time")]
     BodyTimeout,
+    /// The client had stopped within the body, or sent it slowly, while others waited for its memory or connection.
+    #[error("the body came too slowly while others waited; try again")]
+    BodyStalled,
+    /// The body is larger than the share of its connection, and no memory became free in time.
+    #[error("no memory is free for the body; try again")]
+    NoRoom,
     #[error("the body is malformed")]
     MalformedBody,
     #[error("Content-Length is missing or not the body's")]
@@ -47,7 +54,10 @@
 impl RequestError {
     pub(super) fn status(self) -> StatusCode {
         match self {
-            RequestError::NotReady | RequestError::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+            RequestError::NotReady
+            | RequestError::ShuttingDown
+            | RequestError::BodyStalled
+            | RequestError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::UnknownPath => StatusCode::NOT_FOUND,
             RequestError::OnlyGet | RequestError::OnlyPost => StatusCode::METHOD_NOT_ALLOWED,
             RequestError::RepeatedHeader(_)
@@ -75,7 +85,19 @@
     }
 
     /// Returns whether part of the request's body stays unread, so that the connection must be closed after the answer.
-    pub(super) fn leaves_body_unread(self) -> bool {
-        matches!(self, RequestError::BodyTooLong | RequestError::BodyTimeout)
+    pub(super) fn ends_connection(self) -> bool {
+        matches!(
+            self,
+            RequestError::BodyTooLong
+                | RequestError::BodyTimeout
+                | RequestError::BodyStalled
+                | RequestError::NoRoom
+        )
+    }
+}
+
+impl From<NoRoom> for RequestError {
+    fn from(_: NoRoom) -> Self {
+        RequestError::NoRoom
     }
 }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -5,8 +5,10 @@
 //! ready, epoll reports no further event, so the connection would hang.
 
 use super::local_errors::{RETRY_INTERVAL, is_local};
+use message_sender::memory::MAX_BODY_BYTES;
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice, Read};
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -93,6 +95,16 @@
         (&mut &*SockRef::from(&self.0)).read(buffer)
     }
 
+    /// Returns whether the socket's receive buffer holds at least `bytes`, of which [`MAX_BODY_BYTES`] at most are counted.
+    pub fn has_received(&self, bytes: usize) -> bool {
+        let mut received = [MaybeUninit::uninit(); MAX_BODY_BYTES];
+        let wanted = &mut received[..bytes.min(MAX_BODY_BYTES)];
+        let length = wanted.len();
+        SockRef::from(&self.0)
+            .peek(wanted)
+            .is_ok_and(|found| found >= length)
+    }
+
     /// Shuts down the sending direction. The peer's data can still be read.
     pub fn end_sending(&self) {
         // an error only means that the connection has ended already
