Take a request on only while its client may hear of it, and let no id run twice

Callers saw: a client wrote twelve requests and closed while the process was held up; two of them were called afterwards. An id could run again once its client had left. Cause: while a request is open, hyper looks for the end of the input only if its read buffer is empty, so a close behind unread requests was found by the failing write of the second answer. And a message whose last client had left was forgotten, also when a call with it had begun, here and in the state of an upgrade. Change: the driver, or a predecessor before it forwards, asks the kernel (POLLRDHUP, which it reports also while bytes are unread) and does not take the request on; the same question stands before an accepted answer, which else withdraws the message.

--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -159,6 +159,13 @@
         self.remove_if_complete(id);
     }
 
+    /// Returns whether the destination may have processed the message, or may yet: a call with it is
+    /// in flight, or has ended without proof that it never ran.
+    pub fn may_have_run(&self, id: MessageId) -> bool {
+        let message = self.messages.get(&id);
+        message.is_some_and(|message| message.in_flight > 0 || message.may_have_run)
+    }
+
     /// Records that no further call with the message may begin. The message still blocks later
     /// messages of its key until it is complete.
     pub fn close(&mut self, id: MessageId) {
--- a/src/net/connection/presence.rs
+++ b/src/net/connection/presence.rs
@@ -17,6 +17,13 @@
         ClientPresence(Arc::downgrade(stream))
     }
 
+    /// Returns whether the client has closed its connection, or its sending side, or the connection has ended.
+    pub fn has_left(&self) -> bool {
+        self.0
+            .upgrade()
+            .is_none_or(|stream| locked(&stream).has_peer_closed())
+    }
+
     /// Returns whether the kernel has received at least so many bytes that are still unread.
     pub fn has_received(&self, bytes: usize) -> bool {
         let stream = self.0.upgrade();
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -3,6 +3,7 @@
 
 use super::Driver;
 use super::calls_in_flight::{Bundle, PermittedAttempt, add_to_bundle};
+use super::ended_ids::MessageEnd;
 use super::violations::Violation;
 use crate::net::calls;
 use crate::net::events::{AttemptEnd, HandoverMessage};
@@ -203,7 +204,7 @@
         }
         if let Some(proof) = end.proof {
             if end.outcome == Outcome::Success {
-                self.messages.remember_delivered(message);
+                self.messages.remember_end(message, MessageEnd::Delivered);
             }
             self.complete(message, proof);
         }
--- a/src/net/driver/draining_predecessor.rs
+++ b/src/net/driver/draining_predecessor.rs
@@ -12,6 +12,7 @@
     Submission, SubmissionResult,
 };
 use crate::net::handover::{LinkError, LinkWriter, header_text};
+use crate::net::message_log::{self, MessageEvent};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -146,6 +147,10 @@
     }
 
     async fn forward_submission(&mut self, submission: Submission) -> Result<(), LinkError> {
+        if submission.has_client_left() {
+            message_log::log_event(&submission.id, &MessageEvent::ClientLeftEarly);
+            return Ok(());
+        }
         let number = self.next_number();
         let forwarded = ForwardedSubmission {
             id: header_text(&submission.id),
--- a/src/net/driver/handover.rs
+++ b/src/net/driver/handover.rs
@@ -3,14 +3,16 @@
 
 use super::Driver;
 use super::draining_predecessor::DrainingPredecessor;
+use super::ended_ids::MessageEnd;
 use super::endpoints::EndpointRecord;
 use super::messages::{Attempt, Message};
 use crate::net;
 use crate::net::calls::InFlightCall;
 use crate::net::handover::{
     AttemptState, CallItemState, CallState, EndpointState, HandoverState, Link, LinkError,
-    MessageState, SuccessorRequest, header_text,
+    MAY_HAVE_RUN_MARK, MessageState, SuccessorRequest, header_text,
 };
+use hyper::header::HeaderValue;
 use message_sender::{EndpointId, MessageId};
 
 /// Next step of this process after a successor's request to take over.
@@ -111,7 +113,7 @@
             next_message: self.messages.next_number(),
             calls: self.calls_in_flight.iter().map(call_state).collect(),
             next_call: self.calls_in_flight.next_number(),
-            delivered: self.messages.delivered_ids().map(header_text).collect(),
+            ended_ids: self.messages.remembered_ends().map(ended_text).collect(),
             list_version,
             timer: self.timer,
             client_connections: self.process.client_slots.in_use(),
@@ -130,6 +132,15 @@
     }
 }
 
+/// Returns the text that stands for a remembered id and the end of its message.
+fn ended_text((id, end): (&HeaderValue, MessageEnd)) -> String {
+    let id = header_text(id);
+    match end {
+        MessageEnd::Delivered => id,
+        MessageEnd::MayHaveRun => format!("{MAY_HAVE_RUN_MARK}{id}"),
+    }
+}
+
 fn endpoint_state((endpoint, record): (EndpointId, &EndpointRecord)) -> EndpointState {
     EndpointState {
         endpoint: endpoint.0,
--- a/src/net/driver/messages.rs
+++ b/src/net/driver/messages.rs
@@ -1,13 +1,11 @@
 //! Messages that the driver holds, and their attempts.
 
+use super::ended_ids::{EndedIds, MessageEnd};
 use crate::net::calls::Item;
 use hyper::header::HeaderValue;
 use message_sender::{EndpointId, MessageId, Micros};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
-/// Maximum number of delivered messages whose ids are remembered. A client whose connection closed
-/// before the response submits its message again, and must learn that it was delivered.
-const MAX_DELIVERED_IDS: usize = 4096;
 /// Call number of an attempt for which this process knows no call.
 pub(super) const NO_CALL: u64 = u64::MAX;
 
@@ -66,8 +64,8 @@
     open_by_id: HashMap<HeaderValue, MessageId>,
     next_number: u64,
     attempts_in_flight: usize,
-    /// Ids of the most recently delivered messages, oldest first; at most [`MAX_DELIVERED_IDS`].
-    delivered: VecDeque<HeaderValue>,
+    /// Ids of messages that have ended, and must not run again under the same id.
+    ended: EndedIds,
 }
 
 impl Messages {
@@ -196,27 +194,28 @@
         attempts.map(|attempt| attempt.endpoint)
     }
 
-    /// Remembers the id of a delivered message, and forgets the oldest one if there are too many.
-    pub fn remember_delivered(&mut self, message: MessageId) {
-        let Some(held) = self.by_number.get(&message) else {
-            return;
-        };
-        if self.delivered.len() >= MAX_DELIVERED_IDS {
-            self.delivered.pop_front();
+    /// Remembers how a message ended, so that a repeated submission of its id is recognized.
+    pub fn remember_end(&mut self, message: MessageId, end: MessageEnd) {
+        if let Some(held) = self.by_number.get(&message) {
+            self.ended.remember(held.item.id.clone(), end);
         }
-        self.delivered.push_back(held.item.id.clone());
     }
 
-    pub fn was_delivered(&self, id: &HeaderValue) -> bool {
-        self.delivered.contains(id)
+    /// Returns how the message with this client id has ended, if that is remembered.
+    pub fn remembered_end(&self, id: &HeaderValue) -> Option<MessageEnd> {
+        self.ended.get(id)
     }
 
-    /// Returns the ids of the remembered delivered messages, oldest first.
-    pub fn delivered_ids(&self) -> impl Iterator<Item = &HeaderValue> {
-        self.delivered.iter()
+    /// Returns the remembered ids with the ends of their messages, oldest first.
+    pub fn remembered_ends(&self) -> impl Iterator<Item = (&HeaderValue, MessageEnd)> {
+        self.ended.iter()
     }
 
-    pub fn set_delivered_ids(&mut self, ids: impl Iterator<Item = HeaderValue>) {
-        self.delivered = ids.collect();
+    /// Sets the remembered ids, oldest first.
+    pub fn set_remembered_ends(&mut self, ends: impl Iterator<Item = (HeaderValue, MessageEnd)>) {
+        self.ended = EndedIds::default();
+        for (id, end) in ends {
+            self.ended.remember(id, end);
+        }
     }
 }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -14,6 +14,7 @@
 mod completion;
 mod draining_predecessor;
 mod end_counts;
+mod ended_ids;
 mod endpoint_list;
 mod endpoints;
 mod freeze_filter;
--- a/src/net/driver/submissions.rs
+++ b/src/net/driver/submissions.rs
@@ -2,6 +2,7 @@
 //! after the journal has recorded the message.
 
 use super::Driver;
+use super::ended_ids::MessageEnd;
 use super::messages::Message;
 use crate::net::calls::Item;
 use crate::net::end_proof::{DepartedClient, EndProof};
@@ -36,6 +37,15 @@
     DeliveryGuarantee::new(subject.map(key_of), terms.effect)
 }
 
+/// Returns the response to a repeated submission of a message that has ended. One that may have run is
+/// not sent again, so its client gets no promise that it had no effect.
+fn result_of(end: MessageEnd) -> SubmissionResult {
+    match end {
+        MessageEnd::Delivered => SubmissionResult::AlreadyDelivered,
+        MessageEnd::MayHaveRun => SubmissionResult::Failed,
+    }
+}
+
 /// Message first submitted in the current turn.
 struct NewSubmission {
     submission: Submission,
@@ -63,6 +73,9 @@
     /// Handles a submission. Failed sends of a response are ignored: the client has disconnected,
     /// and the guard of its request reports that.
     pub(super) fn receive_submission(&mut self, submission: Submission) {
+        if submission.has_client_left() {
+            return message_log::log_event(&submission.id, &MessageEvent::ClientLeftEarly);
+        }
         if let Some(message) = self.messages.open_message(&submission.id) {
             if let Some(held) = self.messages.get_mut(message) {
                 held.clients += 1;
@@ -72,8 +85,8 @@
                 id: submission.id,
                 reply: submission.reply,
             });
-        } else if self.messages.was_delivered(&submission.id) {
-            let _ = submission.reply.send(SubmissionResult::AlreadyDelivered);
+        } else if let Some(end) = self.messages.remembered_end(&submission.id) {
+            let _ = submission.reply.send(result_of(end));
         } else {
             self.add_submission(submission);
         }
@@ -117,6 +130,9 @@
         held.clients = held.clients.saturating_sub(1);
         if held.clients == 0 {
             message_log::log_event(id, &MessageEvent::ClientLeft);
+            if self.lifecycle.may_have_run(message) {
+                self.messages.remember_end(message, MessageEnd::MayHaveRun);
+            }
             self.events.push(Event::MessageAbandoned(message));
             self.complete(message, EndProof::of_departed_client(client));
         }
@@ -163,10 +179,9 @@
     fn answer_repeated(&mut self, repeated: RepeatedSubmission) {
         let result = if self.messages.is_open(repeated.message) {
             SubmissionResult::Accepted
-        } else if self.messages.was_delivered(&repeated.id) {
-            SubmissionResult::AlreadyDelivered
         } else {
-            SubmissionResult::Rejected { retry_after: None }
+            let end = self.messages.remembered_end(&repeated.id);
+            end.map_or(SubmissionResult::Rejected { retry_after: None }, result_of)
         };
         let _ = repeated.reply.send(result);
     }
--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -2,6 +2,7 @@
 //! the predecessor reports and forwards afterwards.
 
 use super::Driver;
+use super::ended_ids::MessageEnd;
 use super::endpoints::EndpointRecord;
 use super::messages::{Attempt, Message};
 use crate::net;
@@ -12,7 +13,7 @@
 };
 use crate::net::handover::{
     AttemptState, CallState, EndpointState, HandoverState, LOST_CALL_OUTCOME, LinkWriter,
-    MessageState,
+    MAY_HAVE_RUN_MARK, MessageState,
 };
 use hyper::header::HeaderValue;
 use message_sender::{EndpointId, MessageId};
@@ -32,6 +33,15 @@
     }
 }
 
+/// Returns the id and the end of a remembered message from their text in the handover.
+fn remembered_end(text: &str) -> Option<(HeaderValue, MessageEnd)> {
+    let (id, end) = match text.strip_prefix(MAY_HAVE_RUN_MARK) {
+        Some(id) => (id, MessageEnd::MayHaveRun),
+        None => (text, MessageEnd::Delivered),
+    };
+    Some((HeaderValue::from_str(id).ok()?, end))
+}
+
 impl Driver {
     /// Restores the state that the predecessor handed over, without the decision module. The
     /// predecessor's calls are still in flight.
@@ -52,9 +62,9 @@
             self.take_over_call(call);
         }
         self.report_predecessor_calls();
-        let delivered = state.delivered.iter();
-        let delivered = delivered.filter_map(|id| HeaderValue::from_str(id).ok());
-        self.messages.set_delivered_ids(delivered);
+        let ended = state.ended_ids.iter();
+        self.messages
+            .set_remembered_ends(ended.filter_map(|text| remembered_end(text)));
         if self.endpoints.is_any_listed() {
             self.ready.send_replace(true);
         }
@@ -190,6 +200,7 @@
             resubmitted: forwarded.resubmitted,
             previous_sender_failed: forwarded.previous_sender_failed,
             body: forwarded.body.into(),
+            client: None,
             memory: None,
             reply,
         })
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -1,6 +1,7 @@
 //! Data types of the messages to the driver, from other tasks and from operators, and of the
 //! messages between the two processes of a handover.
 
+use super::connection::ClientPresence;
 use super::end_proof::{DepartedClient, EndProof, in_frame};
 use super::freeze::settings::FreezeSettings;
 use super::request_memory::SubmissionMemory;
@@ -206,14 +207,23 @@
     pub previous_sender_failed: bool,
     /// Message body as received from the client, at most [`MAX_BODY_BYTES`].
     pub body: Bytes,
+    /// Connection of the client; `None` if the client is connected to the predecessor of a handover.
+    pub client: Option<ClientPresence>,
     /// Memory reserved for the submission until the driver has decided on it; `None` if the predecessor of a handover
     /// forwarded it.
     #[expect(dead_code, reason = "held until the driver has decided")]
     pub memory: Option<SubmissionMemory>,
-    /// Channel on which the client's response is sent.
+    /// Channel on which the client's response is sent. Dropped without a response if the client has left.
     pub reply: oneshot::Sender<SubmissionResult>,
 }
 
+impl Submission {
+    /// Returns whether the client can no longer hear of the result.
+    pub fn has_client_left(&self) -> bool {
+        self.client.as_ref().is_some_and(ClientPresence::has_left)
+    }
+}
+
 /// Result of a submission, from which the client's response follows.
 ///
 /// Sent between the processes of a handover. The encoding depends on the order of the variants, so
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -22,7 +22,8 @@
 pub use predecessor::{SuccessorRequest, run_until_handed_over, wait_for_successors};
 use serde::{Deserialize, Serialize};
 pub use state::{
-    AttemptState, CallItemState, CallState, EndpointState, HandoverState, MessageState,
+    AttemptState, CallItemState, CallState, EndpointState, HandoverState, MAY_HAVE_RUN_MARK,
+    MessageState,
 };
 use std::time::Duration;
 pub use successor::{FolderOwnership, ReceivedHandover, acquire_folder};
--- a/src/net/handover/state.rs
+++ b/src/net/handover/state.rs
@@ -9,6 +9,10 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// First character of an entry of [`HandoverState::ended_ids`] whose message may have run. No id begins with it, so a
+/// process that does not know the mark never finds such an id.
+pub const MAY_HAVE_RUN_MARK: char = ' ';
+
 /// State of a predecessor: its decision module, encoded, and all data of its driver.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct HandoverState {
@@ -28,8 +32,9 @@
     pub calls: Vec<CallState>,
     /// Number that the driver gives to the next new call.
     pub next_call: u64,
-    /// Ids of delivered messages, oldest first, by which repeated submissions are recognised.
-    pub delivered: Vec<String>,
+    /// Ids of messages that have ended, oldest first, by which repeated submissions are recognised: delivered ones, and
+    /// after [`MAY_HAVE_RUN_MARK`] those that were abandoned after a call with them may have run.
+    pub ended_ids: Vec<String>,
     /// Version of the endpoint list in force, from which discovery sends further changes. 0 requests the full list.
     pub list_version: u64,
     /// Time of the decision module's next timer event, in microseconds of module time.
--- a/src/net/handover/tests.rs
+++ b/src/net/handover/tests.rs
@@ -120,7 +120,7 @@
             pending_items: 1,
         }],
         next_call: 42,
-        delivered: vec!["d1".into(), "d2".into()],
+        ended_ids: vec!["d1".into(), "d2".into()],
         list_version: 90,
         timer: Some(1_700_000_000_000_002),
         client_connections: 17,
--- a/src/net/message_log.rs
+++ b/src/net/message_log.rs
@@ -68,6 +68,8 @@
     /// attempts may have begun: the last client can disconnect after the driver's decision and
     /// before the response.
     ClientLeft,
+    /// The client had left when its submission was to be decided on, so the message was not taken on.
+    ClientLeftEarly,
     /// The message ended undelivered, and its notification is pending.
     EndedUndelivered(UndeliveredOutcome),
     /// The platform has accepted the outcome notification of the message.
@@ -91,6 +93,7 @@
             MessageEvent::Recovered { .. }
             | MessageEvent::AttemptCancelled { .. }
             | MessageEvent::ClientLeft
+            | MessageEvent::ClientLeftEarly
             | MessageEvent::EndedUndelivered(_)
             | MessageEvent::Notified => false,
         }
@@ -127,6 +130,9 @@
             MessageEvent::ClientLeft => {
                 formatter.write_str("client disconnected before its response")
             }
+            MessageEvent::ClientLeftEarly => {
+                formatter.write_str("not taken on, its client had left")
+            }
             MessageEvent::EndedUndelivered(outcome) => {
                 write!(formatter, "ended undelivered: {outcome:?}")
             }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -28,6 +28,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot::error::TryRecvError;
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -237,12 +238,14 @@
         resubmitted: head.resubmitted,
         previous_sender_failed: head.previous_sender_failed,
         body: body.bytes,
+        client: Some(client.presence.clone()),
         memory: Some(memory),
         reply,
     };
     let mut guard = DisconnectGuard {
         id: submission.id.clone(),
         result: Some(result),
+        has_accepted_unheard: false,
         inputs: &server.inputs,
     };
     if server
@@ -252,7 +255,10 @@
     {
         return Err(RequestError::ShuttingDown);
     }
-    Ok(submission_response(guard.result().await))
+    let Some(result) = guard.result(&client.presence).await else {
+        return Err(RequestError::ClientLeft);
+    };
+    Ok(submission_response(result))
 }
 
 fn readiness(method: &Method, server: &Server) -> Result<Response<Full<Bytes>>, RequestError> {
@@ -294,29 +300,42 @@
     id: HeaderValue,
     /// Receives the driver's decision; `None` once the decision has been handed on to the client.
     result: Option<oneshot::Receiver<SubmissionResult>>,
+    /// True if the driver has accepted the message, and the client had left by then.
+    has_accepted_unheard: bool,
     inputs: &'a mpsc::UnboundedSender<DriverInput>,
 }
 
 impl DisconnectGuard<'_> {
-    /// Waits for the driver's decision. From then on the client counts as answered.
-    async fn result(&mut self) -> SubmissionResult {
+    /// Waits for the driver's decision. From then on the client counts as answered, unless it has left meanwhile: `None`.
+    async fn result(&mut self, client: &ClientPresence) -> Option<SubmissionResult> {
+        let result = self.result.as_mut()?.await;
+        let result = result.unwrap_or(SubmissionResult::NotStored);
+        let is_heard = result != SubmissionResult::Accepted || !client.has_left();
+        self.has_accepted_unheard = !is_heard;
+        self.result = None;
+        is_heard.then_some(result)
+    }
+}
+
+impl DisconnectGuard<'_> {
+    /// Returns whether the driver has accepted the message, or may still accept it. A message that was not accepted must
+    /// not be withdrawn: its id may by now name another client's message.
+    fn awaits_answer(&mut self) -> bool {
         let Some(result) = &mut self.result else {
-            return SubmissionResult::NotStored;
+            return false;
         };
-        let result = result.await;
-        self.result = None;
-        result.unwrap_or(SubmissionResult::NotStored)
+        match result.try_recv() {
+            Ok(result) => result == SubmissionResult::Accepted,
+            Err(TryRecvError::Empty) => true,
+            // dropped without a decision: the driver found that the client had left
+            Err(TryRecvError::Closed) => false,
+        }
     }
 }
 
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        let Some(mut result) = self.result.take() else {
-            return;
-        };
-        // a message that was not accepted must not be withdrawn: its id may by now name another client's message
-        let is_not_accepted = |result: SubmissionResult| result != SubmissionResult::Accepted;
-        if result.try_recv().is_ok_and(is_not_accepted) {
+        if !self.has_accepted_unheard && !self.awaits_answer() {
             return;
         }
         let client = DepartedClient {
--- a/src/net/server/error.rs
+++ b/src/net/server/error.rs
@@ -45,6 +45,9 @@
     /// The body is larger than the share of its connection, and no memory became free in time.
     #[error("no memory is free for the body; try again")]
     NoRoom,
+    /// The client had closed its connection when its request was to be submitted.
+    #[error("its client has left")]
+    ClientLeft,
     #[error("the body is malformed")]
     MalformedBody,
     #[error("Content-Length is missing or not the body's")]
@@ -57,7 +60,8 @@
             RequestError::NotReady
             | RequestError::ShuttingDown
             | RequestError::BodyStalled
-            | RequestError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            | RequestError::NoRoom
+            | RequestError::ClientLeft => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::UnknownPath => StatusCode::NOT_FOUND,
             RequestError::OnlyGet | RequestError::OnlyPost => StatusCode::METHOD_NOT_ALLOWED,
             RequestError::RepeatedHeader(_)
@@ -84,7 +88,8 @@
         }
     }
 
-    /// Returns whether part of the request's body stays unread, so that the connection must be closed after the answer.
+    /// Returns whether part of the request's body stays unread, or nobody reads the answer, so that the connection must be
+    /// closed after it.
     pub(super) fn ends_connection(self) -> bool {
         matches!(
             self,
@@ -92,6 +97,7 @@
                 | RequestError::BodyTimeout
                 | RequestError::BodyStalled
                 | RequestError::NoRoom
+                | RequestError::ClientLeft
         )
     }
 }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -6,10 +6,12 @@
 
 use super::local_errors::{RETRY_INTERVAL, is_local};
 use message_sender::memory::MAX_BODY_BYTES;
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice, Read};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -105,6 +107,16 @@
             .is_ok_and(|found| found >= length)
     }
 
+    /// Returns whether the peer has closed the connection or its sending side. The kernel tells this also while received
+    /// bytes are still unread. False if it can't be told.
+    pub fn has_peer_closed(&self) -> bool {
+        let closed = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
+        let mut descriptors = [PollFd::new(self.0.as_fd(), closed)];
+        // errors and a close of both sides are reported as well, without being asked for
+        let is_reported = poll(&mut descriptors, PollTimeout::ZERO).is_ok_and(|count| count > 0);
+        is_reported && descriptors[0].revents() != Some(PollFlags::POLLNVAL)
+    }
+
     /// Shuts down the sending direction. The peer's data can still be read.
     pub fn end_sending(&self) {
         // an error only means that the connection has ended already
