Count answers of endpoints against the memory limit, and keep nothing of bodies that mean nothing

An answer's head could take a read buffer of 64 KiB on each of 512 connections, and the bodies of refusals and of late answers, which mean nothing, were collected in pieces that each kept a buffer. Change: connections to endpoints are at most as many as their share allows; a head over 4 KiB is read on once memory is reserved, up to 32 KiB; such a connection carries no further call; bodies are read and dropped, bulk bodies over 4 KiB reserve memory. A call that is given up does not wait for that memory.

--- a/src/net/calls/answer.rs
+++ b/src/net/calls/answer.rs
@@ -3,13 +3,12 @@
 use super::attempt_result::{AttemptResult, CallResults, MayHaveRun};
 use super::non_execution::{NonExecution, RefusalContext, SLOTS_TAKEN, Unproven};
 use super::{Call, CallContext, Item};
+use crate::net::body::{self, ReservedText};
 use crate::net::complete_answer::{CompleteAnswer, is_length_known};
 use crate::net::end_proof::{BulkLine, EndProof};
 use crate::net::events::MAX_BODY_BYTES;
 use crate::net::message_log::{self, UnprovenAnswer};
 use crate::net::pool::{ConnectionLease, SuccessLine};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
@@ -18,7 +17,9 @@
 use message_sender::{MILLISECOND, Micros};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Maximum time for the remainder of an answer after its head was received.
@@ -165,11 +166,12 @@
     async fn read_bulk_results(self) -> CallResults {
         self.lease.record_answer(answer_kind(&self.head));
         let is_length_known = is_length_known(&self.head.headers);
-        let Some(text) = read_bulk_text(self.body, self.lease).await else {
+        let free_bytes = self.context.connections.answer_bytes();
+        let Some(text) = read_bulk_text(self.body, self.lease, free_bytes).await else {
             return CallResults::Same(MayHaveRun::Reset.into());
         };
         let text = BulkText {
-            text: &text,
+            text: text.bytes(),
             is_length_known,
         };
         CallResults::Each(bulk_results(text, &self.call.items, self.retry_after))
@@ -274,11 +276,15 @@
 }
 
 /// Reads the body of an answer to a bulk request; `None` if the body is cut short, invalid or too long.
-async fn read_bulk_text(body: Incoming, lease: ConnectionLease) -> Option<Bytes> {
-    match Limited::new(body, MAX_BODY_BYTES).collect().await {
+async fn read_bulk_text(
+    body: Incoming,
+    lease: ConnectionLease,
+    free_bytes: Arc<Semaphore>,
+) -> Option<ReservedText> {
+    match body::read_reserved(body, MAX_BODY_BYTES, free_bytes).await {
         Ok(text) => {
             lease.release();
-            Some(text.to_bytes())
+            Some(text)
         }
         Err(_) => {
             lease.discard(CloseReason::Unreadable);
@@ -290,9 +296,9 @@
 /// Reads and discards the remainder of an answer whose results are known, so that its connection can carry another
 /// call. A connection whose answer does not end in time is closed.
 pub(super) async fn read_remainder(body: Incoming, lease: ConnectionLease) {
-    let remainder = Limited::new(body, MAX_BODY_BYTES).collect();
+    let remainder = body::discard(body, MAX_BODY_BYTES);
     match timeout(ANSWER_REMAINDER_TIMEOUT, remainder).await {
-        Ok(Ok(_)) => lease.release(),
+        Ok(Ok(())) => lease.release(),
         _ => lease.discard(CloseReason::Unreadable),
     }
 }
--- a/src/net/calls/exchange.rs
+++ b/src/net/calls/exchange.rs
@@ -67,6 +67,7 @@
             }
         };
         if let Ok(response) = sent {
+            traffic.record_head_received();
             return read_answer(context, call, lease, response).await;
         }
         // the status line alone proves the delivery of a single message, even if the remainder is unreadable
@@ -112,10 +113,11 @@
 }
 
 impl LateAnswer {
-    async fn read<E>(self, answer: impl Future<Output = Result<Response<Incoming>, E>>) {
+    async fn read<E>(mut self, answer: impl Future<Output = Result<Response<Incoming>, E>>) {
         let Ok(Ok(response)) = timeout(ANSWER_REMAINDER_TIMEOUT, answer).await else {
             return self.lease.discard(CloseReason::Unreadable);
         };
+        self.lease.connection().traffic.record_head_received();
         let (head, body) = response.into_parts();
         self.lease.record_answer(answer_kind(&head));
         if let Some(wait) = self.context.note_retry_after(&head.headers) {
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of calls whose connection the endpoint closes after any number of bytes, and of abandoned calls.
 
-use super::super::pool::limits;
+use super::super::pool::{PoolResources, limits};
 use super::answer::ANSWER_REMAINDER_TIMEOUT;
 use super::attempt_result::CallResults;
 use super::exchange::{CallProgress, REUSE_DELAY, exchange};
@@ -22,7 +22,11 @@
         connection_idle_timeout: 60 * SECOND,
         ..Settings::new(8, 100)
     };
-    let limits = limits(&PoolSettings::default(), 100, &settings);
+    let limits = limits(
+        &PoolSettings::default(),
+        PoolResources::for_tests(),
+        &settings,
+    );
     let connections = ConnectionPool::with_prepared_streams(streams, limits);
     let target = EndpointAddress {
         address: ([127, 0, 0, 1], 9).into(),
@@ -249,11 +253,12 @@
                 connection_idle_timeout: 60 * SECOND,
                 ..Settings::new(8, 100)
             };
-            let limits = limits(&PoolSettings::default(), 100, &settings);
-            let resources = crate::net::pool::PoolResources {
-                descriptors: 100,
-                seed: 1,
-            };
+            let limits = limits(
+                &PoolSettings::default(),
+                PoolResources::for_tests(),
+                &settings,
+            );
+            let resources = PoolResources::for_tests();
             let connections = ConnectionPool::new(limits, SECOND, resources);
             let target = EndpointAddress {
                 address,
--- a/src/net/complete_answer.rs
+++ b/src/net/complete_answer.rs
@@ -1,8 +1,8 @@
 //! Answers of endpoints that were received in full. A statement that needs a complete answer as its evidence, such as
 //! that the endpoint did not execute the call, takes a [`CompleteAnswer`].
 
+use super::body::{self, BodyError};
 use super::events::MAX_BODY_BYTES;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
@@ -53,11 +53,10 @@
         if !is_length_known(&head.headers) {
             return Err(IncompleteAnswer::UnknownLength);
         }
-        let body = Limited::new(body, MAX_BODY_BYTES).collect();
-        match timeout(time_limit, body).await {
-            Ok(Ok(_)) => Ok(CompleteAnswer { head }),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(IncompleteAnswer::BodyTooLong),
-            Ok(Err(_)) => Err(IncompleteAnswer::BrokenBody),
+        match timeout(time_limit, body::discard(body, MAX_BODY_BYTES)).await {
+            Ok(Ok(())) => Ok(CompleteAnswer { head }),
+            Ok(Err(BodyError::TooLong)) => Err(IncompleteAnswer::BodyTooLong),
+            Ok(Err(BodyError::Broken)) => Err(IncompleteAnswer::BrokenBody),
             Err(_) => Err(IncompleteAnswer::BodyTimeout),
         }
     }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -23,7 +23,9 @@
 pub use status_line::SuccessLine;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
 pub use traffic::Traffic;
 
@@ -32,10 +34,27 @@
 pub struct PoolResources {
     /// Number of file descriptors that the process may hold open for all purposes. Bounds the number of connections.
     pub descriptors: usize,
+    /// Number of connections for which the process has memory.
+    pub max_connections: usize,
+    /// Bytes of memory for large answers.
+    pub answer_bytes: usize,
     /// Seed of the random delays before dials are retried and before connections are dialled ahead of demand.
     pub seed: u64,
 }
 
+#[cfg(test)]
+impl PoolResources {
+    /// Returns resources for a few connections.
+    pub fn for_tests() -> Self {
+        PoolResources {
+            descriptors: 100,
+            max_connections: 100,
+            answer_bytes: 1 << 20,
+            seed: 1,
+        }
+    }
+}
+
 /// Pool of the connections to all endpoints. Clones share the same pool.
 #[derive(Clone)]
 pub struct ConnectionPool(Rc<PoolState>);
@@ -61,10 +80,7 @@
         streams: Vec<tokio::io::DuplexStream>,
         limits: PoolLimits,
     ) -> Self {
-        let resources = PoolResources {
-            descriptors: 100,
-            seed: 1,
-        };
+        let resources = PoolResources::for_tests();
         let connector = Connector::prepared(streams);
         let state = PoolState::new(connector, limits, message_sender::SECOND, resources);
         ConnectionPool(Rc::new(state))
@@ -73,10 +89,15 @@
     /// Applies changed settings: the pool's limits, and `dial_timeout` in microseconds.
     pub fn apply_settings(&self, pool: &PoolSettings, settings: &Settings, dial_timeout: Micros) {
         self.0.set_dial_timeout(dial_timeout);
-        let limits = limits(pool, self.0.descriptors(), settings);
+        let limits = limits(pool, self.0.resources(), settings);
         self.0.set_limits(limits);
     }
 
+    /// Returns the free bytes of memory for large answers.
+    pub fn answer_bytes(&self) -> Arc<Semaphore> {
+        self.0.answer_bytes()
+    }
+
     /// Enables the endpoint for calls, or retires it: its idle connections are closed and no new one is dialled. Calls
     /// whose dial is in flight may still get their connection.
     pub fn set_endpoint_enabled(&self, target: EndpointAddress, is_enabled: bool) {
--- a/src/net/pool/compatibility.rs
+++ b/src/net/pool/compatibility.rs
@@ -16,7 +16,11 @@
             connection_idle_timeout: 60 * SECOND,
             ..Settings::new(8, 100)
         };
-        let limits = limits(&PoolSettings::default(), 100, &settings);
+        let limits = limits(
+            &PoolSettings::default(),
+            PoolResources::for_tests(),
+            &settings,
+        );
         let (pool_side, _endpoint_side) = tokio::io::duplex(64);
         let connections = ConnectionPool::with_prepared_streams(vec![pool_side], limits);
         let target = |port, endpoint| EndpointAddress {
--- a/src/net/pool/connector.rs
+++ b/src/net/pool/connector.rs
@@ -1,12 +1,13 @@
 //! Dials endpoints: establishes the TCP connection and sets up hyper's HTTP/1 client on it.
 
 use super::traffic::{ImmediateRead, Traffic, TrafficStream};
-use crate::net::events::MAX_BODY_BYTES;
+use crate::net::head_memory::HeadMemory;
 use crate::net::stream::{ConnectError, Stream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use message_sender::memory::MAX_HEAD_BYTES;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -42,26 +43,29 @@
         Connector::Prepared(std::cell::RefCell::new(streams.into()))
     }
 
-    /// Dials `address` and completes the HTTP handshake.
+    /// Dials `address` and completes the HTTP handshake. `head_memory` is for large heads of answers.
     pub(super) async fn connect(
         &self,
         address: SocketAddr,
         timeout: Duration,
+        head_memory: HeadMemory,
     ) -> Result<NewConnection, ConnectError> {
         let connected = match self {
-            Connector::Tcp => handshake(Stream::connect(address, timeout).await?).await,
+            Connector::Tcp => {
+                handshake(Stream::connect(address, timeout).await?, head_memory).await
+            }
             #[cfg(test)]
             Connector::Prepared(streams) => {
                 let stream = streams.borrow_mut().pop_front();
                 let refused = || ConnectError::Peer(io::ErrorKind::ConnectionRefused.into());
-                handshake(stream.ok_or_else(refused)?).await
+                handshake(stream.ok_or_else(refused)?, head_memory).await
             }
         };
         connected.map_err(ConnectError::Peer)
     }
 }
 
-async fn handshake<S>(stream: S) -> io::Result<NewConnection>
+async fn handshake<S>(stream: S, head_memory: HeadMemory) -> io::Result<NewConnection>
 where
     S: AsyncRead + AsyncWrite + ImmediateRead + Unpin + Send + 'static,
 {
@@ -69,9 +73,10 @@
     let stream = TrafficStream {
         stream,
         traffic: traffic.clone(),
+        head_memory,
     };
     let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_BODY_BYTES)
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/src/net/pool/lease.rs
+++ b/src/net/pool/lease.rs
@@ -114,6 +114,8 @@
             Some(reason) => reason.get(),
             // the answer arrived after its call was abandoned, when the sending side was already shut
             None if connection.traffic.is_shut() => CloseReason::Cancelled,
+            // the connection's read buffer stays as large as that head
+            None if connection.traffic.holds_head_memory() => CloseReason::Surplus,
             None if connection.sender.is_closed() => CloseReason::ClosedByPeer,
             None => {
                 return self
--- a/src/net/pool/limits.rs
+++ b/src/net/pool/limits.rs
@@ -1,6 +1,6 @@
-//! Derives the limits of the connection pool from the settings and the number of file descriptors.
+//! Derives the limits of the connection pool from the settings and the resources of the process.
 
-use super::{duration, micros};
+use super::{PoolResources, duration, micros};
 use crate::net::config::max_pool_connections;
 use message_sender::pool::{PoolLimits, PoolSettings};
 use message_sender::{Micros, Settings};
@@ -14,10 +14,11 @@
 /// Time after which endpoints are assumed to close an idle connection if the settings do not state their idle timeout.
 const DEFAULT_ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Returns the pool's limits. `descriptors` is the number of file descriptors that the process may hold open for all
-/// purposes. The total number of connections is at most half of them, and the limits on connections per endpoint, on
-/// concurrent dials and on idle connections in total are derived from them where the settings give none.
-pub fn limits(pool: &PoolSettings, descriptors: usize, settings: &Settings) -> PoolLimits {
+/// Returns the pool's limits. The total number of connections is at most half of the file descriptors, and at most as
+/// many as the process has memory for. The limits on connections per endpoint, on concurrent dials and on idle
+/// connections in total are derived from them where the settings give none.
+pub fn limits(pool: &PoolSettings, resources: PoolResources, settings: &Settings) -> PoolLimits {
+    let descriptors = resources.descriptors;
     let endpoint_timeout = if settings.connection_idle_timeout > 0 {
         duration(settings.connection_idle_timeout)
     } else {
@@ -28,7 +29,7 @@
         .min(endpoint_timeout.saturating_sub(Duration::from_millis(300)));
     // a reload may raise `pool.all` together with the descriptor limit, but the process keeps the descriptor limit of
     // its start
-    let max_total = max_pool_connections(descriptors);
+    let max_total = max_pool_connections(descriptors).min(resources.max_connections);
     let total = pool.all.unwrap_or(max_total).min(max_total);
     let limit_or_default =
         |setting: Option<usize>, default: usize| setting.unwrap_or(default).min(total);
--- a/src/net/pool/state.rs
+++ b/src/net/pool/state.rs
@@ -5,6 +5,7 @@
 use super::lease::{ConnectionLease, ConnectionWait, WaitAnswer};
 use super::{PoolResources, duration, micros};
 use crate::net::RateLimitedLog;
+use crate::net::head_memory::HeadMemory;
 use crate::net::message_log;
 use crate::net::stream::ConnectError;
 use message_sender::Micros;
@@ -15,14 +16,17 @@
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::time::Instant;
 
 pub(super) struct PoolState {
     started_at: Instant,
     connector: Connector,
     resources: PoolResources,
+    /// One permit for each free byte of the memory for large answers.
+    answer_bytes: Arc<Semaphore>,
     pool: RefCell<Pool>,
     /// Established connections that no call holds, by connection number.
     idle: RefCell<HashMap<u64, Connection>>,
@@ -46,6 +50,7 @@
             started_at: Instant::now(),
             connector,
             resources,
+            answer_bytes: Arc::new(Semaphore::new(resources.answer_bytes)),
             pool: RefCell::new(Pool::new(limits, resources.seed)),
             idle: RefCell::default(),
             answer_senders: RefCell::default(),
@@ -65,8 +70,12 @@
         self.pool.borrow_mut()
     }
 
-    pub(super) fn descriptors(&self) -> usize {
-        self.resources.descriptors
+    pub(super) fn resources(&self) -> PoolResources {
+        self.resources
+    }
+
+    pub(super) fn answer_bytes(&self) -> Arc<Semaphore> {
+        self.answer_bytes.clone()
     }
 
     pub(super) fn dial_timeout(&self) -> Duration {
@@ -181,7 +190,9 @@
 
     async fn dial(self: &Rc<Self>, connection_number: u64, target: EndpointAddress) {
         let timeout = self.dial_timeout.get();
-        let error = match self.connector.connect(target.address, timeout).await {
+        let head_memory = HeadMemory::new(self.answer_bytes());
+        let connected = self.connector.connect(target.address, timeout, head_memory);
+        let error = match connected.await {
             Ok(new) => {
                 let pool = self.clone();
                 tokio::task::spawn_local(async move {
--- a/src/net/pool/traffic.rs
+++ b/src/net/pool/traffic.rs
@@ -2,7 +2,9 @@
 //! abandons a call without losing an answer that has already arrived.
 
 use super::status_line::{StatusLineReader, SuccessLine};
+use crate::net::head_memory::{HeadMemory, limited, poll_limited_read};
 use crate::net::stream::Stream;
+use message_sender::memory::SMALL_HEAD_BYTES;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -22,6 +24,8 @@
     request_end: AtomicU64,
     /// True if bytes arrived that belong to no call.
     has_stray_bytes: AtomicBool,
+    /// True once memory is reserved for a large head of an answer, until the connection ends.
+    holds_head_memory: AtomicBool,
     answer: Mutex<AnswerProgress>,
     success_line_read: Notify,
     abandonment: Mutex<Abandonment>,
@@ -32,6 +36,8 @@
 #[derive(Default)]
 struct AnswerProgress {
     bytes: u64,
+    /// True once the whole head has been received, so that further bytes belong to the body.
+    is_head_received: bool,
     /// First bytes of the answer, up to [`KEPT_ANSWER_BYTES`].
     start: Vec<u8>,
     status_line: StatusLineReader,
@@ -113,6 +119,24 @@
         self.request_end.store(request_end, Ordering::Relaxed);
     }
 
+    /// Records that the whole head of the answer has been received.
+    pub fn record_head_received(&self) {
+        self.answer().is_head_received = true;
+    }
+
+    /// Returns whether the connection has read a head for which memory is reserved. Its read buffer stays large, so it
+    /// must not carry another call.
+    pub fn holds_head_memory(&self) -> bool {
+        self.holds_head_memory.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether more of an incomplete head may be read only once memory is reserved for it.
+    fn needs_head_memory(&self) -> bool {
+        let answer = self.answer();
+        let is_large = answer.bytes >= SMALL_HEAD_BYTES as u64;
+        is_large && !answer.is_head_received && !self.holds_head_memory()
+    }
+
     /// Returns whether the whole request of the current call has been written.
     fn is_request_written(&self) -> bool {
         self.written() >= self.request_end.load(Ordering::Relaxed)
@@ -166,9 +190,21 @@
 pub(super) struct TrafficStream<S> {
     pub(super) stream: S,
     pub(super) traffic: Arc<Traffic>,
+    pub(super) head_memory: HeadMemory,
 }
 
 impl<S> TrafficStream<S> {
+    /// Waits until memory is reserved for the rest of a large head.
+    fn poll_head_memory(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.traffic.needs_head_memory() {
+            ready!(self.head_memory.poll_reserve(context))?;
+            self.traffic
+                .holds_head_memory
+                .store(true, Ordering::Relaxed);
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn record_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &result {
             self.traffic
@@ -251,12 +287,30 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buffer.filled().len();
-        let mut result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let waits_for_memory = match self.poll_head_memory(context) {
+            Poll::Ready(reserved) => {
+                reserved?;
+                false
+            }
+            Poll::Pending => true,
+        };
+        let mut result = if waits_for_memory {
+            Poll::Pending
+        } else {
+            let stream = Pin::new(&mut self.stream);
+            poll_limited_read(stream, context, buffer).map_ok(|_| ())
+        };
         if result.is_pending() {
             let mut abandonment = self.traffic.abandonment();
             abandonment.reader = Some(context.waker().clone());
             if std::mem::take(&mut abandonment.is_requested) {
-                match self.stream.read_now(buffer.initialize_unfilled()) {
+                let read = if waits_for_memory {
+                    // the rest of a large head is given up together with its call
+                    Err(io::ErrorKind::WouldBlock.into())
+                } else {
+                    self.stream.read_now(limited(buffer))
+                };
+                match read {
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                         // the endpoint must be able to see the end before this process acts on it, for example by
                         // sending the next message of the same key
--- a/src/net/pool/traffic/tests.rs
+++ b/src/net/pool/traffic/tests.rs
@@ -4,6 +4,10 @@
 use std::io::Write;
 use tokio::io::AsyncReadExt;
 
+fn head_memory() -> HeadMemory {
+    HeadMemory::new(Arc::new(tokio::sync::Semaphore::new(1 << 20)))
+}
+
 /// Guards against losing an answer that arrives between two requests to abandon its call: the second request must read
 /// what was received after the first, although the sending side is shut already.
 #[test]
@@ -23,6 +27,7 @@
         let mut stream = TrafficStream {
             stream: Stream::from(stream),
             traffic: traffic.clone(),
+            head_memory: head_memory(),
         };
         tokio::task::spawn_local(async move {
             let mut buffer = [0; 64];
@@ -53,6 +58,7 @@
     let stream = TrafficStream {
         stream: Stream::from(stream),
         traffic: Arc::new(Traffic::default()),
+        head_memory: head_memory(),
     };
     (stream, peer)
 }
--- a/src/net/process.rs
+++ b/src/net/process.rs
@@ -267,11 +267,14 @@
 
     fn calls(&self) -> Calls {
         let config = &self.config;
-        let limits = limits(&config.pool, config.max_descriptors, &config.settings);
+        let shares = config.memory_shares();
         let resources = PoolResources {
             descriptors: config.max_descriptors,
+            max_connections: shares.endpoint_connections,
+            answer_bytes: shares.answer_bytes,
             seed: config.seed,
         };
+        let limits = limits(&config.pool, resources, &config.settings);
         let connections = ConnectionPool::new(limits, config.names.dial_timeout, resources);
         Calls::new(self.senders.inputs.clone(), connections)
     }
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -4,6 +4,8 @@
 mod node;
 
 use node::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -29,6 +31,46 @@
     .ready()
 }
 
+/// Starts a sender with [`MEMORY_MB`] that may hold many messages and make many calls at once.
+fn small_node_with_many_calls(agent: &Agent) -> Node {
+    Node::configured_with(agent, |text| {
+        text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"))
+            .replace("\"maxOpen\":50", "\"maxOpen\":2000")
+            .replace("\"callSlots\":8", "\"callSlots\":400")
+    })
+    .ready()
+}
+
+/// Returns the peak of the counted bytes over [`CROWD_TIME`].
+fn peak_bytes(node: &Node) -> usize {
+    let began = Instant::now();
+    let mut peak = 0;
+    while began.elapsed() < CROWD_TIME {
+        peak = peak.max(counted_bytes(node));
+        thread::sleep(SAMPLE_INTERVAL);
+    }
+    peak
+}
+
+/// Accepts connections and answers each with these bytes, as fast as they are read, then keeps the connection open.
+fn endless_answers(answer: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let answer = Arc::new(answer);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            thread::spawn(move || {
+                let mut call = [0; 1024];
+                let _ = stream.read(&mut call);
+                let _ = stream.write_all(&answer);
+                let _ = stream.read_to_end(&mut Vec::new());
+            });
+        }
+    });
+    address
+}
+
 /// Returns the bytes that count against the memory limit: anonymous memory and the files of the state folder.
 fn counted_bytes(node: &Node) -> usize {
     let files = std::fs::read_dir(node.folder.join("state")).expect("the state folder");
@@ -112,3 +154,59 @@
     }
     assert!(over.is_empty(), "over the limit: {over:?}");
 }
+
+/// Guards against endpoints whose answers, of long heads that do not end or of bodies in tiny chunks, take the process over
+/// its memory limit.
+#[test]
+fn endless_answers_of_endpoints_leave_process_under_its_memory_limit() {
+    const DESTINATIONS: u64 = 200;
+    const MESSAGES: u64 = 400;
+    let long_head = [
+        b"HTTP/1.1 200 OK\r\nX-Padding: ".to_vec(),
+        vec![b'p'; 60_000],
+    ]
+    .concat();
+    let head = b"HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    let tiny_chunks = [head, b"1\r\nx\r\n".repeat(60_000)].concat();
+    for answer in [long_head, tiny_chunks] {
+        let address = endless_answers(answer);
+        let uids: Vec<String> = (0..DESTINATIONS).map(|uid| format!("s-{uid}")).collect();
+        let entries: Vec<_> = uids
+            .iter()
+            .zip(0..)
+            .map(|(uid, destination)| (uid.as_str(), address, "one", destination, "up"))
+            .collect();
+        let node = small_node_with_many_calls(&Agent::new(vec![list(&entries)]));
+        for number in 0..MESSAGES {
+            let id = format!("m{number}");
+            node.submit("webhook", &id, number % DESTINATIONS, 20_000, b"x");
+        }
+        let peak = peak_bytes(&node);
+        assert!(peak <= MEMORY_MB * 1_000_000, "{peak}");
+    }
+}
+
+/// Guards against operators that read nothing of long reports and take the process over its memory limit.
+#[test]
+fn operators_that_read_nothing_leave_process_under_its_memory_limit() {
+    const OPERATORS: usize = 40;
+    const ENDPOINTS: u64 = 1500;
+    let endpoint = Endpoint::new(|_, _| OK);
+    let uids: Vec<String> = (0..ENDPOINTS).map(|uid| format!("s-{uid}")).collect();
+    let entries: Vec<_> = uids
+        .iter()
+        .zip(0..)
+        .map(|(uid, destination)| (uid.as_str(), endpoint.address, "one", destination, "up"))
+        .collect();
+    let node = small_node(&Agent::new(vec![list(&entries)]));
+    let mut operators: Vec<TcpStream> = (0..OPERATORS)
+        .map(|_| TcpStream::connect(node.control).expect("connected"))
+        .collect();
+    for operator in &mut operators {
+        let request = b"GET /pools HTTP/1.1\r\nHost: a\r\n\r\n";
+        operator.write_all(request).expect("written");
+    }
+    let peak = peak_bytes(&node);
+    assert!(peak <= MEMORY_MB * 1_000_000, "{peak}");
+    assert_eq!(node.operator_status("GET /ready", ""), 200);
+}
