Read endpoint lists entry by entry, within a length that follows from the memory limit

Cause: each incomplete list was parsed again as a tree of JSON values, up to 4 MiB of text, and a value of two bytes takes 32; each unreadable entry was logged on a line of its own. Change: a list of at most a 32nd of the memory limit (4 MiB at most) is held as text; its entries are parsed one at a time into their own form; unreadable entries of a list are counted and logged on one line. Answers of discovery and the registry have heads of at most 32 KiB.

--- a/src/net/discovery/compatibility.rs
+++ b/src/net/discovery/compatibility.rs
@@ -44,6 +44,7 @@
         let watching = watch(
             agent.clone(),
             41,
+            1 << 20,
             clients,
             Backoff::new(clients, 1),
             freshness,
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -52,10 +52,12 @@
 }
 
 /// Watches the endpoint list until the receiver of `inputs` is dropped and sends each received list there. Starts a new
-/// watch after each failure, and at the new address when the address in `agent` changes.
+/// watch after each failure, and at the new address when the address in `agent` changes. A list of over `max_list_bytes`
+/// is unreadable.
 pub async fn watch(
     agent: Receiver<SocketAddr>,
     version: u64,
+    max_list_bytes: usize,
     clients: DiscoveryClients,
     backoff: Backoff,
     freshness: Freshness,
@@ -64,6 +66,7 @@
     Watch {
         agent,
         version,
+        max_list_bytes,
         clients,
         backoff,
         freshness,
@@ -78,6 +81,8 @@
 struct Watch {
     agent: Receiver<SocketAddr>,
     version: u64,
+    /// Maximum length in bytes of a list that is sent in one piece.
+    max_list_bytes: usize,
     clients: DiscoveryClients,
     backoff: Backoff,
     freshness: Freshness,
@@ -176,7 +181,7 @@
         }
         let mut body = response.into_body();
         let (mut reader, mut last_data_at, mut awaits_initial_list) = (
-            ListReader::default(),
+            ListReader::new(self.max_list_bytes),
             Instant::now(),
             !self.clients.is_common_service,
         );
--- a/src/net/discovery/reading.rs
+++ b/src/net/discovery/reading.rs
@@ -2,25 +2,81 @@
 
 use crate::net::events::{ListUpdate, ListedEndpoint};
 use message_sender::EndpointStatus;
-use serde::Deserialize;
+use serde::de::{self, Deserialize, SeqAccess, Visitor};
+use serde_json::value::RawValue;
 use serde_json::{Deserializer, Value};
+use std::fmt;
 
-/// Maximum size of an incomplete JSON value in bytes. A longer one is dropped as unreadable.
-const MAX_VALUE_BYTES: usize = 4 << 20;
 /// An incomplete value is parsed again only after it has grown by 1/64 of its size, or when a piece ends with `}`. Parsing
 /// it again for each piece would take time quadratic in its length.
 const MIN_GROWTH_DIVISOR: usize = 64;
 
 /// Endpoint list in the JSON form of discovery.
-#[derive(Deserialize)]
+#[derive(serde::Deserialize)]
 struct ListBody {
     rev: u64,
     all: bool,
-    targets: Vec<Value>,
+    targets: Targets,
+}
+
+/// Entries of a list that can be parsed. They are read one at a time, so that a long list takes no more memory than its
+/// entries.
+struct Targets(Vec<ListedEndpoint>);
+
+impl<'de> Deserialize<'de> for Targets {
+    fn deserialize<D: de::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(TargetsVisitor)
+    }
+}
+
+struct TargetsVisitor;
+
+impl<'de> Visitor<'de> for TargetsVisitor {
+    type Value = Targets;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the entries of an endpoint list")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Targets, A::Error> {
+        let mut targets = Vec::new();
+        let mut skipped = SkippedEntries::default();
+        while let Some(entry) = entries.next_element::<Value>()? {
+            match read_target(&entry) {
+                Ok(target) => targets.push(target),
+                Err(error) => skipped.add(error),
+            }
+        }
+        skipped.log();
+        Ok(Targets(targets))
+    }
+}
+
+/// Entries of one list that can't be parsed, for one log line.
+#[derive(Default)]
+struct SkippedEntries {
+    count: usize,
+    first_error: Option<String>,
+}
+
+impl SkippedEntries {
+    fn add(&mut self, error: String) {
+        self.count += 1;
+        self.first_error.get_or_insert(error);
+    }
+
+    fn log(self) {
+        let SkippedEntries { count, first_error } = self;
+        if let Some(error) = first_error {
+            crate::net::log(format_args!(
+                "discovery: entry skipped: {error} ({count} in this list)"
+            ));
+        }
+    }
 }
 
 /// Entry of an endpoint list in the JSON form of discovery.
-#[derive(Deserialize)]
+#[derive(serde::Deserialize)]
 struct Target {
     uid: String,
     endpoint: String,
@@ -35,48 +91,49 @@
 }
 
 /// Parses an endpoint list. Returns `None` if `value` does not have the form of a list. Entries that can't be parsed are
-/// logged and left out.
+/// left out, and the first of them is logged.
 pub fn parse_list(value: &Value) -> Option<ListUpdate> {
-    let body = ListBody::deserialize(value).ok()?;
-    let read = |value: &Value| {
-        let target = Target::deserialize(value).map_err(|error| error.to_string())?;
-        let status = match target.state.as_str() {
-            "up" => EndpointStatus::Serving,
-            "draining" => EndpointStatus::Draining,
-            "removed" => EndpointStatus::Removed,
-            other => return Err(format!("unknown state '{other}'")),
-        };
-        let address = target
-            .endpoint
-            .parse()
-            .map_err(|_| format!("invalid address '{}'", target.endpoint))?;
-        Ok(ListedEndpoint {
-            uid: target.uid,
-            address,
-            zone: target.az,
-            kind: target.model,
-            destination: target.pod_group,
-            status,
-            weight: target.capacity_hint,
-        })
-    };
-    let targets = body.targets.iter().filter_map(|value| match read(value) {
-        Ok(listed) => Some(listed),
-        Err(error) => {
-            crate::net::log(format_args!("discovery: entry skipped: {error}"));
-            None
+    ListBody::deserialize(value).ok().map(ListUpdate::from)
+}
+
+impl From<ListBody> for ListUpdate {
+    fn from(body: ListBody) -> Self {
+        ListUpdate {
+            version: body.rev,
+            full: body.all,
+            entries: body.targets.0,
         }
-    });
-    Some(ListUpdate {
-        version: body.rev,
-        full: body.all,
-        entries: targets.collect(),
+    }
+}
+
+fn read_target(entry: &Value) -> Result<ListedEndpoint, String> {
+    let target = Target::deserialize(entry).map_err(|error| error.to_string())?;
+    let status = match target.state.as_str() {
+        "up" => EndpointStatus::Serving,
+        "draining" => EndpointStatus::Draining,
+        "removed" => EndpointStatus::Removed,
+        other => return Err(format!("unknown state '{other}'")),
+    };
+    let address = target
+        .endpoint
+        .parse()
+        .map_err(|_| format!("invalid address '{}'", target.endpoint))?;
+    Ok(ListedEndpoint {
+        uid: target.uid,
+        address,
+        zone: target.az,
+        kind: target.model,
+        destination: target.pod_group,
+        status,
+        weight: target.capacity_hint,
     })
 }
 
 /// Incremental parser of the lists that one watch sends.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ListReader {
+    /// Maximum size of an incomplete JSON value in bytes. A longer one is dropped as unreadable.
+    max_value_bytes: usize,
     /// Received bytes that have not been parsed as a complete value.
     buffer: Vec<u8>,
     /// Length of the buffer in bytes when it was last parsed without finding a complete value.
@@ -95,6 +152,16 @@
 }
 
 impl ListReader {
+    /// Creates a parser that holds at most `max_value_bytes` of an incomplete list.
+    pub fn new(max_value_bytes: usize) -> Self {
+        ListReader {
+            max_value_bytes,
+            buffer: Vec::new(),
+            parsed_len: 0,
+            skipping: false,
+        }
+    }
+
     /// Appends `bytes` to the buffer and parses all complete values.
     pub fn read(&mut self, bytes: &[u8]) -> ReadResult {
         let mut read = ReadResult::default();
@@ -114,7 +181,7 @@
             let (used, problem) = self.parse_values(&mut read);
             self.buffer.drain(..used);
             self.parsed_len = self.buffer.len();
-            if !problem && self.buffer.len() <= MAX_VALUE_BYTES {
+            if !problem && self.buffer.len() <= self.max_value_bytes {
                 break;
             }
             let excerpt = self.buffer[..self.buffer.len().min(80)].trim_ascii();
@@ -133,14 +200,15 @@
     /// Parses the complete values in the buffer into `read`. Returns how many bytes they took, and whether the text after
     /// them is invalid rather than incomplete.
     fn parse_values(&self, read: &mut ReadResult) -> (usize, bool) {
-        let mut values = Deserializer::from_slice(&self.buffer).into_iter::<Value>();
+        let mut values = Deserializer::from_slice(&self.buffer).into_iter::<&RawValue>();
         let mut used = 0;
         loop {
             match values.next() {
                 None => return (self.buffer.len(), false),
                 Some(Ok(value)) => {
                     used = values.byte_offset();
-                    read.lists.push(parse_list(&value));
+                    let list = serde_json::from_str::<ListBody>(value.get());
+                    read.lists.push(list.ok().map(ListUpdate::from));
                 }
                 Some(Err(error)) => return (used, !error.is_eof()),
             }
@@ -164,13 +232,15 @@
     use super::*;
     use serde_json::json;
 
+    const MAX_VALUE_BYTES: usize = 4 << 20;
+
     fn list(version: u64, uid: &str) -> Value {
         let target = json!({ "uid": uid, "endpoint": "10.1.0.18:8000", "az": "a}{", "pod_group": 3, "state": "up" });
         json!({ "rev": version, "all": true, "targets": [target] })
     }
 
     fn versions(pieces: &[&[u8]]) -> Vec<Option<u64>> {
-        let mut reader = ListReader::default();
+        let mut reader = ListReader::new(MAX_VALUE_BYTES);
         let lists = pieces.iter().flat_map(|piece| reader.read(piece).lists);
         lists.map(|list| list.map(|list| list.version)).collect()
     }
@@ -208,7 +278,7 @@
             list(2, "b")
         );
         for size in [1, 7, 4096] {
-            let mut reader = ListReader::default();
+            let mut reader = ListReader::new(MAX_VALUE_BYTES);
             let (mut lists, mut unreadable) = (Vec::new(), Vec::new());
             for piece in text.as_bytes().chunks(size) {
                 let read = reader.read(piece);
@@ -226,7 +296,7 @@
 
     #[test]
     fn endless_value_is_dropped_and_long_list_is_not_parsed_for_each_piece() {
-        let mut reader = ListReader::default();
+        let mut reader = ListReader::new(MAX_VALUE_BYTES);
         let piece = vec![b'['; 1 << 16];
         let unreadable = (0..100)
             .filter(|_| reader.read(&piece).unreadable.is_some())
@@ -243,7 +313,7 @@
             json!({ "rev": 9, "all": true, "targets": targets })
         )
         .into_bytes();
-        let mut reader = ListReader::default();
+        let mut reader = ListReader::new(MAX_VALUE_BYTES);
         let mut parses = 0;
         let lists: usize = text
             .chunks(1448)
--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -8,6 +8,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use message_sender::memory::MAX_HEAD_BYTES;
 use quota_ledger::quotas::compact::CompactError;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -203,7 +204,10 @@
 {
     let exchange = async {
         let stream = Stream::connect(server, time_limit).await?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
         tokio::spawn(connection);
         Ok(sender.send_request(request).await?)
     };
--- a/src/net/process/tasks.rs
+++ b/src/net/process/tasks.rs
@@ -76,6 +76,7 @@
         self.spawn(discovery::watch(
             self.process.subsystem_settings.discovery.subscribe(),
             list_version,
+            config.memory_shares().max_list_bytes,
             clients,
             Backoff::new(clients, config.seed),
             freshness,
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -186,6 +186,18 @@
     }
 }
 
+/// Guards against a list that does not end and whose parts take many times their length in memory.
+#[test]
+fn endless_list_of_discovery_leaves_process_under_its_memory_limit() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = agent_with_one_endpoint(&endpoint);
+    let node = small_node(&agent);
+    agent.announce(format!("[{}", "1,".repeat(4_000_000)));
+    let peak = peak_bytes(&node);
+    assert!(peak <= MEMORY_MB * 1_000_000, "{peak}");
+    assert_eq!(node.submit("webhook", "m1", 7, 20_000, b"x"), 202);
+}
+
 /// Guards against operators that read nothing of long reports and take the process over its memory limit.
 #[test]
 fn operators_that_read_nothing_leave_process_under_its_memory_limit() {
