Lab: senders with 32 MB in the soak, a rule on memory, crowds that send parts of bodies

The soak gave each sender 192 MB, looked at no memory, and its crowds sent nothing, so it could not see the incident. Now each sender of a soak has 32 MB; every 25 ms the anonymous memory of its processes and the files of its folder are summed; a crowd may send most of a body, a slow body, or a flood of bad requests. What it sends is drawn apart, so that the faults of a seed stay as they were.

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -24,6 +24,7 @@
         effects::check_effects(records),
         effects::check_calls(records),
         processes::check_exits(records),
+        processes::check_memory(records),
         membership::check(head, records),
         agreement::check(records),
         drains::check(records),
--- a/lab/src/check/processes.rs
+++ b/lab/src/check/processes.rs
@@ -30,6 +30,19 @@
     records.iter().filter_map(unintended_exit).collect()
 }
 
+/// No sender holds more than its memory limit.
+pub fn check_memory(records: &[Record]) -> Vec<Violation> {
+    let excess = |record: &Record| match &record.event {
+        Event::MemoryExceeded { sender, bytes } => Some(Violation {
+            rule: "memory",
+            at_us: record.at_us,
+            description: format!("n{sender}: {bytes} bytes in memory and files"),
+        }),
+        _ => None,
+    };
+    records.iter().filter_map(excess).collect()
+}
+
 /// No sender saw an invariant of its own broken.
 pub fn check_invariants(records: &[Record]) -> Vec<Violation> {
     let broken_invariant = |record: &Record| match &record.event {
--- a/lab/src/check/tests.rs
+++ b/lab/src/check/tests.rs
@@ -152,6 +152,10 @@
         sender: 1,
         line: "violation: one".to_string(),
     };
+    let exceeded = Event::MemoryExceeded {
+        sender: 1,
+        bytes: 32_000_001,
+    };
     let taken = || vec![(0.0, handed("a", 2)), (0.1, answered("a", 202))];
     for (more, rule) in [
         (vec![(9.0, end())], "ends once"),
@@ -185,6 +189,7 @@
             vec![(1.0, replied("a", 200)), (2.0, violated)],
             "invariants",
         ),
+        (vec![(1.0, replied("a", 200)), (2.0, exceeded)], "memory"),
     ] {
         assert_eq!(broken([taken(), more.clone()].concat()), [rule], "{more:?}");
     }
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -64,6 +64,8 @@
     terminated: Vec<LabProcess>,
     /// Processes that others were started to take over from, and may still run.
     superseded: Vec<LabProcess>,
+    /// True once the sender has held more than its memory limit.
+    exceeded_memory: bool,
 }
 
 impl Fleet {
@@ -76,6 +78,7 @@
             control_port: ControlPort::Alternate,
             terminated: Vec::new(),
             superseded: Vec::new(),
+            exceeded_memory: false,
         };
         let senders = options.discovery.iter().map(no_process).collect();
         Fleet {
@@ -307,6 +310,33 @@
         usage::measure(self.processes().map(LabProcess::pid))
     }
 
+    /// Measures what each sender's processes and its folder hold, and records each sender that exceeds its limit, once.
+    pub fn check_memory(&mut self) {
+        let limit = self.options.scenario.memory_mb * 1_000_000;
+        for sender in 0..self.senders.len() {
+            let bytes = self.memory_bytes(sender);
+            if bytes > limit && !std::mem::replace(&mut self.senders[sender].exceeded_memory, true)
+            {
+                let exceeded = Event::MemoryExceeded { sender, bytes };
+                self.options.history.record(exceeded);
+            }
+        }
+    }
+
+    /// Returns the anonymous memory of all processes of a sender, and the files of its lasting folder.
+    fn memory_bytes(&self, sender: usize) -> u64 {
+        let state = &self.senders[sender];
+        let processes = state
+            .process
+            .iter()
+            .chain(&state.terminated)
+            .chain(&state.superseded);
+        let anonymous: u64 = processes
+            .filter_map(|process| usage::anonymous_bytes(process.pid()))
+            .sum();
+        anonymous + usage::folder_bytes(&self.sender_folder(sender).join("state"))
+    }
+
     /// Removes a sender's lasting folder.
     pub fn remove_state(&self, sender: usize) {
         if let Err(error) = std::fs::remove_dir_all(self.sender_folder(sender).join("state")) {
--- a/lab/src/history/event.rs
+++ b/lab/src/history/event.rs
@@ -93,6 +93,8 @@
         intended: bool,
         status: String,
     },
+    /// A sender's processes and its lasting folder together hold more than the sender's memory limit.
+    MemoryExceeded { sender: usize, bytes: u64 },
     /// A sender's lasting folder was removed.
     #[serde(rename = "folder_lost")]
     StateLost { sender: usize },
--- a/lab/src/run/active_run.rs
+++ b/lab/src/run/active_run.rs
@@ -30,6 +30,8 @@
 const MEMBERS_POLL: Duration = Duration::from_millis(250);
 /// How often each sender is polled for the rules and quotas that it acts on.
 const RULES_POLL: Duration = Duration::from_millis(100);
+/// How often the memory of each sender is measured.
+const MEMORY_POLL: Duration = Duration::from_millis(25);
 /// How long a sender may take to answer a poll.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Clients that write the registry's list conditionally, all upon the same versions.
@@ -53,7 +55,7 @@
     pub fleet: Fleet,
     /// The registry, if the scenario has one.
     pub replicas: Option<Replicas>,
-    /// Idle clients, by sender.
+    /// Crowds of clients, by sender.
     pub crowds: HashMap<usize, Crowd>,
     /// What happens.
     pub history: Arc<History>,
@@ -97,6 +99,7 @@
         let (start_results, mut started) = mpsc::unbounded_channel();
         let mut members_poll = interval(MEMBERS_POLL);
         let mut rules_poll = interval(RULES_POLL);
+        let mut memory_poll = interval(MEMORY_POLL);
         let mut actions = schedule.actions.iter();
         let mut next = actions.next();
         let mut end = EndConditions::new(schedule, scenario, begin_us);
@@ -124,6 +127,7 @@
                         return Ok(());
                     }
                 }
+                _ = memory_poll.tick() => self.fleet.check_memory(),
                 _ = rules_poll.tick(), if scenario.registry.is_some() => self.poll_rules(scenario),
                 _ = &mut clients, if end.latest_end.is_none() => end.clients_ended(&self.history),
                 () = sleep_until(end.latest_end.unwrap_or_else(Instant::now)),
@@ -237,10 +241,11 @@
             FaultAction::Crowd {
                 sender,
                 connections,
+                sends,
             } => {
                 let address = self.fleet.addresses().client_address(*sender);
-                self.crowds
-                    .insert(*sender, Crowd::start(address, *connections));
+                let crowd = Crowd::start(address, *connections, *sends);
+                self.crowds.insert(*sender, crowd);
             }
             FaultAction::SpoilAnswers { party, spoiled } => {
                 self.simulation.spoil_answers(*party, *spoiled)
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -25,6 +25,9 @@
     #[serde(default = "one_zone")]
     /// Names of the zones.
     pub zones: Vec<String>,
+    /// Memory limit of each sender in megabytes, files of its folder included.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// What clients submit.
     pub traffic: Traffic,
     /// Where messages go.
@@ -38,6 +41,10 @@
     pub faults: Vec<Spanned<Fault>>,
 }
 
+fn default_memory_mb() -> u64 {
+    192
+}
+
 fn one_zone() -> Vec<String> {
     vec!["floor-1".to_string()]
 }
@@ -187,8 +194,13 @@
         how: AnswerFaultKind,
         share: f64,
     },
-    /// So many idle clients hold connections to each sender.
-    Crowd { who: String, connections: usize },
+    /// So many clients hold connections to each sender, and do what `sends` says.
+    Crowd {
+        who: String,
+        connections: usize,
+        #[serde(default)]
+        sends: CrowdRequests,
+    },
     /// Discovery answers 503 and ends its watches.
     DiscoveryDown {},
     /// System calls of senders fail, see `lab/shim/failing_calls.c` for the names and what the number says.
@@ -202,6 +214,28 @@
     },
 }
 
+/// What the clients of a crowd send.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CrowdRequests {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// A request with most of a large body, whose rest never comes.
+    PartOfBody,
+    /// A large body in small pieces.
+    SlowBody,
+    /// Small requests without a message, at full speed, whose answers are not read.
+    Flood,
+}
+
+impl CrowdRequests {
+    /// Whether the clients send nothing.
+    pub fn is_nothing(&self) -> bool {
+        *self == CrowdRequests::Nothing
+    }
+}
+
 fn all_calls() -> u8 {
     100
 }
--- a/lab/src/scenario/validation.rs
+++ b/lab/src/scenario/validation.rs
@@ -187,7 +187,9 @@
                 _ => Err(FaultError::NotEndpoints(who.clone())),
             }
         }
-        FaultKind::Crowd { who, connections } => {
+        FaultKind::Crowd {
+            who, connections, ..
+        } => {
             check_senders(scenario, who)?;
             if (1..=1000).contains(connections) {
                 Ok(())
--- a/lab/src/schedule/action.rs
+++ b/lab/src/schedule/action.rs
@@ -1,6 +1,7 @@
 //! What may be done to a fleet, and to whom.
 
 use crate::answers::AnswerFaultKind;
+use crate::scenario::CrowdRequests;
 use serde::{Deserialize, Serialize};
 
 /// A party of a link.
@@ -65,8 +66,13 @@
         #[serde(rename = "how")]
         spoiled: Option<SpoiledAnswers>,
     },
-    /// Idle clients connect to a sender, so many; 0: they leave.
-    Crowd { sender: usize, connections: usize },
+    /// Clients of a crowd connect to a sender, so many; 0: they leave.
+    Crowd {
+        sender: usize,
+        connections: usize,
+        #[serde(skip_serializing_if = "CrowdRequests::is_nothing")]
+        sends: CrowdRequests,
+    },
     /// Discovery goes down or comes up.
     Discovery { up: bool },
     /// System calls of this name fail from now on.
--- a/lab/src/schedule/faults.rs
+++ b/lab/src/schedule/faults.rs
@@ -200,10 +200,13 @@
             Some(FaultAction::Continue { sender }),
         ),
         FaultKind::Upgrade { .. } => (FaultAction::Upgrade { sender }, None),
-        FaultKind::Crowd { connections, .. } => {
+        FaultKind::Crowd {
+            connections, sends, ..
+        } => {
             let crowd = |connections| FaultAction::Crowd {
                 sender,
                 connections,
+                sends: *sends,
             };
             (crowd(*connections), Some(crowd(0)))
         }
--- a/lab/src/sender_config.rs
+++ b/lab/src/sender_config.rs
@@ -44,7 +44,7 @@
             "control": self.control,
             "discovery": self.discovery,
             "seed": format!("{:016x}", self.process_seed()),
-            "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3 },
+            "limits": { "cores": 1.0, "memory_mb": self.scenario.memory_mb, "sockets": 1024, "disk_mb": 3 },
             "known": { "rev": 0, "all": true, "targets": [] },
             "settings": self.settings(),
         });
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -23,7 +23,12 @@
 const KEYS: u32 = 12;
 /// Messages of a call, where a run has bulk calls.
 const BUNDLED_MESSAGES: usize = 4;
-/// How often a run has a crowd of idle clients, and how many they are: more than a sender takes.
+/// Memory of each sender, MB: the least that a deployment gives.
+const MEMORY_MB: u64 = 32;
+/// What the clients of crowds send, drawn apart from all else, so that the faults of a seed stay the same.
+const CROWD_REQUESTS: [&str; 4] = ["nothing", "part_of_body", "slow_body", "flood"];
+const CROWD_STREAM: u64 = 0x52;
+/// How often a run has a crowd of clients, and how many they are: more than a sender takes.
 const CROWD_CHANCE: f64 = 0.3;
 const CROWD_CONNECTIONS: usize = 400;
 /// Senders of a run that get signals in series.
@@ -128,6 +133,7 @@
     };
     let mut text = format!(
         "name = \"soak-{seed}\"\nseed = {seed}\nsenders = {senders}\nseconds = {seconds:.1}\nzones = [\"a\", \"b\"]\n\
+         memory_mb = {MEMORY_MB}\n\
          [traffic]\nper_s = {}\nkeys = {KEYS}\nrepeatable_in_order = {repeatable_in_order}\n\
          [destinations]\ncount = 6\nendpoints = 2\nlatency_ms = 60\ncapacity = 80\nbundle = {bundle}\n",
         senders * 10,
@@ -147,9 +153,13 @@
     if random.random_bool(CROWD_CHANCE) {
         let at = FIRST_FAULT_S + random.random_range(0.0..span * 0.5);
         let lasts = span * random.random_range(0.1..0.5);
+        let mut crowd_random = Pcg64::seed_from_u64(seed ^ CROWD_STREAM);
+        let sends = CROWD_REQUESTS
+            .choose(&mut crowd_random)
+            .expect("there are some");
         let _ = writeln!(
             text,
-            "[[fault]]\nat = {at:.2}\nseconds = {lasts:.2}\nkind = \"crowd\"\nwho = \"share:0.2\"\nconnections = {CROWD_CONNECTIONS}"
+            "[[fault]]\nat = {at:.2}\nseconds = {lasts:.2}\nkind = \"crowd\"\nwho = \"share:0.2\"\nconnections = {CROWD_CONNECTIONS}\nsends = \"{sends}\""
         );
     }
     let faults = (span * FAULTS_PER_S).ceil() as usize * senders.div_ceil(10);
--- a/lab/src/usage.rs
+++ b/lab/src/usage.rs
@@ -2,6 +2,7 @@
 
 use rustix::process::Pid;
 use serde::Serialize;
+use std::path::Path;
 
 /// Of all processes that run at the end: the median and the most.
 #[derive(Debug, Default, Clone, PartialEq, Serialize)]
@@ -31,6 +32,24 @@
     Some([cpu_ms, memory_kib, descriptors])
 }
 
+/// Resident anonymous memory of a process in bytes; `None` if it has ended.
+pub fn anonymous_bytes(pid: Pid) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", pid.as_raw_nonzero())).ok()?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"))?;
+    let kibibytes: u64 = line.trim().trim_end_matches(" kB").parse().ok()?;
+    Some(kibibytes * 1024)
+}
+
+/// Length of all files of a folder in bytes; 0 if there is none.
+pub fn folder_bytes(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).into_iter().flatten();
+    files
+        .filter_map(|file| Some(file.ok()?.metadata().ok()?.len()))
+        .sum()
+}
+
 /// All of these that still run.
 pub fn measure(pids: impl Iterator<Item = Pid>) -> Usage {
     let all: Vec<[u64; 3]> = pids.filter_map(of).collect();
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::process::{Command, Output};
 
-/// Of these, one has a crowd of idle clients, and two have bulk calls.
+/// Of these, one has a crowd of clients that stop within large bodies, and two have bulk calls.
 const SEEDS: [u64; 3] = [1, 2, 3];
 
 fn soak(seed: u64, folder: &Path) -> Output {
