--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,6 +5,7 @@
 
 mod completeness;
 mod flatten;
+mod limits;
 mod pool_settings;
 #[cfg(test)]
 mod tests;
@@ -23,6 +24,7 @@
 use super::settings_object::SettingsObjectError;
 use completeness::{check_complete, check_numbers};
 use flatten::flatten;
+use limits::{Limits, read_megabytes};
 use message_sender::memory::{MemoryShares, ProcessLimits};
 use message_sender::pool::PoolSettings;
 use message_sender::wire::{Names, Pairs, read_settings};
@@ -175,24 +177,6 @@
     settings: Value,
 }
 
-/// The `limits` object of the configuration file.
-#[derive(Deserialize)]
-struct Limits {
-    /// Maximum number of file descriptors of the process.
-    sockets: usize,
-    /// Maximum size of the state folder in megabytes of 10^6 bytes.
-    disk_mb: f64,
-    /// Maximum memory of the process in megabytes of 10^6 bytes.
-    #[serde(default = "default_memory_mb")]
-    memory_mb: f64,
-}
-
-/// Returns the least memory that a deployment gives a sender, in megabytes. It applies where the configuration states no
-/// memory.
-fn default_memory_mb() -> f64 {
-    32.0
-}
-
 impl Config {
     /// Returns the shares of the memory limit.
     pub fn memory_shares(&self) -> MemoryShares {
@@ -350,19 +334,6 @@
     })
 }
 
-/// Converts a limit from megabytes to bytes. `name` is the path of its key.
-fn read_megabytes(name: &'static str, megabytes: f64) -> Result<u64, ConfigError> {
-    let bytes = megabytes * 1e6;
-    if !(bytes.is_finite() && bytes >= 0.0) {
-        return Err(ConfigError::Value {
-            name,
-            found: megabytes.to_string(),
-            wanted: "a size of zero or more",
-        });
-    }
-    Ok(bytes as u64)
-}
-
 /// Reads the `settings` object. The path of each key is the name of that setting in a `begin` line of the simulator's
 /// line protocol.
 fn read_sender_settings(value: &Value) -> Result<(Settings, Names), SettingsError> {
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -20,6 +20,7 @@
 mod freeze_filter;
 mod handover;
 mod journal_state;
+mod memory;
 mod messages;
 mod process_state;
 mod recovery;
@@ -29,7 +30,6 @@
 mod turn;
 mod violations;
 
-use super::RateLimitedLog;
 use super::calls::Calls;
 use super::clock::Clock;
 use super::discovery::OutcomeNotification;
@@ -37,7 +37,6 @@
 use super::handover::{HandoverState, SuccessorRequest};
 use super::journal::Journal;
 use super::local_errors::RETRY_INTERVAL;
-use super::memory_log::{HeldForPeers, MemoryLog};
 use super::message_log::{self, MessageEvent};
 use calls_in_flight::CallsInFlight;
 use completion::Notifications;
@@ -48,8 +47,8 @@
 use handover::AfterRequest;
 
 use journal_state::JournalState;
+pub use memory::DriverMemory;
 use message_sender::lifecycle::Lifecycle;
-use message_sender::memory::MemoryShares;
 use message_sender::wire::Names;
 use message_sender::{AgreedRules, Event, MessageId, Micros, Quotas, RuleBounds, Sender, Settings};
 use messages::Messages;
@@ -87,33 +86,6 @@
     pub seed: u64,
 }
 
-/// Shares of the memory limit, and the log of what the process uses of it.
-pub struct DriverMemory {
-    /// Shares of the memory limit.
-    pub shares: MemoryShares,
-    /// Log of the memory of the process.
-    pub log: MemoryLog,
-    refusals: RateLimitedLog,
-}
-
-impl DriverMemory {
-    /// Creates the memory of a process with these shares.
-    pub fn new(shares: MemoryShares, log: MemoryLog) -> Self {
-        DriverMemory {
-            shares,
-            log,
-            refusals: RateLimitedLog::default(),
-        }
-    }
-
-    fn log_refusal(&self) {
-        let share = self.shares.message_bytes;
-        self.refusals.log(format_args!(
-            "memory: messages are refused, the share of {share} bytes for held messages is full"
-        ));
-    }
-}
-
 /// State with which the driver starts.
 pub struct InitialState {
     /// Decision module, either new or handed over by the predecessor.
@@ -352,11 +324,8 @@
     fn run_maintenance(&mut self) -> bool {
         self.calls.connections().run_maintenance();
         self.end_counts.log_if_due(Instant::now());
-        self.memory.log.measure_if_due(HeldForPeers {
-            client_connections: self.process.client_slots.in_use(),
-            messages: self.journal.unfinished().len(),
-            calls: self.calls_in_flight.len(),
-        });
+        let held = self.held_for_peers();
+        self.memory.log.measure_if_due(held);
         let journal_recovered = self.journal.retry();
         self.admit_unfrozen() || journal_recovered || self.notifications.has_pending()
     }
--- a/src/net/driver/submissions.rs
+++ b/src/net/driver/submissions.rs
@@ -19,10 +19,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Upper bound of the bytes of a message's journal record without the body: id, key, subject and tenant
-/// of 256 bytes each, and the rest.
-const MAX_RECORD_HEAD_BYTES: usize = 1536;
-
 /// Returns the number that stands for a subject in the decision module. If two subjects hash to the
 /// same number, their messages are merely delivered one at a time.
 pub(super) fn key_of(subject: &str) -> u64 {
@@ -219,14 +215,4 @@
         self.lifecycle.accept(message, guarantee);
         SubmissionResult::Accepted
     }
-
-    /// Returns whether the share of the memory for held messages has room for one more.
-    fn has_room_for(&self, message: &AcceptedMessage) -> bool {
-        let record_bytes = message.body.len() + MAX_RECORD_HEAD_BYTES;
-        let held_bytes = usize::try_from(self.journal.compacted_bytes()).unwrap_or(usize::MAX);
-        let messages = self.journal.unfinished().len();
-        self.memory
-            .shares
-            .has_message_room(messages, held_bytes, record_bytes)
-    }
 }
--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -1,8 +1,9 @@
 //! HTTP client for discovery and the registry; each request uses a new connection.
 
+use super::body;
 use super::stream::{ConnectError, Stream};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST};
@@ -154,11 +155,13 @@
     let exchange = async {
         let response = call(replica, request, time_limit).await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), max_answer_bytes)
-            .collect()
-            .await
-            .map_err(|_| RequestError::IncompleteBody)?;
-        Ok::<_, RequestError>((status, body.to_bytes()))
+        let mut answer = Vec::new();
+        body::receive(response.into_body(), max_answer_bytes, |piece| {
+            answer.extend_from_slice(piece);
+        })
+        .await
+        .map_err(|_| RequestError::IncompleteBody)?;
+        Ok::<_, RequestError>((status, Bytes::from(answer)))
     };
     let (status, body) = timeout(time_limit, exchange)
         .await
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -86,6 +86,7 @@
 #[derive(Debug, Default)]
 struct Observed {
     peak_bytes: usize,
+    peak_anonymous_bytes: usize,
     submitted: usize,
     answered: usize,
     accepted: usize,
@@ -114,12 +115,14 @@
         let began = Instant::now();
         while began.elapsed() < CROWD_TIME {
             observed.peak_bytes = observed.peak_bytes.max(counted_bytes(node));
+            observed.peak_anonymous_bytes = observed.peak_anonymous_bytes.max(node.memory());
             thread::sleep(SAMPLE_INTERVAL);
         }
         is_over.store(true, Ordering::SeqCst);
         let served = client.join().expect("the client does not panic");
         observed = Observed {
             peak_bytes: observed.peak_bytes,
+            peak_anonymous_bytes: observed.peak_anonymous_bytes,
             ..served
         };
     });
@@ -202,6 +205,63 @@
     assert_eq!(client.response().expect("answered").0, 202);
 }
 
+/// Returns small requests, each with an id, key, subject, tenant and destination of its own.
+fn requests_under_new_names(first: usize, count: usize) -> Vec<u8> {
+    (first..first + count)
+        .flat_map(|number| {
+            let destination = number % 60_000;
+            format!(
+                "POST /charge?subject=s{number} HTTP/1.1\r\nHost: a\r\nX-Request-ID: flood-{number}\r\n\
+                 X-Priority-Class: charge\r\nX-Tenant-Id: t{number}\r\nX-Timeout: 60m\r\n\
+                 Idempotency-Key: k{number}\r\nEnvelope: dest={destination}\r\nContent-Length: 1\r\n\r\nx"
+            )
+            .into_bytes()
+        })
+        .collect()
+}
+
+/// Guards against one client that sends messages under ever new names at full speed, so that tables grow without end or
+/// other clients wait for their answers.
+#[test]
+fn flood_under_ever_new_names_leaves_memory_level_and_others_served() {
+    const REQUESTS_IN_WRITE: usize = 200;
+    // less than the text of the names of the second half
+    const MAX_GROWTH_BYTES: usize = 1_000_000;
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = small_node(&agent_with_one_endpoint(&endpoint));
+    let mut stream = TcpStream::connect(node.address).expect("connected");
+    let mut answers = stream.try_clone().expect("cloned");
+    let reader = thread::spawn(move || {
+        let mut buffer = [0; 65_536];
+        while answers.read(&mut buffer).is_ok_and(|read| read > 0) {}
+    });
+    let is_over: Arc<AtomicBool> = Arc::default();
+    let over = is_over.clone();
+    let writer = thread::spawn(move || {
+        let mut sent = 0;
+        while !over.load(Ordering::SeqCst) {
+            let requests = requests_under_new_names(sent, REQUESTS_IN_WRITE);
+            stream.write_all(&requests).expect("written");
+            sent += REQUESTS_IN_WRITE;
+        }
+        stream.shutdown(std::net::Shutdown::Both).expect("closed");
+        sent
+    });
+    let first_half = observe(&node, "first-half");
+    let second_half = observe(&node, "second-half");
+    is_over.store(true, Ordering::SeqCst);
+    let sent = writer.join().expect("the writer does not panic");
+    reader.join().expect("the reader does not panic");
+    println!("{sent} requests: {first_half:?}, {second_half:?}");
+    for half in [&first_half, &second_half] {
+        assert_eq!(half.answered, half.submitted, "{half:?}");
+        assert!(half.peak_bytes <= MEMORY_MB * 1_000_000, "{half:?}");
+    }
+    let before = first_half.peak_anonymous_bytes;
+    let growth = second_half.peak_anonymous_bytes.saturating_sub(before);
+    assert!(growth < MAX_GROWTH_BYTES, "{growth}");
+}
+
 /// Guards against endpoints whose answers, of long heads that do not end or of bodies in tiny chunks, take the process over
 /// its memory limit.
 #[test]
