Drop lines of the log while its reader has stopped, in place of waiting for it

Callers would see: no answer at all, from the moment in which the reader of stderr stops and the pipe is full; 2,000 lines of a flood of bad requests fill it. Cause: lines were written with a blocking write.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,6 +25,7 @@
 pub mod lease_client;
 pub mod ledger;
 pub mod local_errors;
+mod log;
 pub mod membership;
 pub mod memory_log;
 pub mod message_log;
@@ -39,18 +40,10 @@
 #[cfg(test)]
 mod stub_registry;
 
+pub use log::log;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-/// Writes a line to the log on stderr. Errors are ignored: `eprintln!` would panic and end the sender if the reader of
-/// stderr has closed the pipe.
-pub fn log(line: std::fmt::Arguments<'_>) {
-    use std::io::Write;
-    let _ = std::io::stderr()
-        .lock()
-        .write_all(format!("{line}\n").as_bytes());
-}
-
 /// Returns true if the environment variable `RELAY_TRACE` is set, so that the normal steps of each message are logged
 /// as well.
 pub fn trace_enabled() -> bool {
--- a/tests/node/process.rs
+++ b/tests/node/process.rs
@@ -13,6 +13,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
+
+/// Interval at which a paused reader of the log checks whether it may read on.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A running process of a sender, with the folder and the settings from which further processes of the sender can be
 /// started.
@@ -32,6 +36,8 @@
     pub log: Arc<Mutex<Vec<String>>>,
     /// False once the test has asked to close the reading end of the log's pipe, which happens after the next line.
     reads_log: Arc<AtomicBool>,
+    /// True while the test leaves the log's pipe unread.
+    pauses_log: Arc<AtomicBool>,
     /// Listening socket that is passed to each process.
     passed_socket: Option<Arc<TcpListener>>,
 }
@@ -205,9 +211,14 @@
         let (shared_log, errors) = (log.clone(), process.stderr.take().expect("piped"));
         let reads_log = Arc::new(AtomicBool::new(true));
         let continues = reads_log.clone();
+        let pauses_log: Arc<AtomicBool> = Arc::default();
+        let pauses = pauses_log.clone();
         thread::spawn(move || {
             for line in BufReader::new(errors).lines().map_while(Result::ok) {
                 shared_log.lock().expect("not poisoned").push(line);
+                while pauses.load(Ordering::SeqCst) {
+                    thread::sleep(PAUSE_CHECK_INTERVAL);
+                }
                 if !continues.load(Ordering::SeqCst) {
                     return;
                 }
@@ -239,6 +250,7 @@
             control,
             log,
             reads_log,
+            pauses_log,
             passed_socket,
         }
     }
@@ -373,6 +385,11 @@
         self.folder.join("state/journal")
     }
 
+    /// Leaves the log's pipe unread from the next line on, or reads on.
+    pub fn pause_log(&self, pauses: bool) {
+        self.pauses_log.store(pauses, Ordering::SeqCst);
+    }
+
     /// Closes the reading end of the log's pipe after the next line.
     pub fn close_log(&mut self) {
         self.reads_log.store(false, Ordering::SeqCst);
--- a/tests/stalled_peers.rs
+++ b/tests/stalled_peers.rs
@@ -114,6 +114,27 @@
     assert_eq!(new.submit("webhook", "m1", 7, 20_000, b"x"), 202);
 }
 
+/// Guards against a reader of the log that stops reading: once its pipe is full, the process would wait for it and answer
+/// nobody.
+#[test]
+fn reader_of_the_log_that_stops_keeps_no_client_from_an_answer() {
+    const FAILED_REQUESTS: usize = 3000;
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::new(&agent_with_one_endpoint(&endpoint)).ready();
+    node.pause_log(true);
+    let mut client = Client::new(&node);
+    for _ in 0..FAILED_REQUESTS {
+        let status = client.send(BAD_REQUEST).expect("answered").0;
+        assert_eq!(status, 400);
+    }
+    assert_eq!(node.submit("webhook", "m1", 7, 20_000, b"x"), 202);
+    node.pause_log(false);
+    wait_until("the lost lines are counted", || {
+        let _ = client.send(BAD_REQUEST);
+        node.logged("lines dropped, stderr was not read")
+    });
+}
+
 /// Guards against operators that read nothing and keep others from an answer within the second that they are owed.
 #[test]
 fn operators_that_read_nothing_keep_no_other_operator_from_an_answer() {
