--- /dev/null
+++ b/review/standins-2/cases.rs
@@ -0,0 +1,13 @@
+//! The cases, one module each.
+
+mod drain_late_connection;
+
+use crate::Verdict;
+use crate::world::World;
+
+pub fn play(case: &str, world: &World) -> Verdict {
+    match case {
+        "drain_late_connection" => drain_late_connection::play(world),
+        _ => Verdict::CouldNotRun(format!("no case {case}")),
+    }
+}
