Review case 10: a sender restarted beside a silent agent sends by its oldest list

Disruption: discovery is down for 8 s, its agent silent, and the sender is killed and restarted then.

The test tells a running sender of a drain, kills it 4 s later and starts it again with its folder and the configuration of the first start. It counts the calls that begin at the drained endpoint more than 0.65 s after the new process.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -2,6 +2,7 @@
 
 mod drain_late_connection;
 mod drain_moved_discovery;
+mod drain_silent_agent;
 
 use crate::Verdict;
 use crate::world::World;
@@ -10,6 +11,7 @@
     match case {
         "drain_late_connection" => drain_late_connection::play(world),
         "drain_moved_discovery" => drain_moved_discovery::play(world),
+        "drain_silent_agent" => drain_silent_agent::play(world),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     }
 }
