--- a/review/standins-2/cases/drain_late_connection.rs
+++ b/review/standins-2/cases/drain_late_connection.rs
@@ -60,6 +60,7 @@
             subject: None,
             keyed: true,
             deadline_ms: 16_000,
+            body: 212,
         };
         client.hand_in(world, sender.listen, &message)
     };
--- a/review/standins-2/cases/drain_moved_discovery.rs
+++ b/review/standins-2/cases/drain_moved_discovery.rs
@@ -104,6 +104,7 @@
             subject: None,
             keyed: false,
             deadline_ms: 6000,
+            body: 212,
         };
         client.hand_in(world, address, &message);
         number += 1;
--- a/review/standins-2/cases/drain_silent_agent.rs
+++ b/review/standins-2/cases/drain_silent_agent.rs
@@ -99,6 +99,7 @@
                 subject: None,
                 keyed: false,
                 deadline_ms: 6000,
+                body: 212,
             };
             self.client.hand_in(self.world, self.address, &message);
             self.number += 1;
--- a/review/standins-2/cases/retuned_effect.rs
+++ b/review/standins-2/cases/retuned_effect.rs
@@ -46,13 +46,22 @@
     }
     thread::sleep(ms(2000));
     for destination in 0..SLOW {
-        endpoints[2 * destination as usize].latency_ms.store(SLOW_MS, Ordering::Relaxed);
+        endpoints[2 * destination as usize]
+            .latency_ms
+            .store(SLOW_MS, Ordering::Relaxed);
     }
-    world.note(&format!("{SLOW} of {} endpoints are slow from now on", 2 * DESTINATIONS));
+    world.note(&format!(
+        "{SLOW} of {} endpoints are slow from now on",
+        2 * DESTINATIONS
+    ));
     if world.trouble {
         sender.write_config(discovery.address, &known, &sites::clinic_orders("idempotent"));
     }
-    let signalled = if world.trouble { sender.signal(world, SIGHUP) } else { Instant::now() };
+    let signalled = if world.trouble {
+        sender.signal(world, SIGHUP)
+    } else {
+        Instant::now()
+    };
     for number in 0..10 {
         world.sleep_until(signalled + ms(200 + 80 * number));
         let heard = hand_in(world, &mut client, &sender, format!("between{number}"), number % SLOW);
@@ -92,7 +101,13 @@
 }
 
 /// Hands in a `bed-request`; returns its id, when its answer came, and the answer's status.
-fn hand_in(world: &World, client: &mut Client, sender: &Sender, id: String, destination: u64) -> (String, Instant, String) {
+fn hand_in(
+    world: &World,
+    client: &mut Client,
+    sender: &Sender,
+    id: String,
+    destination: u64,
+) -> (String, Instant, String) {
     let message = Message {
         id,
         class: "bed-request",
@@ -101,6 +116,7 @@
         subject: None,
         keyed: false,
         deadline_ms: 6000,
+        body: 212,
     };
     let handed = client.hand_in(world, sender.listen, &message);
     (handed.id, handed.heard, handed.status)
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -15,6 +15,8 @@
     pub subject: Option<String>,
     pub keyed: bool,
     pub deadline_ms: u64,
+    /// Length of its body in bytes.
+    pub body: usize,
 }
 
 /// What the client heard of it.
@@ -50,7 +52,7 @@
         } else {
             String::new()
         };
-        let body = format!("body of {id}");
+        let body = "x".repeat(message.body);
         let text = format!(
             "POST /{class}{subject} HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\nX-Tenant-Id: {tenant}\r\nX-Timeout: {deadline_ms}m\r\n{key}Content-Length: {}\r\nEnvelope: dest={destination}\r\n\r\n{body}",
             body.len()
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -35,6 +35,8 @@
     pub name: &'static str,
     pub address: SocketAddr,
     endpoints: Vec<Arc<Endpoint>>,
+    /// Entries of further endpoints, which no message is for.
+    further: Vec<String>,
     list: Mutex<List>,
     pub watches: Mutex<Watches>,
     pub notices: Mutex<Vec<Notice>>,
@@ -46,11 +48,22 @@
 
 impl Platform {
     pub fn start(world: &World, name: &'static str, rev: u64, endpoints: Vec<Arc<Endpoint>>) -> Arc<Self> {
+        Platform::with_further(world, name, rev, endpoints, Vec::new())
+    }
+
+    pub fn with_further(
+        world: &World,
+        name: &'static str,
+        rev: u64,
+        endpoints: Vec<Arc<Endpoint>>,
+        further: Vec<String>,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let platform = Arc::new(Platform {
             name,
             address: listener.local_addr().unwrap(),
             endpoints,
+            further,
             list: Mutex::new(List {
                 rev,
                 changes: Vec::new(),
@@ -94,7 +107,8 @@
     /// The whole list as JSON.
     pub fn whole(&self) -> String {
         let rev = self.list.lock().unwrap().rev;
-        let entries: Vec<String> = self.endpoints.iter().map(|endpoint| endpoint.entry()).collect();
+        let entries = self.endpoints.iter().map(|endpoint| endpoint.entry());
+        let entries: Vec<String> = entries.chain(self.further.iter().cloned()).collect();
         format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, entries.join(","))
     }
 
