--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -3,7 +3,6 @@
 mod drain_late_connection;
 mod drain_moved_discovery;
 mod drain_silent_agent;
-mod journal_over_limit;
 mod retuned_effect;
 
 use crate::Verdict;
@@ -14,7 +13,6 @@
         "drain_late_connection" => drain_late_connection::play(world),
         "drain_moved_discovery" => drain_moved_discovery::play(world),
         "drain_silent_agent" => drain_silent_agent::play(world),
-        "journal_over_limit" => journal_over_limit::play(world),
         "retuned_effect" => retuned_effect::play(world),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     }
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -60,13 +60,15 @@
         let sent = Instant::now();
         let kept = self.kept.take();
         let was_kept = kept.is_some();
-        let mut status = self.exchange(sender, kept, &text);
+        let until = sent + ms(400);
+        let mut status = self.exchange(sender, kept, &text, until);
         if status.is_none() && was_kept && sent.elapsed() < ms(350) {
             // the kept connection had been closed: the request goes once more on a new one
-            status = self.exchange(sender, None, &text);
+            status = self.exchange(sender, None, &text, until);
         }
         let heard = Instant::now();
-        let status = status.unwrap_or_default();
+        // an answer that came later met a closed connection
+        let status = status.filter(|_| heard <= until).unwrap_or_default();
         world.note_at(
             sent,
             &format!("client: {id} ({class}, dest {destination}) handed in at {sender}"),
@@ -81,14 +83,15 @@
         }
     }
 
-    fn exchange(&mut self, sender: SocketAddr, kept: Option<TcpStream>, text: &str) -> Option<String> {
+    fn exchange(&mut self, sender: SocketAddr, kept: Option<TcpStream>, text: &str, until: Instant) -> Option<String> {
+        let left = || Some(until.saturating_duration_since(Instant::now())).filter(|left| !left.is_zero());
         let mut stream = match kept {
             Some(stream) => stream,
-            None => TcpStream::connect_timeout(&sender, ms(400)).ok()?,
+            None => TcpStream::connect_timeout(&sender, left()?).ok()?,
         };
-        stream.set_read_timeout(Some(ms(400))).ok()?;
         let _ = stream.set_nodelay(true);
         stream.write_all(text.as_bytes()).ok()?;
+        stream.set_read_timeout(Some(left()?)).ok()?;
         let answer = http::read(&mut stream, &mut Vec::new()).ok()??;
         if !answer.header("connection").eq_ignore_ascii_case("close") {
             self.kept = Some(stream);
--- a/review/standins-2/endpoint.rs
+++ b/review/standins-2/endpoint.rs
@@ -2,7 +2,7 @@
 
 use crate::http;
 use crate::world::{World, ms};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -48,6 +48,8 @@
     pub latency_ms: AtomicU64,
     pub calls: Mutex<Vec<Call>>,
     listener: TcpListener,
+    /// Open connections, to be cut when the endpoint ends.
+    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Endpoint {
@@ -71,6 +73,7 @@
             latency_ms: AtomicU64::new(latency_ms),
             calls: Mutex::default(),
             listener,
+            open: Mutex::default(),
         })
     }
 
@@ -102,8 +105,38 @@
         });
     }
 
+    /// An entry for another endpoint at the address of this one, whose machine it replaces. The calls to both are in the
+    /// record of this one.
+    pub fn replaced_by(&self, uid: &str, destination: u64) -> Arc<Self> {
+        Arc::new(Endpoint {
+            uid: uid.to_string(),
+            destination,
+            zone: self.zone.clone(),
+            kind: self.kind.clone(),
+            address: self.address,
+            state: Mutex::new("removed"),
+            mode: Mutex::new(Mode::Serve),
+            latency_ms: AtomicU64::new(0),
+            calls: Mutex::default(),
+            listener: self.listener.try_clone().expect("a clone of the socket"),
+            open: Mutex::default(),
+        })
+    }
+
+    /// Ends the endpoint's process: its connections are reset or closed.
+    pub fn end(&self, world: &World) -> Instant {
+        let at = world.note(&format!("endpoint {} ends", self.uid));
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        at
+    }
+
     fn connection(&self, world: &World, mut stream: TcpStream) {
         let accepted = Instant::now();
+        if let Ok(stream) = stream.try_clone() {
+            self.open.lock().unwrap().push(stream);
+        }
         let _ = stream.set_nodelay(true);
         let mut rest = Vec::new();
         while let Ok(Some(call)) = http::read(&mut stream, &mut rest) {
@@ -131,7 +164,8 @@
             }
             thread::sleep(ms(self.latency_ms.load(Ordering::Relaxed)));
             let written = http::answer(&mut stream, "200 OK", "", "");
-            let ended = world.note(&format!("endpoint {}: call {id} answered 200", self.uid));
+            let what = if written.is_ok() { "answered 200" } else { "cut short" };
+            let ended = world.note(&format!("endpoint {}: call {id} {what}", self.uid));
             let mut calls = self.calls.lock().unwrap();
             calls[number].ended = Some(ended);
             calls[number].status = if written.is_ok() { "200" } else { "" };
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -107,7 +107,11 @@
     /// The whole list as JSON.
     pub fn whole(&self) -> String {
         let rev = self.list.lock().unwrap().rev;
-        let entries = self.endpoints.iter().map(|endpoint| endpoint.entry());
+        let listed = self
+            .endpoints
+            .iter()
+            .filter(|endpoint| *endpoint.state.lock().unwrap() != "removed");
+        let entries = listed.map(|endpoint| endpoint.entry());
         let entries: Vec<String> = entries.chain(self.further.iter().cloned()).collect();
         format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, entries.join(","))
     }
--- a/review/standins-2/sender.rs
+++ b/review/standins-2/sender.rs
@@ -3,14 +3,20 @@
 use crate::world::{World, ms};
 use std::fs::{self, File, OpenOptions};
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Instant;
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn dup2(from: i32, to: i32) -> i32;
 }
 
+/// Descriptor under which a process inherits the clients' listening socket.
+const PASSED: i32 = 7;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -20,6 +26,8 @@
     pub listen: SocketAddr,
     pub control: SocketAddr,
     pub folder: PathBuf,
+    /// The clients' listening socket, where the platform holds it.
+    passed: Option<TcpListener>,
     child: Option<Child>,
 }
 
@@ -44,10 +52,20 @@
             listen: free_address(),
             control: free_address(),
             folder,
+            passed: None,
             child: None,
         }
     }
 
+    /// A sender whose processes all inherit the clients' listening socket.
+    pub fn with_passed_socket(world: &World, name: &str) -> Self {
+        let passed = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let mut sender = Sender::new(world, name);
+        sender.listen = passed.local_addr().unwrap();
+        sender.passed = Some(passed);
+        sender
+    }
+
     pub fn write_config(&self, discovery: SocketAddr, known: &str, settings: &str) {
         let Sender {
             name, listen, control, ..
@@ -71,7 +89,19 @@
         let _ = fs::remove_dir_all(&temporary);
         fs::create_dir_all(&temporary).unwrap();
         let errors: File = log.try_clone().unwrap();
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        if let Some(passed) = &self.passed {
+            let socket = passed.as_raw_fd();
+            command.env("RELAY_PASSED_SOCKET", PASSED.to_string());
+            // SAFETY: between fork and exec the closure makes one system call and allocates nothing
+            unsafe {
+                command.pre_exec(move || {
+                    dup2(socket, PASSED);
+                    Ok(())
+                })
+            };
+        }
+        let child = command
             .arg("-c")
             .arg(run_command())
             .env("RELAY_NAME", &self.name)
