--- a/review/standins-2/cases/drain_silent_agent.rs
+++ b/review/standins-2/cases/drain_silent_agent.rs
@@ -1,4 +1,5 @@
-//! quay-parcels, where lists are pushed: a sender is killed while discovery is down, and restarts beside a silent agent.
+//! quay-parcels, where lists are pushed: a sender is killed while discovery is down, and restarts beside a silent agent. An
+//! endpoint has been removed before, and its address belongs to one of another destination.
 
 use crate::Verdict;
 use crate::client::{Client, Message};
@@ -21,7 +22,11 @@
         .enumerate()
         .map(|(number, uid)| Endpoint::start(world, uid, 7 + number as u64 / 2, "north-basin", "haulier", 60))
         .collect();
-    let agent = Platform::start(world, "agent", 41, endpoints.clone());
+    let drained = &endpoints[0];
+    // the machine that replaces the drained one gets its address, for another destination
+    let replacement = drained.replaced_by("s-c1", 8);
+    let listed = [endpoints.clone(), vec![replacement.clone()]].concat();
+    let agent = Platform::start(world, "agent", 41, listed);
     let mut sender = Sender::new(world, "n0");
     // the list of the configuration is as old as the first start
     sender.write_config(agent.address, &agent.whole(), &sites::quay_parcels());
@@ -36,12 +41,15 @@
         number: 0,
     };
     traffic.run_until(Instant::now() + ms(2000));
-    let drained = &endpoints[0];
     agent.change(world, drained, "draining");
-    traffic.run_until(Instant::now() + ms(4000));
-    let calls_before = drained.calls.lock().unwrap().len();
-    if agent.told.lock().unwrap().iter().all(|(rev, _)| *rev < 42) {
-        return Verdict::CouldNotRun("the drain was never written to the sender".into());
+    traffic.run_until(Instant::now() + ms(1500));
+    agent.change(world, drained, "removed");
+    traffic.run_until(Instant::now() + ms(1500));
+    let rev = 44;
+    agent.change(world, &replacement, "up");
+    traffic.run_until(Instant::now() + ms(2000));
+    if agent.told.lock().unwrap().iter().all(|(told, _)| *told < rev) {
+        return Verdict::CouldNotRun("the changes were never written to the sender".into());
     }
     if world.trouble {
         *agent.watches.lock().unwrap() = Watches::Silent;
@@ -60,23 +68,31 @@
     *agent.watches.lock().unwrap() = Watches::Serve;
     world.note("discovery is up");
     traffic.run_until(down_at + ms(DOWN_MS + 4000));
-    let mut late = Vec::new();
-    for call in &drained.calls.lock().unwrap()[calls_before..] {
+    let mut foreign = Vec::new();
+    for call in drained
+        .calls
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|call| call.id.starts_with("d7-"))
+    {
         if call.began > restarted + ms(GRACE_MS) {
             let after = world.ms(call.began) - world.ms(restarted);
-            late.push(format!(
-                "call {} to {} began {after:.0} ms after the new process",
-                call.id, drained.uid
-            ));
+            foreign.push(format!("{} began {after:.0} ms after the new process", call.id));
         }
     }
-    if late.is_empty() {
+    if foreign.is_empty() {
         return Verdict::Held;
     }
-    for line in &late {
+    for line in &foreign {
         world.note(line);
     }
-    Verdict::Broken(format!("drain, {} times; first: {}", late.len(), late[0]))
+    Verdict::Broken(format!(
+        "destination, {} messages for destination 7 went to {} of destination 8; first: {}",
+        foreign.len(),
+        replacement.uid,
+        foreign[0]
+    ))
 }
 
 struct Traffic<'a> {
@@ -92,7 +108,7 @@
         while Instant::now() < end {
             let next = Instant::now() + ms(100);
             let message = Message {
-                id: format!("m{}", self.number),
+                id: format!("d{}-{}", 7 + self.number % 2, self.number),
                 class: "crane-slot",
                 tenant: "ferry-line",
                 destination: 7 + self.number % 2,
