--- a/review/standins-2/cases/drain_moved_discovery.rs
+++ b/review/standins-2/cases/drain_moved_discovery.rs
@@ -23,17 +23,23 @@
         .enumerate()
         .map(|(number, uid)| Endpoint::start(world, uid, 7 + number as u64 / 2, "floor-2", "school-library", 60))
         .collect();
+    let drained = &endpoints[0];
+    // the machine that replaces the drained one gets its address, for another destination
+    let replacement = drained.replaced_by("s-c1", 8);
+    let listed = [endpoints.clone(), vec![replacement.clone()]].concat();
     // each sender reaches discovery at addresses set aside for it alone; all show the one list
     let old: Vec<_> = (0..2)
-        .map(|_| Platform::start(world, "old discovery", 41, endpoints.clone()))
+        .map(|_| Platform::start(world, "old discovery", 41, listed.clone()))
         .collect();
     let new = [
-        Platform::start(world, "new discovery (for n0)", 41, endpoints.clone()),
-        Platform::start(world, "new discovery (for n1)", 41, endpoints.clone()),
+        Platform::start(world, "new discovery (for n0)", 41, listed.clone()),
+        Platform::start(world, "new discovery (for n1)", 41, listed.clone()),
     ];
+    // the list of the configuration stays as old as the start
+    let known = old[0].whole();
     let mut senders: Vec<Sender> = (0..2).map(|index| Sender::new(world, &format!("n{index}"))).collect();
     for (index, sender) in senders.iter_mut().enumerate() {
-        sender.write_config(old[index].address, &old[index].whole(), &sites::hue_main(index, 2));
+        sender.write_config(old[index].address, &known, &sites::hue_main(index, 2));
         sender.start(world, old[index].address);
     }
     if !senders.iter().all(|sender| sender.wait_ready(world)) {
@@ -51,13 +57,21 @@
     if world.trouble {
         *new[0].watches.lock().unwrap() = Watches::Crowded;
     }
-    let drained = &endpoints[0];
     for (index, sender) in senders.iter().enumerate() {
         new[index].change(world, drained, "draining");
-        sender.write_config(new[index].address, &old[index].whole(), &sites::hue_main(index, 2));
+        sender.write_config(new[index].address, &known, &sites::hue_main(index, 2));
     }
     let signalled: Vec<Instant> = senders.iter().map(|sender| sender.signal(world, SIGHUP)).collect();
     old.iter().for_each(|old| old.retire(world));
+    world.sleep_until(signalled[0] + ms(3000));
+    for new in &new {
+        new.change(world, drained, "removed");
+    }
+    world.sleep_until(signalled[0] + ms(BOUND_MS + 50));
+    let replaced = Instant::now();
+    for new in &new {
+        new.change(world, &replacement, "up");
+    }
     world.sleep_until(signalled[0] + ms(CROWDED_MS));
     *new[0].watches.lock().unwrap() = Watches::Serve;
     world.sleep_until(signalled[0] + ms(CROWDED_MS + 4000));
@@ -69,16 +83,20 @@
     if told.is_none() {
         return Verdict::CouldNotRun("n1 was never told, so discovery could not be reached".into());
     }
-    let mut late = Vec::new();
-    for call in drained.calls.lock().unwrap().iter() {
+    let (mut late, mut foreign) = (Vec::new(), 0);
+    for call in drained
+        .calls
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|call| call.id.contains("-d7-"))
+    {
         // the ids begin with the name of their sender
         let index = usize::from(call.id.starts_with("n1"));
         if call.began > signalled[index] + ms(BOUND_MS) {
             let after = world.ms(call.began) - world.ms(signalled[index]);
-            late.push(format!(
-                "call {} to {} began {after:.0} ms after SIGHUP",
-                call.id, drained.uid
-            ));
+            late.push(format!("{} began {after:.0} ms after SIGHUP", call.id));
+            foreign += u64::from(call.began > replaced);
         }
     }
     if late.is_empty() {
@@ -87,7 +105,13 @@
     for line in &late {
         world.note(line);
     }
-    Verdict::Broken(format!("drain, {} times; first: {}", late.len(), late[0]))
+    Verdict::Broken(format!(
+        "drain, {} calls to {}; {foreign} of them, for destination 7, came to {} of destination 8; first: {}",
+        late.len(),
+        drained.uid,
+        replacement.uid,
+        late[0]
+    ))
 }
 
 /// Five messages a second for each destination.
@@ -97,7 +121,7 @@
     while !stop.load(Ordering::Relaxed) {
         let next = Instant::now() + ms(100);
         let message = Message {
-            id: format!("{name}-{number}"),
+            id: format!("{name}-d{}-{number}", 7 + number % 2),
             class: "title-status",
             tenant: "sach-vui",
             destination: 7 + number % 2,
