--- a/review/standins-2/cases/drain_late_connection.rs
+++ b/review/standins-2/cases/drain_late_connection.rs
@@ -14,16 +14,28 @@
 const ROUNDS: u64 = 6;
 /// Destinations whose connections come up at once. With them, under a third of all connections come up late.
 const OTHERS: u64 = 18;
+/// What a call takes, and when the platform ends a drained endpoint, from when discovery told that it drains.
+const WORK_MS: u64 = 400;
+const END_MS: u64 = 1000;
 /// The settings' time for drains, and the slack on sockets.
 const GRACE_MS: u64 = 250 + 50;
 
 pub fn play(world: &World) -> Verdict {
     let kind = "major-partner";
     let near: Vec<_> = (0..ROUNDS)
-        .map(|round| Endpoint::closed(&format!("s-near{round}"), 100 + round, "edificio-a", kind, 60))
+        .map(|round| Endpoint::closed(&format!("s-near{round}"), 100 + round, "edificio-a", kind, WORK_MS))
         .collect();
     let far: Vec<_> = (0..ROUNDS)
-        .map(|round| Endpoint::start(world, &format!("s-far{round}"), 100 + round, "edificio-b", kind, 60))
+        .map(|round| {
+            Endpoint::start(
+                world,
+                &format!("s-far{round}"),
+                100 + round,
+                "edificio-b",
+                kind,
+                WORK_MS,
+            )
+        })
         .collect();
     let others: Vec<_> = (0..OTHERS)
         .map(|number| Endpoint::start(world, &format!("s-other{number}"), number, "edificio-a", kind, 60))
@@ -83,9 +95,13 @@
             ));
             endpoint.serve(world);
         }
+        world.sleep_until(begun + ms(200 + END_MS));
+        endpoint.end(world);
         world.sleep_until(begun + ms(2500));
     }
     drop(held);
+    // messages that may have run can be repeated for 10 s
+    thread::sleep(ms(13_500));
     judge(world, &near, &discovery)
 }
 
@@ -114,5 +130,17 @@
     for line in &late {
         world.note(line);
     }
-    Verdict::Broken(format!("drain, {} times; first: {}", late.len(), late[0]))
+    let failed = |round: &u64| {
+        let id = format!(r#""id":"a{round}""#);
+        let notices = discovery.notices.lock().unwrap();
+        notices
+            .iter()
+            .any(|notice| notice.text.contains(&id) && notice.text.contains("failed"))
+    };
+    let failed = (0..ROUNDS).filter(failed).count();
+    Verdict::Broken(format!(
+        "drain, {} times; {failed} of {ROUNDS} messages were given up as failed; first: {}",
+        late.len(),
+        late[0]
+    ))
 }
