--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 //! # Ok::<(), message_sender::SettingsError>(())
 //! ```
 
+pub mod class_transition;
 pub mod decisions;
 pub mod interface;
 pub mod lifecycle;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -12,6 +12,7 @@
 
 use super::agreement;
 use super::agreement::settings::AgreementSettings;
+use super::class_terms_file;
 use super::discovery::parse_list;
 use super::events::ListUpdate;
 use super::freeze;
@@ -288,6 +289,7 @@
         };
         // the copy of the last valid file takes space beside the journal, twice while it is replaced
         let last_valid_bytes = 2 * text.len() as u64 + BLOCK_BYTES;
+        let other_files_bytes = last_valid_bytes + members_bytes + class_terms_file::MAX_DISK_BYTES;
         Ok(Config {
             name,
             listen,
@@ -296,7 +298,7 @@
             passed_socket,
             state_folder,
             seed,
-            journal_bytes: disk_bytes.saturating_sub(last_valid_bytes + members_bytes),
+            journal_bytes: disk_bytes.saturating_sub(other_files_bytes),
             text,
             disk_bytes,
             memory_bytes,
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -11,6 +11,7 @@
 mod admin;
 mod attempts;
 mod calls_in_flight;
+mod class_terms;
 mod completion;
 mod draining_predecessor;
 mod end_counts;
@@ -31,6 +32,7 @@
 mod violations;
 
 use super::calls::Calls;
+use super::class_terms_file::ClassTermsFile;
 use super::clock::Clock;
 use super::discovery::OutcomeNotification;
 use super::events::{AdminCommand, DemandReport, DriverInput, ListUpdate, SettingsUpdate};
@@ -39,6 +41,7 @@
 use super::local_errors::RETRY_INTERVAL;
 use super::message_log::{self, MessageEvent};
 use calls_in_flight::CallsInFlight;
+use class_terms::ClassTerms;
 use completion::Notifications;
 use end_counts::EndCounts;
 use endpoint_list::ListState;
@@ -82,6 +85,8 @@
     pub ready: watch::Sender<bool>,
     /// Memory of the process.
     pub memory: DriverMemory,
+    /// File with the terms of classes that may still hold for new messages.
+    pub class_terms: ClassTermsFile,
     /// Seed of the random delays between admissions of endpoints after a freeze.
     pub seed: u64,
 }
@@ -121,6 +126,8 @@
     /// Settings as passed to the decision module. Classes, kinds and tenants that were removed from
     /// the configuration remain, so that positions never change while the process runs.
     settings: Settings,
+    /// Terms of classes that may hold for new messages.
+    class_terms: ClassTerms,
     /// Independent record of each message's calls. It is checked before each call, and forbids
     /// calls that would repeat a message or break the order of its key.
     lifecycle: Lifecycle,
@@ -164,8 +171,7 @@
             fallback_quotas,
             handover,
         } = initial;
-        let names = settings.names.clone();
-        let mut driver = Driver::empty(dependencies, sender, names);
+        let mut driver = Driver::empty(dependencies, sender, &settings);
         driver.list.is_agreement_on = fallback_rules.is_some();
         let taken_over = handover.is_some();
         if let Some(state) = handover {
@@ -183,7 +189,7 @@
         driver
     }
 
-    fn empty(dependencies: Dependencies, sender: Sender, names: Names) -> Self {
+    fn empty(dependencies: Dependencies, sender: Sender, update: &SettingsUpdate) -> Self {
         let Dependencies {
             process,
             journal,
@@ -191,13 +197,15 @@
             notifications,
             ready,
             memory,
+            class_terms,
             seed,
         } = dependencies;
         Driver {
             settings: sender.settings().clone(),
+            class_terms: ClassTerms::restore(class_terms, &update.settings),
             sender,
             clock: process.clock,
-            names,
+            names: update.names.clone(),
             lifecycle: Lifecycle::default(),
             journal: JournalState::new(journal),
             messages: Messages::default(),
@@ -323,6 +331,7 @@
     /// Performs the periodic maintenance; returns true if a turn is due afterwards.
     fn run_maintenance(&mut self) -> bool {
         self.calls.connections().run_maintenance();
+        self.end_expired_class_terms();
         self.end_counts.log_if_due(Instant::now());
         let held = self.held_for_peers();
         self.memory.log.measure_if_due(held);
--- a/src/net/driver/recovery.rs
+++ b/src/net/driver/recovery.rs
@@ -31,8 +31,7 @@
             self.restore_class_position(message);
         }
         if self.settings != *self.sender.settings() {
-            let settings = Box::new(self.settings.clone());
-            self.events.push(Event::SettingsChanged(settings));
+            self.push_settings();
         }
         for (number, message) in unfinished {
             let next = self.messages.next_number().max(number + 1);
--- a/src/net/driver/settings.rs
+++ b/src/net/driver/settings.rs
@@ -3,9 +3,8 @@
 
 use super::Driver;
 use crate::net::events::SettingsUpdate;
-use crate::net::server::ClassEntry;
+use message_sender::Settings;
 use message_sender::wire::Names;
-use message_sender::{Class, Effect, Event, Settings};
 
 /// Returns the position of a name, and adds it at the end if it is missing.
 fn position_or_push(names: &mut Vec<String>, name: &str) -> usize {
@@ -26,18 +25,11 @@
 
 /// Rearranges the new settings so that names of the old settings keep their positions and new names
 /// follow at the end. Removed names remain, because messages and endpoints may still refer to them.
-/// Returns the positions of the classes that the new settings name.
-fn keep_positions(
-    new: &mut Settings,
-    old: Settings,
-    known_names: &mut Names,
-    new_names: Names,
-) -> Vec<usize> {
+fn keep_positions(new: &mut Settings, old: Settings, known_names: &mut Names, new_names: Names) {
     let classes = std::mem::replace(&mut new.classes, old.classes);
-    let positions = classes
-        .into_iter()
-        .map(|class| new.class_position(class))
-        .collect();
+    for class in classes {
+        new.class_position(class);
+    }
     for kind in std::mem::replace(&mut new.kinds, old.kinds) {
         let position = position_or_push(&mut known_names.kinds, &kind.name);
         replace_or_push(&mut new.kinds, position, kind);
@@ -62,11 +54,11 @@
     known_names.classes = new.classes.iter().map(|class| class.name.clone()).collect();
     known_names.report_fields = new_names.report_fields;
     known_names.dial_timeout = new_names.dial_timeout;
-    positions
 }
 
 impl Driver {
-    /// Applies new settings; messages that are already accepted keep the terms of their class.
+    /// Applies new settings; messages that are already accepted keep the terms of their class, and new
+    /// ones get its new terms once these bind.
     pub(super) fn apply_settings(&mut self, update: SettingsUpdate) {
         let SettingsUpdate {
             mut settings,
@@ -76,22 +68,13 @@
         let connections = self.calls.connections();
         connections.apply_settings(&pool, &settings, names.dial_timeout);
         self.calls.set_report_fields(names.report_fields.clone());
+        self.change_class_terms(&settings);
         let old = self.settings.clone();
-        let positions = keep_positions(&mut settings, old, &mut self.names, names);
-        let class_entry = |index: usize| {
-            let class: &Class = &settings.classes[index];
-            ClassEntry {
-                name: class.name.clone(),
-                index,
-                key_required: matches!(class.effect, Effect::IdempotencyKey { .. }),
-            }
-        };
-        let classes = positions.into_iter().map(class_entry).collect();
-        self.process.classes.replace(classes);
-        if settings != *self.sender.settings() {
-            let settings = Box::new(settings.clone());
-            self.events.push(Event::SettingsChanged(settings));
-        }
+        keep_positions(&mut settings, old.clone(), &mut self.names, names);
         self.settings = settings;
+        if self.settings != old {
+            self.push_settings();
+        }
+        self.replace_named_classes();
     }
 }
--- a/src/net/driver/submissions.rs
+++ b/src/net/driver/submissions.rs
@@ -2,6 +2,7 @@
 //! after the journal has recorded the message.
 
 use super::Driver;
+use super::class_terms::AcceptanceTerms;
 use super::ended_ids::MessageEnd;
 use super::messages::Message;
 use crate::net::calls::Item;
@@ -47,6 +48,8 @@
     submission: Submission,
     /// Time in microseconds at which the client's request began.
     received_at: Micros,
+    /// Class and number of attempts that hold for the message.
+    terms: AcceptanceTerms,
 }
 
 /// Submission in the current turn whose id belongs to a message that is already open.
@@ -92,13 +95,15 @@
         let message = self.messages.take_number();
         let received_at = self.clock.at(submission.received_at);
         let time_left = received_at + submission.time_limit - self.clock.at(Instant::now());
+        let terms = self.acceptance_terms(&submission, received_at);
         let tenant = submission.tenant.as_deref();
         self.events.push(Event::Accepted(NewMessage {
             key: submission.subject.as_deref().map(key_of),
             tenant: tenant.map(|name| position(&self.names.tenants, name)),
             resubmitted: submission.resubmitted,
             previous_sender_failed: submission.previous_sender_failed,
-            ..NewMessage::new(message, submission.class, submission.destination, time_left)
+            max_attempts: Some(terms.max_attempts),
+            ..NewMessage::new(message, terms.class, submission.destination, time_left)
         }));
         let item = Item {
             id: submission.id.clone(),
@@ -109,6 +114,7 @@
         let new = NewSubmission {
             submission,
             received_at,
+            terms,
         };
         self.clients.new.insert(message, new);
     }
@@ -187,10 +193,10 @@
         let submission = &new.submission;
         // class positions also hold for messages from a predecessor, so the lookup is not expected
         // to fail
-        let Some(class) = self.settings.classes.get(submission.class) else {
+        let Some(class) = self.settings.classes.get(new.terms.class) else {
             return SubmissionResult::NotStored;
         };
-        let terms = ClassTerms::of(class, self.settings.max_attempts);
+        let terms = ClassTerms::of(class, new.terms.max_attempts);
         let accepted = AcceptedMessage {
             id: header_text(&submission.id),
             key: submission.key.as_ref().map(header_text),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod agreement;
 pub mod body;
 pub mod calls;
+pub mod class_terms_file;
 pub mod clock;
 pub mod complete_answer;
 pub mod config;
--- a/src/net/process.rs
+++ b/src/net/process.rs
@@ -9,6 +9,7 @@
 
 use crate::net;
 use crate::net::calls::Calls;
+use crate::net::class_terms_file::ClassTermsFile;
 use crate::net::clock::ClockError;
 use crate::net::config::Config;
 use crate::net::control::{self, Control};
@@ -225,6 +226,7 @@
             notifications: self.senders.notifications.clone(),
             ready: self.flags.ready.clone(),
             memory: self.driver_memory(),
+            class_terms: ClassTermsFile::new(&self.config.state_folder),
             seed: self.config.seed,
         };
         let (sender, handover, link) = match folder.received {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -367,6 +367,9 @@
     wait_until("the new class is accepted", || {
         node.submit("charge-ii", "new-c", 3, 20_000, b"x") == 202
     });
+    wait_until("the new terms hold alone", || {
+        node.logged("classes: earlier terms have ended")
+    });
     assert_eq!(node.submit("charge", "gone", 7, 20_000, b"x"), 400);
     assert_eq!(node.submit("webhook", "new-a", 4, 20_000, b"x"), 202);
     assert_eq!(node.submit("order", "new-b", 5, 20_000, b"x"), 202);
