--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -13,7 +13,7 @@
 use super::agreement;
 use super::agreement::settings::AgreementSettings;
 use super::class_terms_file;
-use super::discovery::parse_list;
+use super::discovery::{self, parse_list};
 use super::events::ListUpdate;
 use super::freeze;
 use super::freeze::settings::FreezeSettings;
@@ -289,7 +289,10 @@
         };
         // the copy of the last valid file takes space beside the journal, twice while it is replaced
         let last_valid_bytes = 2 * text.len() as u64 + BLOCK_BYTES;
-        let other_files_bytes = last_valid_bytes + members_bytes + class_terms_file::MAX_DISK_BYTES;
+        let other_files_bytes = last_valid_bytes
+            + members_bytes
+            + class_terms_file::MAX_DISK_BYTES
+            + discovery::MAX_DISK_BYTES;
         Ok(Config {
             name,
             listen,
--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -58,13 +58,13 @@
         Some("127.0.0.1:8002")
     );
     assert_eq!(config.passed_socket, None);
-    // the journal gets the disk limit less the space for the remembered members, the terms of classes, one block of 4096
-    // bytes and two copies of the last valid configuration file, both of which exist while it is replaced
+    // the journal gets the disk limit less the space for the remembered members, the terms of classes, the binding times,
+    // one block of 4096 bytes and two copies of the last valid configuration file, both of which exist while it is replaced
     let remembered = crate::net::membership::MAX_DISK_BYTES;
-    let class_terms = 2 * 8192;
+    let (class_terms, binding_times) = (2 * 8192, 2 * 4096);
     assert_eq!(
         config.journal_bytes,
-        3_500_000 - 2 * EVERY_KEY.len() as u64 - 4096 - remembered - class_terms
+        3_500_000 - 2 * EVERY_KEY.len() as u64 - 4096 - remembered - class_terms - binding_times
     );
     let pool = PoolSettings {
         per_endpoint: Some(20),
--- a/src/net/discovery/compatibility.rs
+++ b/src/net/discovery/compatibility.rs
@@ -1,6 +1,7 @@
 //! Compares the requests to discovery with recorded bytes, and parsed lists with recorded results.
 
 use super::*;
+use crate::net::clock::Clock;
 use crate::net::http_golden as golden;
 use crate::net::journal::UndeliveredOutcome;
 use std::io::{Read, Write};
@@ -39,7 +40,14 @@
             is_common_service: false,
             poll_interval: Duration::from_secs(1),
         };
-        let (freshness, reporting) = Freshness::new(true, Duration::from_secs(1), inputs.clone());
+        let folder =
+            std::env::temp_dir().join(format!("message-sender-watch-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("created");
+        let clock = Clock::resume(&folder).expect("resumed");
+        std::fs::remove_dir_all(&folder).expect("removed");
+        let binding_times = BindingTimesFile::new(&folder, clock, false);
+        let grace = Duration::from_secs(1);
+        let (freshness, reporting) = Freshness::new(true, grace, inputs.clone(), binding_times);
         tokio::task::spawn_local(reporting);
         let watching = watch(
             agent.clone(),
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -4,6 +4,7 @@
 //! by, and `notices` posts the notifications that end undelivered messages.
 
 mod backoff;
+mod binding_times;
 mod freshness;
 mod notices;
 mod reading;
@@ -13,6 +14,7 @@
 use super::local_errors::RETRY_INTERVAL;
 use backoff::SILENCE_TIMEOUT;
 pub use backoff::{Backoff, DiscoveryClients};
+pub use binding_times::{BindingTimesFile, MAX_DISK_BYTES};
 use bytes::Bytes;
 pub use freshness::Freshness;
 use http_body_util::{BodyExt, Empty};
@@ -98,21 +100,22 @@
     async fn run(mut self) {
         // a sender that already knows a list can wait, so senders that start together spread their first calls
         if self.version > 0 {
-            sleep(self.backoff.start_delay()).await;
+            let delay = self.backoff.start_delay();
+            self.wait_unless_moved(delay).await;
         }
         let mut logged_error = String::new();
         loop {
             self.list_received = false;
+            if self.has_moved() {
+                self.freshness.moved();
+                self.backoff.advance(false);
+                logged_error.clear();
+            }
             let address = *self.agent.borrow_and_update();
             let mut address_changes = self.agent.clone();
             let result = tokio::select! {
                 result = self.watch_once(address) => result,
-                Ok(()) = address_changes.changed() => {
-                    self.freshness.moved();
-                    self.backoff.advance(false);
-                    logged_error.clear();
-                    continue;
-                }
+                Ok(()) = address_changes.changed() => continue,
             };
             let Err(error) = result else { return };
             if self.list_received {
@@ -136,11 +139,22 @@
                 WatchError::Connect(error) if error.is_local() => RETRY_INTERVAL,
                 _ => self.backoff.next_delay(),
             };
-            let moved = back_off_or_move(delay, &mut self.agent).await;
-            if moved {
-                self.freshness.moved();
-            }
-            self.backoff.advance(!moved);
+            self.wait_unless_moved(delay).await;
+            self.backoff.advance(true);
+        }
+    }
+
+    /// Returns true if the agent's address has changed since the last watch was opened.
+    fn has_moved(&self) -> bool {
+        self.agent.has_changed().unwrap_or(false)
+    }
+
+    /// Waits for `delay`, or until the agent's address changes.
+    async fn wait_unless_moved(&self, delay: Duration) {
+        let mut address_changes = self.agent.clone();
+        tokio::select! {
+            () = sleep(delay) => {}
+            Ok(()) = address_changes.changed() => {}
         }
     }
 
@@ -160,9 +174,9 @@
         )
         .await;
         let response = response.inspect_err(|error| match error {
-            // a local agent that refuses connections is down and receives no changes, so the known list is current
+            // a local agent that refuses connections is down and receives no changes
             CallError::Connect(_) if !self.clients.is_common_service && error.is_rejection() => {
-                self.freshness.received()
+                self.freshness.agent_is_quiet()
             }
             error if error.is_rejection() => self.freshness.unavailable(call_started),
             _ => self.freshness.silent(call_started),
@@ -202,7 +216,7 @@
                 }
                 Err(_) if awaits_initial_list => {
                     awaits_initial_list = false;
-                    self.freshness.received();
+                    self.freshness.agent_is_quiet();
                     continue;
                 }
                 Err(_) => {
@@ -260,13 +274,5 @@
     }
 }
 
-/// Waits for `delay`, or until the agent's address changes. Returns true if the address changed.
-async fn back_off_or_move(delay: Duration, agent: &mut Receiver<SocketAddr>) -> bool {
-    tokio::select! {
-        () = sleep(delay) => false,
-        Ok(()) = agent.changed() => true,
-    }
-}
-
 #[cfg(test)]
 mod compatibility;
--- a/src/net/process.rs
+++ b/src/net/process.rs
@@ -171,6 +171,7 @@
         hangup: Signal,
     ) -> Result<(), ProcessError> {
         let clock = folder.clock;
+        let taken_over = folder.received.is_some();
         let fleet = FleetState::new(self.config.settings.senders);
         let ClientCapacity {
             slots,
@@ -187,6 +188,7 @@
             process: &self,
             clock,
             fleet,
+            taken_over,
         };
         tasks.start(driver.list_version(), receivers.tasks);
         reload::start(hangup, &self);
--- a/src/net/process/tasks.rs
+++ b/src/net/process/tasks.rs
@@ -4,7 +4,7 @@
 use super::{FleetState, Process};
 use crate::net::agreement::RulesLease;
 use crate::net::clock::Clock;
-use crate::net::discovery::{self, Backoff, Freshness};
+use crate::net::discovery::{self, Backoff, BindingTimesFile, Freshness};
 use crate::net::events::ReportRequest;
 use crate::net::handover::{run_until_handed_over, wait_for_successors};
 use crate::net::ledger::QuotaLease;
@@ -20,6 +20,8 @@
     pub process: &'a Process,
     pub clock: Clock,
     pub fleet: FleetState,
+    /// True if a predecessor has handed over to this process.
+    pub taken_over: bool,
 }
 
 fn to_duration(micros: Micros) -> Duration {
@@ -70,7 +72,9 @@
         let drain_grace = to_duration(config.settings.safety.drain_grace);
         let grace = drain_grace.saturating_sub(to_duration(config.names.dial_timeout));
         let pushed = !config.settings.list_by_subscription;
-        let (freshness, staleness) = Freshness::new(pushed, grace, inputs.clone());
+        let binding_times =
+            BindingTimesFile::new(&config.state_folder, self.clock, self.taken_over);
+        let (freshness, staleness) = Freshness::new(pushed, grace, inputs.clone(), binding_times);
         self.spawn(staleness);
         let clients = self.discovery_clients();
         self.spawn(discovery::watch(
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -235,3 +235,92 @@
     }
     assert!(!node.logged("sending is suspended"));
 }
+
+/// Moves the sender's discovery to an address that answers 503. Returns the time of the signal.
+fn move_to_rejecting_discovery(node: &Node, elsewhere: &Agent) -> Instant {
+    elsewhere.rejects_watches.store(true, Ordering::SeqCst);
+    let signalled_at = Instant::now();
+    node.move_discovery(elsewhere);
+    signalled_at
+}
+
+/// Asserts that the sender suspends sending 4 s after the signal and the 0.5 s that its drain grace leaves for dials, and
+/// calls nobody until it receives a list at the new address.
+fn assert_suspended_until_list_is_received(
+    node: &Node,
+    old: &Endpoint,
+    elsewhere: &Agent,
+    signalled_at: Instant,
+) {
+    wait_until("the suspension is logged", || {
+        node.logged("sending is suspended")
+    });
+    let after = signalled_at.elapsed();
+    assert!(
+        after < Duration::from_millis(5050),
+        "suspended after {after:?}"
+    );
+    let (calls, rejected) = (
+        old.count(),
+        elsewhere.rejected_watches.load(Ordering::SeqCst),
+    );
+    assert_eq!(node.submit("webhook", "held", 7, 20_000, b"x"), 202);
+    wait_until("further watches are rejected", || {
+        elsewhere.rejected_watches.load(Ordering::SeqCst) > rejected + 2
+    });
+    assert_eq!(old.count(), calls);
+    let new = Endpoint::new(|_, _| OK);
+    replace(elsewhere, old, "removed", &new);
+    elsewhere.rejects_watches.store(false, Ordering::SeqCst);
+    wait_until("the message is delivered", || new.count_of("held") == 1);
+    assert_eq!(old.count(), calls);
+}
+
+// guards against review/8: 503s at discovery's new address put off for good what counts as told 4 s after the signal
+#[test]
+fn rejected_watches_at_new_address_do_not_put_off_suspension() {
+    for common in [true, false] {
+        let old = Endpoint::new(|_, _| OK);
+        let agent = Agent::new(vec![list_with_one("s-1", old.address, "up")]);
+        let elsewhere = Agent::new(Vec::new());
+        let node = if common {
+            start_with_common_discovery(&agent, 1)
+        } else {
+            Node::new(&agent).ready()
+        };
+        deliver(&node, "before", 7);
+        let signalled_at = move_to_rejecting_discovery(&node, &elsewhere);
+        deliver(&node, "between", 7);
+        assert_suspended_until_list_is_received(&node, &old, &elsewhere, signalled_at);
+    }
+}
+
+// guards against a kill or an upgrade after a move of discovery that forgets when its news counts as told
+#[test]
+fn restart_and_upgrade_after_move_of_discovery_keep_its_binding_time() {
+    for is_upgrade in [false, true] {
+        let old = Endpoint::new(|_, _| OK);
+        let first_list = list_with_one("s-1", old.address, "up");
+        let agent = Agent::new(vec![first_list.clone()]);
+        let elsewhere = Agent::new(Vec::new());
+        let known = format!(r#""known":{first_list}"#);
+        let mut node = Node::configured_with(&agent, |text| {
+            text.replace(r#""known":{"rev":0,"all":true,"targets":[]}"#, &known)
+                .replace(
+                    r#""balancers":1"#,
+                    r#""discovery":"on_request","balancers":1"#,
+                )
+        })
+        .ready();
+        deliver(&node, "before", 7);
+        let signalled_at = move_to_rejecting_discovery(&node, &elsewhere);
+        wait_until("a watch is rejected", || {
+            elsewhere.rejected_watches.load(Ordering::SeqCst) > 0
+        });
+        if !is_upgrade {
+            node.kill();
+        }
+        let next = node.successor_at(&elsewhere).ready();
+        assert_suspended_until_list_is_received(&next, &old, &elsewhere, signalled_at);
+    }
+}
--- a/tests/node/process.rs
+++ b/tests/node/process.rs
@@ -128,12 +128,22 @@
 
     /// Starts another process on the same folder, with the configuration that the folder holds now.
     pub fn successor_as_configured(&self) -> Self {
+        self.successor_with_discovery(self.discovery)
+    }
+
+    /// Starts another process on the same folder, with the configuration that the folder holds now and discovery at another
+    /// address.
+    pub fn successor_at(&self, agent: &Agent) -> Self {
+        self.successor_with_discovery(agent.address)
+    }
+
+    fn successor_with_discovery(&self, discovery: SocketAddr) -> Self {
         let (disk_mb, idle_s, sockets) = (self.disk_mb, self.idle_s, self.sockets);
         let (folder, passed_socket) = (self.folder.clone(), self.passed_socket.clone());
         Node::spawn(
             command(&folder),
             folder,
-            self.discovery,
+            discovery,
             disk_mb,
             idle_s,
             sockets,
