--- a/src/net/calls/exchange.rs
+++ b/src/net/calls/exchange.rs
@@ -46,6 +46,10 @@
             Ok(lease) => lease,
             Err(error) => return NonExecution::of_missing_connection(&error).into(),
         };
+        if let Err(error) = context.connections.check_may_send(call.target) {
+            lease.release();
+            return NonExecution::of_missing_connection(&error).into();
+        }
         let address = call.target.address;
         let Some(request) = call_request(address, &call.items, call.expires) else {
             lease.release();
--- a/src/net/calls/non_execution.rs
+++ b/src/net/calls/non_execution.rs
@@ -115,12 +115,13 @@
     /// Returns the proof for a call that got no connection.
     pub(super) fn of_missing_connection(error: &LeaseError) -> Self {
         NonExecution(match error {
-            // a start that came too late, a Retry-After delay, a retired endpoint, the shutdown of this process and an
-            // error of the local host say nothing about the endpoint's health
+            // a start that came too late, a Retry-After delay, a retired endpoint, a stale list, the shutdown of this
+            // process and an error of the local host say nothing about the endpoint's health
             LeaseError::TooLate
             | LeaseError::Denied(
                 LeaseDenied::RetryAfter
                 | LeaseDenied::Retired
+                | LeaseDenied::Suspended
                 | LeaseDenied::ShuttingDown
                 | LeaseDenied::Dial(DialFailure::Local),
             ) => NOT_SENT,
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -361,7 +361,10 @@
             DriverInput::AttemptEnded(end) => self.attempt_ended(end),
             DriverInput::RetryAfter { endpoint, delay } => self.retry_after(endpoint, delay),
             DriverInput::EndpointList(update) => self.receive_list(update),
-            DriverInput::ListStale(stale) => self.events.push(Event::EndpointListStale(stale)),
+            DriverInput::ListStale(stale) => {
+                self.calls.connections().set_suspended(stale);
+                self.events.push(Event::EndpointListStale(stale));
+            }
             DriverInput::NotificationsAccepted(accepted) => self.notifications_accepted(accepted),
             DriverInput::AgreedRules { rules, applied } => {
                 self.list.is_agreement_on = rules.is_some();
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -98,8 +98,8 @@
         self.0.answer_bytes()
     }
 
-    /// Enables the endpoint for calls, or retires it: its idle connections are closed and no new one is dialled. Calls
-    /// whose dial is in flight may still get their connection.
+    /// Enables the endpoint for calls, or retires it: its idle connections are closed, no new one is dialled, and calls
+    /// that wait for a connection end without being sent.
     pub fn set_endpoint_enabled(&self, target: EndpointAddress, is_enabled: bool) {
         let now = self.0.now();
         self.0.update(|pool, commands| {
@@ -111,6 +111,27 @@
         });
     }
 
+    /// Suspends sending, or resumes it. While it is suspended, calls that wait for a connection end without being sent.
+    pub fn set_suspended(&self, is_suspended: bool) {
+        self.0.update(|pool, commands| {
+            if is_suspended {
+                pool.suspend(commands);
+            } else {
+                pool.resume();
+            }
+        });
+    }
+
+    /// Checks that a call may still be sent to the endpoint, right before it is: the endpoint may have been retired since
+    /// the call got its connection.
+    ///
+    /// # Errors
+    /// Why the call must not be sent.
+    pub fn check_may_send(&self, target: EndpointAddress) -> Result<(), LeaseError> {
+        let denial = self.0.pool().denial(target);
+        denial.map_or(Ok(()), |reason| Err(LeaseError::Denied(reason)))
+    }
+
     /// Closes the idle connections to an endpoint. The endpoint stays enabled for calls over new connections.
     pub fn close_idle(&self, target: EndpointAddress) {
         self.0
--- a/src/net/process/tasks.rs
+++ b/src/net/process/tasks.rs
@@ -67,8 +67,7 @@
     fn start_discovery(&self, list_version: u64) {
         let config = &self.process.config;
         let inputs = &self.process.senders.inputs;
-        // a call that was decided before an endpoint left the list may still wait for its connection, so the time for
-        // dialling is subtracted from the drain grace
+        // the time for dialling is a margin for a sender that is held up between its decision and the write
         let drain_grace = to_duration(config.settings.safety.drain_grace);
         let grace = drain_grace.saturating_sub(to_duration(config.names.dial_timeout));
         let pushed = !config.settings.list_by_subscription;
--- a/src/pool/dials.rs
+++ b/src/pool/dials.rs
@@ -189,7 +189,6 @@
         if self.fails_waiting_call(&dial) {
             self.deny_oldest(target, failure, commands);
         }
-        self.deny_beyond_dials(target, commands);
         self.dial_for_waiting(now, target, commands);
         self.run_dial_queue(now, commands);
         self.remove_if_retired_and_unused(target);
--- a/src/pool/endpoints.rs
+++ b/src/pool/endpoints.rs
@@ -19,17 +19,16 @@
     }
 
     /// Begins no further dial to an endpoint that drains, was removed or disabled, or has another
-    /// address now, and closes its idle connections. Dials in flight go on, and as many waiting
-    /// calls as there are such dials may go on waiting. Of more waiting calls, those that have
-    /// waited the shortest are denied a connection.
+    /// address now, closes its idle connections, and denies its waiting calls a connection: one that
+    /// comes up later may come too late for the endpoint. Dials in flight go on, and their
+    /// connections are closed.
     pub fn retire_endpoint(&mut self, target: EndpointAddress, commands: &mut Vec<Command>) {
         let Some(endpoint) = self.serving_endpoint_mut(target) else {
             return;
         };
         endpoint.is_serving = false;
-        let dialling = endpoint.dialling;
         let idle = endpoint.idle.clone();
-        self.deny_newest_beyond(target, dialling, LeaseDenied::Retired, commands);
+        self.deny_newest_beyond(target, 0, LeaseDenied::Retired, commands);
         for connection in idle {
             self.close(connection, CloseReason::Retired, commands);
         }
@@ -63,6 +62,34 @@
         self.deny_newest_beyond(target, 0, LeaseDenied::RetryAfter, commands);
     }
 
+    /// Denies all waiting calls a connection, and all later ones until [`Pool::resume`]: the endpoint
+    /// list is stale, and any endpoint may have begun to drain.
+    pub fn suspend(&mut self, commands: &mut Vec<Command>) {
+        self.is_suspended = true;
+        for target in self.targets() {
+            self.deny_newest_beyond(target, 0, LeaseDenied::Suspended, commands);
+        }
+    }
+
+    /// Lets calls acquire connections again after [`Pool::suspend`].
+    pub fn resume(&mut self) {
+        self.is_suspended = false;
+    }
+
+    /// Returns why no call may be sent to the endpoint now; `None` if calls may be sent.
+    pub fn denial(&self, target: EndpointAddress) -> Option<LeaseDenied> {
+        let endpoint = self.endpoints.get(&target);
+        if !endpoint.is_some_and(|endpoint| endpoint.is_serving) {
+            Some(LeaseDenied::Retired)
+        } else if self.is_suspended {
+            Some(LeaseDenied::Suspended)
+        } else if self.is_shutting_down {
+            Some(LeaseDenied::ShuttingDown)
+        } else {
+            None
+        }
+    }
+
     pub(super) fn serving_endpoint_mut(
         &mut self,
         target: EndpointAddress,
--- a/src/pool/idle.rs
+++ b/src/pool/idle.rs
@@ -85,11 +85,11 @@
         let Some(endpoint) = self.endpoints.get(&target) else {
             return;
         };
-        if !endpoint.waiting.is_empty() {
-            self.lease(now, target, connection, commands);
-        } else if !endpoint.is_serving {
+        if !endpoint.is_serving {
             self.close(connection, CloseReason::Retired, commands);
             self.remove_if_retired_and_unused(target);
+        } else if !endpoint.waiting.is_empty() {
+            self.lease(now, target, connection, commands);
         } else if self.is_shutting_down {
             self.close(connection, CloseReason::ShuttingDown, commands);
         } else if self.closes_idle_at_once() {
--- a/src/pool/leases.rs
+++ b/src/pool/leases.rs
@@ -19,20 +19,13 @@
         waiter: u64,
         commands: &mut Vec<Command>,
     ) {
+        if let Some(reason) = self.denial(target) {
+            return commands.push(Command::Deny { waiter, reason });
+        }
         let half_life = self.limits.demand_half_life;
-        let is_shutting_down = self.is_shutting_down;
         let Some(endpoint) = self.serving_endpoint_mut(target) else {
-            return commands.push(Command::Deny {
-                waiter,
-                reason: LeaseDenied::Retired,
-            });
+            return;
         };
-        if is_shutting_down {
-            return commands.push(Command::Deny {
-                waiter,
-                reason: LeaseDenied::ShuttingDown,
-            });
-        }
         endpoint.waiting.push_back(Waiter {
             number: waiter,
             since: now,
@@ -271,22 +264,6 @@
         });
     }
 
-    /// At a retired endpoint, denies waiting calls for which no dial is in flight: no further dial
-    /// will be made.
-    pub(super) fn deny_beyond_dials(
-        &mut self,
-        target: EndpointAddress,
-        commands: &mut Vec<Command>,
-    ) {
-        let Some(endpoint) = self.endpoints.get(&target) else {
-            return;
-        };
-        if !endpoint.is_serving {
-            let dialling = endpoint.dialling;
-            self.deny_newest_beyond(target, dialling, LeaseDenied::Retired, commands);
-        }
-    }
-
     /// Denies the calls that have waited the shortest at an endpoint, until at most `max_waiting`
     /// calls wait.
     pub(super) fn deny_newest_beyond(
--- a/src/pool/messages.rs
+++ b/src/pool/messages.rs
@@ -83,6 +83,8 @@
     Retired,
     /// The call's destination has sent a Retry-After.
     RetryAfter,
+    /// The endpoint list is stale, so the call's endpoint may have begun to drain.
+    Suspended,
     /// The process shuts down, or has handed over to its successor.
     ShuttingDown,
 }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -60,6 +60,8 @@
     /// the limit on all connections.
     predecessor_connections: usize,
     is_shutting_down: bool,
+    /// True while the endpoint list is stale, so that no call may be sent.
+    is_suspended: bool,
     scarcity: Scarcity,
     /// Sum of the counters of endpoints that have been removed from `endpoints`.
     removed_endpoint_counters: PoolCounters,
@@ -81,6 +83,7 @@
             next_connection: 0,
             predecessor_connections: 0,
             is_shutting_down: false,
+            is_suspended: false,
             scarcity: Scarcity::default(),
             removed_endpoint_counters: PoolCounters::default(),
         }
--- a/tests/node/endpoint.rs
+++ b/tests/node/endpoint.rs
@@ -1,11 +1,20 @@
 //! An endpoint that replies to each call as a script of the test decides.
 
 use super::http::{Request, read_http};
+use socket2::SockRef;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
+
+/// Time without an answer to a dial after which the queue of connections counts as full.
+const QUEUE_FULL_AFTER: Duration = Duration::from_millis(100);
+/// Most connections that fill a queue of length 0.
+const MAX_QUEUED: usize = 8;
+/// Length of the queue of connections of an endpoint that serves.
+const QUEUE_LENGTH: i32 = 1024;
 
 /// Reaction of an endpoint to a call.
 #[derive(Debug, Clone)]
@@ -35,15 +44,69 @@
     pub connections: Arc<AtomicUsize>,
 }
 
+/// An endpoint that answers no dial yet: its kernel's queue of connections is full, so a dial's first packet is lost, and
+/// sent again by the kernel of the sender after a second, then after two, four and so on.
+pub struct LateEndpoint {
+    pub endpoint: Endpoint,
+    listener: TcpListener,
+    /// Connections that fill the queue.
+    queued: Vec<TcpStream>,
+}
+
+impl LateEndpoint {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        SockRef::from(&listener).listen(0).expect("a short queue");
+        let endpoint = Endpoint::at(listener.local_addr().expect("bound"));
+        let connect = || TcpStream::connect_timeout(&endpoint.address, QUEUE_FULL_AFTER);
+        let queued = std::iter::from_fn(|| connect().ok())
+            .take(MAX_QUEUED)
+            .collect();
+        LateEndpoint {
+            endpoint,
+            listener,
+            queued,
+        }
+    }
+
+    /// Accepts connections from now on.
+    pub fn serve(&self, script: impl Fn(&Request, usize) -> Reply + Send + Sync + 'static) {
+        SockRef::from(&self.listener)
+            .listen(QUEUE_LENGTH)
+            .expect("a long queue");
+        let listener = self.listener.try_clone().expect("cloned");
+        self.endpoint.serve_at(listener, script);
+    }
+
+    /// Returns the number of the sender's connections that have come up.
+    pub fn late_connections(&self) -> usize {
+        let accepted = self.endpoint.connections.load(Ordering::SeqCst);
+        accepted.saturating_sub(self.queued.len())
+    }
+}
+
 impl Endpoint {
     pub fn new(script: impl Fn(&Request, usize) -> Reply + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let endpoint = Endpoint {
-            address: listener.local_addr().expect("bound"),
+        let endpoint = Endpoint::at(listener.local_addr().expect("bound"));
+        endpoint.serve_at(listener, script);
+        endpoint
+    }
+
+    fn at(address: SocketAddr) -> Self {
+        Endpoint {
+            address,
             seen: Arc::default(),
             connections: Arc::default(),
-        };
-        let (shared, script): (_, Script) = (endpoint.clone(), Arc::new(script));
+        }
+    }
+
+    fn serve_at(
+        &self,
+        listener: TcpListener,
+        script: impl Fn(&Request, usize) -> Reply + Send + Sync + 'static,
+    ) {
+        let (shared, script): (_, Script) = (self.clone(), Arc::new(script));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (shared, script) = (shared.clone(), script.clone());
@@ -51,7 +114,6 @@
                 thread::spawn(move || shared.serve(stream, connection, &script));
             }
         });
-        endpoint
     }
 
     fn serve(&self, mut stream: TcpStream, connection: usize, script: &Script) {
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -159,6 +159,11 @@
                 waiter, connection, ..
             } => {
                 let expected_target = self.waiting.remove(&waiter);
+                if !expected_target.is_some_and(|target| self.serving.contains(&target)) {
+                    self.violations.push(format!(
+                        "call {waiter} got a connection to a retired endpoint"
+                    ));
+                }
                 let connection = match self.fault {
                     Fault::LeasedTwice if is_ninth => connection.saturating_sub(1),
                     _ => connection,
@@ -280,6 +285,13 @@
                 "{endpoints_known} endpoints known, fewer than reported"
             ));
         }
+        let waiting_retired = self
+            .waiting
+            .values()
+            .any(|target| !self.serving.contains(target));
+        if waiting_retired {
+            violations.push("a call waits for a retired endpoint".to_string());
+        }
         let idle_retired = self
             .connections
             .values()
@@ -1064,8 +1076,9 @@
     assert_eq!(fixture.report().idle, 1);
 }
 
+// guards against review/9: a call waited for a dial to an endpoint that had begun to drain, and was sent there too late
 #[test]
-fn retired_endpoint_has_idle_connections_closed_and_is_not_dialled() {
+fn retired_endpoint_has_waiting_calls_denied_and_late_connections_closed() {
     let mut fixture = Fixture::new(PoolLimits {
         concurrent_dials: 4,
         ..limits()
@@ -1074,7 +1087,7 @@
     fixture.answer_and_release(idle, AnswerKind::Served);
     let (first_waiter, _) = fixture.acquire();
     assert_eq!(first_waiter, 3);
-    let (_, commands) = fixture.acquire();
+    let (dialling_waiter, commands) = fixture.acquire();
     let dialled = dialled_connections(&commands)[0];
     let (late, commands) = fixture.acquire();
     assert_eq!(
@@ -1084,17 +1097,19 @@
     );
     let target = fixture.target;
     let commands = fixture.apply(|pool, _, commands| pool.retire_endpoint(target, commands));
+    let denied = |waiter| Command::Deny {
+        waiter,
+        reason: LeaseDenied::Retired,
+    };
+    assert_eq!(commands, [denied(late), denied(dialling_waiter)]);
     assert_eq!(
-        commands,
-        [Command::Deny {
-            waiter: late,
-            reason: LeaseDenied::Retired
-        }]
+        fixture.pool.denial(target),
+        Some(LeaseDenied::Retired),
+        "a call that has a connection and is not sent yet must not be sent either"
     );
-    // the call with a dial gets the released connection; the dialled one is closed
     assert_eq!(
-        granted_leases(&fixture.answer_and_release(busy, AnswerKind::Served)),
-        [(4, busy)]
+        fixture.answer_and_release(busy, AnswerKind::Served),
+        [Command::Close { connection: busy }]
     );
     assert_eq!(
         fixture.apply(|pool, now, commands| pool.dial_succeeded(now, dialled, commands)),
@@ -1103,22 +1118,43 @@
         }]
     );
     let (waiter, commands) = fixture.acquire();
+    assert_eq!(commands, [denied(waiter)]);
     assert_eq!(
-        commands,
-        [Command::Deny {
-            waiter,
-            reason: LeaseDenied::Retired
-        }]
+        fixture.answer_and_release(idle, AnswerKind::Served),
+        [Command::Close { connection: idle }]
     );
+    assert_eq!(fixture.pool.sizes(), EMPTY);
+}
+
+// guards against a list that goes stale while calls wait for connections to endpoints that may have begun to drain
+#[test]
+fn suspension_denies_waiting_calls_and_later_ones_until_it_ends() {
+    let mut fixture = Fixture::new(limits());
+    let busy = fixture.connect();
+    let (waiter, commands) = fixture.acquire();
+    let dialled = dialled_connections(&commands)[0];
+    let denied = |waiter| Command::Deny {
+        waiter,
+        reason: LeaseDenied::Suspended,
+    };
+    let commands = fixture.apply(|pool, _, commands| pool.suspend(commands));
+    assert_eq!(commands, [denied(waiter)]);
     assert_eq!(
-        fixture.answer_and_release(busy, AnswerKind::Served),
-        [Command::Close { connection: busy }]
+        fixture.pool.denial(fixture.target),
+        Some(LeaseDenied::Suspended)
     );
+    // the endpoints are still listed, so connections are kept for the time after the suspension
     assert_eq!(
-        fixture.answer_and_release(idle, AnswerKind::Served),
-        [Command::Close { connection: idle }]
+        fixture.apply(|pool, now, commands| pool.dial_succeeded(now, dialled, commands)),
+        []
     );
-    assert_eq!(fixture.pool.sizes(), EMPTY);
+    assert_eq!(fixture.answer_and_release(busy, AnswerKind::Served), []);
+    let (waiter, commands) = fixture.acquire();
+    assert_eq!(commands, [denied(waiter)]);
+    fixture.apply(|pool, _, _| pool.resume());
+    assert_eq!(fixture.pool.denial(fixture.target), None);
+    let (waiter, commands) = fixture.acquire();
+    assert_eq!(granted_leases(&commands), [(waiter, busy)]);
 }
 
 #[test]
--- a/tests/pool_recorded.rs
+++ b/tests/pool_recorded.rs
@@ -69,6 +69,7 @@
         LeaseDenied::Retired => 5,
         LeaseDenied::RetryAfter => 6,
         LeaseDenied::ShuttingDown => 7,
+        LeaseDenied::Suspended => 8,
     }
 }
 
