Start: read the stored terms and binding times with retries, like the other state files

Cause: a start without free descriptors took unreadable class terms and binding times for none, and stored its own over them, so that a failure of this machine loosened what holds.

A failing read is not played by a test.

--- a/src/net/class_terms_file.rs
+++ b/src/net/class_terms_file.rs
@@ -28,7 +28,7 @@
 }
 
 /// File that stores a [`ClassTransition`] over restarts.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ClassTermsFile {
     path: PathBuf,
 }
@@ -41,23 +41,22 @@
         }
     }
 
-    /// Returns the stored terms, or `None` if there are none that can be read.
-    pub fn read(&self) -> Option<ClassTransition> {
+    /// Returns the stored terms, or `None` if there are none, or they are damaged.
+    ///
+    /// # Errors
+    /// The file can't be read.
+    pub fn read(&self) -> io::Result<Option<ClassTransition>> {
         let bytes = match std::fs::read(&self.path) {
             Ok(bytes) => bytes,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
-            Err(error) => {
-                super::log(format_args!("classes: stored terms not read: {error}"));
-                return None;
-            }
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(error) => return Err(error),
         };
-        match postcard::from_bytes(&bytes) {
-            Ok(transition) => Some(transition),
-            Err(error) => {
-                super::log(format_args!("classes: stored terms not read: {error}"));
-                None
-            }
-        }
+        let decoded = postcard::from_bytes(&bytes);
+        Ok(decoded
+            .inspect_err(|error| {
+                super::log(format_args!("classes: stored terms are damaged: {error}"));
+            })
+            .ok())
     }
 
     /// Stores the terms. A failure is only logged, because this process does not need the file.
--- a/src/net/class_terms_file/tests.rs
+++ b/src/net/class_terms_file/tests.rs
@@ -42,9 +42,9 @@
 fn stored_terms_are_read_back_and_written_as_by_an_earlier_version() {
     let folder = folder("class-terms");
     let file = ClassTermsFile::new(&folder);
-    assert!(file.read().is_none());
+    assert_eq!(file.read().expect("read"), None);
     file.write(&transition());
-    assert_eq!(file.read(), Some(transition()));
+    assert_eq!(file.read().expect("read"), Some(transition()));
     let written = std::fs::read(folder.join(FILE_NAME)).expect("written");
     assert_same_bytes("class terms", &written, STORED);
     std::fs::remove_dir_all(folder).expect("removed");
@@ -58,8 +58,8 @@
     let mut large = set(Effect::Idempotent, 12);
     large.classes[0].name = "x".repeat(MAX_FILE_BYTES);
     file.write(&ClassTransition::new(large));
-    assert_eq!(file.read(), Some(transition()));
+    assert_eq!(file.read().expect("read"), Some(transition()));
     std::fs::write(folder.join(FILE_NAME), [0xff; 3]).expect("written");
-    assert!(file.read().is_none());
+    assert_eq!(file.read().expect("read"), None);
     std::fs::remove_dir_all(folder).expect("removed");
 }
--- a/src/net/discovery/binding_times.rs
+++ b/src/net/discovery/binding_times.rs
@@ -30,48 +30,42 @@
 }
 
 /// File that stores [`BindingTimes`]. It exists only while there is a time to store.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct BindingTimesFile {
     path: PathBuf,
     clock: Clock,
-    /// True if this process has taken over from a predecessor. A silence binds the sender over an upgrade; a process that
-    /// starts after the end of another one has its own first list.
-    taken_over: bool,
     /// Times that this process has stored last; `None` before the first ones.
     stored: Option<BindingTimes>,
+    /// Times that an earlier process has stored and that hold for this one.
+    known: BindingTimes,
 }
 
 impl BindingTimesFile {
-    /// Creates the file's handle; nothing is read or written yet.
-    pub fn new(state_folder: &Path, clock: Clock, taken_over: bool) -> Self {
-        BindingTimesFile {
-            path: state_folder.join(FILE_NAME),
+    /// Reads the file, if there is one.
+    ///
+    /// # Errors
+    /// The file can't be read.
+    pub fn open(state_folder: &Path, clock: Clock, taken_over: bool) -> io::Result<Self> {
+        let path = state_folder.join(FILE_NAME);
+        let known = match std::fs::read(&path) {
+            Ok(text) => known_times(&text, clock, taken_over),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => BindingTimes::default(),
+            Err(error) => return Err(error),
+        };
+        Ok(BindingTimesFile {
+            path,
             clock,
-            taken_over,
             stored: None,
-        }
+            known,
+        })
     }
 
     /// Returns the times that an earlier process has stored and that hold for this one. A time after `latest` comes from a
     /// clock that has been set back, and is brought forward to it.
     pub fn known(&self, latest: Instant) -> BindingTimes {
-        let text = match std::fs::read(&self.path) {
-            Ok(text) => text,
-            Err(error) => {
-                if error.kind() != io::ErrorKind::NotFound {
-                    crate::net::log(format_args!("discovery: binding times not read: {error}"));
-                }
-                return BindingTimes::default();
-            }
-        };
-        let Ok(stored) = serde_json::from_slice::<StoredTimes>(&text) else {
-            crate::net::log(format_args!("discovery: binding times not read: not JSON"));
-            return BindingTimes::default();
-        };
-        let instant = |time: Micros| self.clock.instant(time).min(latest);
         BindingTimes {
-            silent: stored.silent.filter(|_| self.taken_over).map(instant),
-            moved: stored.moved.map(instant),
+            silent: self.known.silent.map(|at| at.min(latest)),
+            moved: self.known.moved.map(|at| at.min(latest)),
         }
     }
 
@@ -103,5 +97,19 @@
     }
 }
 
+/// Returns the times of a stored text that hold for a process which has taken over from a predecessor, or not. A silence
+/// binds the sender over an upgrade; a process that starts after the end of another one has a first list of its own.
+fn known_times(text: &[u8], clock: Clock, taken_over: bool) -> BindingTimes {
+    let Ok(stored) = serde_json::from_slice::<StoredTimes>(text) else {
+        crate::net::log(format_args!("discovery: stored binding times are damaged"));
+        return BindingTimes::default();
+    };
+    let silent = stored.silent.filter(|_| taken_over);
+    BindingTimes {
+        silent: silent.map(|at| clock.instant(at)),
+        moved: stored.moved.map(|at| clock.instant(at)),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/discovery/binding_times/tests.rs
+++ b/src/net/discovery/binding_times/tests.rs
@@ -15,7 +15,8 @@
     let folder = folder("times");
     let clock = Clock::resume(&folder).expect("resumed");
     let now = Instant::now();
-    let mut file = BindingTimesFile::new(&folder, clock, true);
+    let open = || BindingTimesFile::open(&folder, clock, true).expect("opened");
+    let mut file = open();
     let times = BindingTimes {
         silent: None,
         moved: Some(now + Duration::from_secs(4)),
@@ -24,7 +25,7 @@
     let written = std::fs::read_to_string(folder.join(FILE_NAME)).expect("written");
     let at = clock.at(now + Duration::from_secs(4));
     assert_eq!(written, format!(r#"{{"silent":null,"moved":{at}}}"#));
-    let known = file.known(now + Duration::from_secs(6));
+    let known = open().known(now + Duration::from_secs(6));
     let difference = known.moved.expect("known").duration_since(now);
     assert!(difference <= Duration::from_secs(4) && difference > Duration::from_millis(3999));
     file.store(BindingTimes::default());
@@ -37,13 +38,13 @@
     let folder = folder("times-damaged");
     let clock = Clock::resume(&folder).expect("resumed");
     let latest = Instant::now() + Duration::from_secs(6);
-    let file = BindingTimesFile::new(&folder, clock, false);
+    let open = || BindingTimesFile::open(&folder, clock, false).expect("opened");
     let far = clock.at(latest) + 3_600_000_000;
     let text = format!(r#"{{"silent":{far},"moved":{far}}}"#);
     std::fs::write(folder.join(FILE_NAME), text).expect("written");
-    let known = file.known(latest);
+    let known = open().known(latest);
     assert_eq!((known.silent, known.moved), (None, Some(latest)));
     std::fs::write(folder.join(FILE_NAME), "{").expect("written");
-    assert_eq!(file.known(latest), BindingTimes::default());
+    assert_eq!(open().known(latest), BindingTimes::default());
     std::fs::remove_dir_all(folder).expect("removed");
 }
--- a/src/net/discovery/compatibility.rs
+++ b/src/net/discovery/compatibility.rs
@@ -44,8 +44,8 @@
             std::env::temp_dir().join(format!("message-sender-watch-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("created");
         let clock = Clock::resume(&folder).expect("resumed");
+        let binding_times = BindingTimesFile::open(&folder, clock, false).expect("opened");
         std::fs::remove_dir_all(&folder).expect("removed");
-        let binding_times = BindingTimesFile::new(&folder, clock, false);
         let grace = Duration::from_secs(1);
         let (freshness, reporting) = Freshness::new(true, grace, inputs.clone(), binding_times);
         tokio::task::spawn_local(reporting);
--- a/src/net/discovery/freshness/tests.rs
+++ b/src/net/discovery/freshness/tests.rs
@@ -39,7 +39,7 @@
     }
 
     fn binding_times(&self, taken_over: bool) -> BindingTimesFile {
-        BindingTimesFile::new(&self.path, self.clock, taken_over)
+        BindingTimesFile::open(&self.path, self.clock, taken_over).expect("opened")
     }
 }
 
--- a/src/net/driver/class_terms.rs
+++ b/src/net/driver/class_terms.rs
@@ -33,15 +33,18 @@
 }
 
 impl ClassTerms {
-    /// Continues the terms that an earlier process has stored. `settings` are those of the
-    /// configuration with which this process starts.
-    pub fn restore(file: ClassTermsFile, settings: &Settings) -> Self {
-        let stored = file.read();
-        let is_stored = stored.is_some();
-        let transition = stored.unwrap_or_else(|| ClassTransition::new(class_set(settings)));
-        if !is_stored {
+    /// Continues the terms that an earlier process has stored. Without any, those of the
+    /// configuration with which this process starts hold, and are stored.
+    pub fn restore(
+        file: ClassTermsFile,
+        stored: Option<ClassTransition>,
+        settings: &Settings,
+    ) -> Self {
+        let transition = stored.unwrap_or_else(|| {
+            let transition = ClassTransition::new(class_set(settings));
             file.write(&transition);
-        }
+            transition
+        });
         ClassTerms { transition, file }
     }
 
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -51,6 +51,7 @@
 
 use journal_state::JournalState;
 pub use memory::DriverMemory;
+use message_sender::class_transition::ClassTransition;
 use message_sender::lifecycle::Lifecycle;
 use message_sender::wire::Names;
 use message_sender::{AgreedRules, Event, MessageId, Micros, Quotas, RuleBounds, Sender, Settings};
@@ -86,7 +87,7 @@
     /// Memory of the process.
     pub memory: DriverMemory,
     /// File with the terms of classes that may still hold for new messages.
-    pub class_terms: ClassTermsFile,
+    pub class_terms_file: ClassTermsFile,
     /// Seed of the random delays between admissions of endpoints after a freeze.
     pub seed: u64,
 }
@@ -97,6 +98,8 @@
     pub sender: Sender,
     /// Settings read from the configuration file.
     pub settings: SettingsUpdate,
+    /// Terms of classes that an earlier process has stored; `None` if there are none.
+    pub class_terms: Option<ClassTransition>,
     /// Endpoint list from the configuration file, used until discovery sends one.
     pub configured_list: Option<ListUpdate>,
     /// Fallback rules, in force until rules are leased; `None` if agreement is off.
@@ -166,12 +169,16 @@
         let InitialState {
             sender,
             settings,
+            class_terms,
             configured_list,
             fallback_rules,
             fallback_quotas,
             handover,
         } = initial;
-        let mut driver = Driver::empty(dependencies, sender, &settings);
+        let file = dependencies.class_terms_file.clone();
+        let class_terms = ClassTerms::restore(file, class_terms, &settings.settings);
+        let names = settings.names.clone();
+        let mut driver = Driver::empty(dependencies, sender, names, class_terms);
         driver.list.is_agreement_on = fallback_rules.is_some();
         let taken_over = handover.is_some();
         if let Some(state) = handover {
@@ -189,7 +196,12 @@
         driver
     }
 
-    fn empty(dependencies: Dependencies, sender: Sender, update: &SettingsUpdate) -> Self {
+    fn empty(
+        dependencies: Dependencies,
+        sender: Sender,
+        names: Names,
+        class_terms: ClassTerms,
+    ) -> Self {
         let Dependencies {
             process,
             journal,
@@ -197,15 +209,15 @@
             notifications,
             ready,
             memory,
-            class_terms,
             seed,
+            ..
         } = dependencies;
         Driver {
             settings: sender.settings().clone(),
-            class_terms: ClassTerms::restore(class_terms, &update.settings),
+            class_terms,
             sender,
             clock: process.clock,
-            names: update.names.clone(),
+            names,
             lifecycle: Lifecycle::default(),
             journal: JournalState::new(journal),
             messages: Messages::default(),
--- a/src/net/process.rs
+++ b/src/net/process.rs
@@ -26,6 +26,7 @@
 use crate::net::startup;
 use crate::net::{agreement, ledger};
 use channels::{Channels, Flags, Receivers, Senders};
+use message_sender::class_transition::ClassTransition;
 use message_sender::{Sender, SettingsError};
 use part_settings::SubsystemSettings;
 use state_folder::{StateFolder, open_state_folder};
@@ -171,13 +172,13 @@
         hangup: Signal,
     ) -> Result<(), ProcessError> {
         let clock = folder.clock;
-        let taken_over = folder.received.is_some();
         let fleet = FleetState::new(self.config.settings.senders);
         let ClientCapacity {
             slots,
             held_by_predecessor,
         } = self.client_capacity(folder.received.as_ref());
         let server = self.server(&slots);
+        let binding_times = folder.binding_times.clone();
         let (mut driver, link) = self.driver(folder, slots, server.classes.clone(), &fleet)?;
         if let Some(link) = link {
             self.confirm_takeover(&mut driver, link, held_by_predecessor)
@@ -188,9 +189,8 @@
             process: &self,
             clock,
             fleet,
-            taken_over,
         };
-        tasks.start(driver.list_version(), receivers.tasks);
+        tasks.start(driver.list_version(), binding_times, receivers.tasks);
         reload::start(hangup, &self);
         self.flags.draining.set(false);
         tokio::task::spawn_local(serve(listener, Rc::new(server)));
@@ -228,14 +228,14 @@
             notifications: self.senders.notifications.clone(),
             ready: self.flags.ready.clone(),
             memory: self.driver_memory(),
-            class_terms: ClassTermsFile::new(&self.config.state_folder),
+            class_terms_file: ClassTermsFile::new(&self.config.state_folder),
             seed: self.config.seed,
         };
         let (sender, handover, link) = match folder.received {
             Some(received) => (*received.sender, Some(received.state), Some(received.link)),
             None => (self.new_sender()?, None, None),
         };
-        let initial = self.initial_state(sender, handover);
+        let initial = self.initial_state(sender, handover, folder.class_terms);
         Ok((Driver::new(dependencies, initial), link))
     }
 
@@ -249,7 +249,12 @@
         Sender::new(self.config.settings.clone(), self.config.seed)
     }
 
-    fn initial_state(&self, sender: Sender, handover: Option<HandoverState>) -> InitialState {
+    fn initial_state(
+        &self,
+        sender: Sender,
+        handover: Option<HandoverState>,
+        class_terms: Option<ClassTransition>,
+    ) -> InitialState {
         let config = &self.config;
         let agreement = self.subsystem_settings.agreement.borrow();
         let ledger = self.subsystem_settings.ledger.borrow();
@@ -261,6 +266,7 @@
                 names: config.names.clone(),
                 pool: config.pool.clone(),
             },
+            class_terms,
             configured_list: config.known_list.clone(),
             fallback_rules: agreement
                 .as_ref()
--- a/src/net/process/state_folder.rs
+++ b/src/net/process/state_folder.rs
@@ -2,11 +2,14 @@
 
 use super::ProcessError;
 use crate::net;
+use crate::net::class_terms_file::ClassTermsFile;
 use crate::net::clock::Clock;
 use crate::net::config::Config;
+use crate::net::discovery::BindingTimesFile;
 use crate::net::handover::{FolderLock, FolderOwnership, ReceivedHandover, acquire_folder};
 use crate::net::journal::{Journal, Recovery};
 use crate::net::startup::retry_until_available;
+use message_sender::class_transition::ClassTransition;
 
 /// The open state folder, owned by this process.
 pub(super) struct StateFolder {
@@ -15,6 +18,9 @@
     pub received: Option<ReceivedHandover>,
     pub clock: Clock,
     pub journal: Journal,
+    /// Terms of classes that an earlier process has stored.
+    pub class_terms: Option<ClassTransition>,
+    pub binding_times: BindingTimesFile,
 }
 
 /// Opens the state folder. Waits until this process owns it, and retries while errors of the local host may be
@@ -43,11 +49,19 @@
     };
     let (journal, recovery) = retry_until_available("the journal", open_journal).await?;
     log_recovery(&config.name, &journal, &recovery);
+    let read_class_terms = || ClassTermsFile::new(&config.state_folder).read();
+    let class_terms =
+        retry_until_available("the stored terms of classes", read_class_terms).await?;
+    let taken_over = received.is_some();
+    let open_binding_times = || BindingTimesFile::open(&config.state_folder, clock, taken_over);
+    let binding_times = retry_until_available("the binding times", open_binding_times).await?;
     Ok(Some(StateFolder {
         lock,
         received,
         clock,
         journal,
+        class_terms,
+        binding_times,
     }))
 }
 
--- a/src/net/process/tasks.rs
+++ b/src/net/process/tasks.rs
@@ -20,8 +20,6 @@
     pub process: &'a Process,
     pub clock: Clock,
     pub fleet: FleetState,
-    /// True if a predecessor has handed over to this process.
-    pub taken_over: bool,
 }
 
 fn to_duration(micros: Micros) -> Duration {
@@ -29,10 +27,16 @@
 }
 
 impl Tasks<'_> {
-    /// Starts all tasks. The discovery task requests changes from `list_version` on.
-    pub fn start(self, list_version: u64, receivers: TaskReceivers) {
+    /// Starts all tasks. The discovery task requests changes from `list_version` on; `binding_times` are those of missed
+    /// changes.
+    pub fn start(
+        self,
+        list_version: u64,
+        binding_times: BindingTimesFile,
+        receivers: TaskReceivers,
+    ) {
         let discovery = self.process.subsystem_settings.discovery.subscribe();
-        self.start_discovery(list_version);
+        self.start_discovery(list_version, binding_times);
         self.start_agreement(receivers.agreement_reports);
         self.start_ledger(receivers.ledger_reports);
         self.start_freeze();
@@ -64,18 +68,16 @@
         }
     }
 
-    fn start_discovery(&self, list_version: u64) {
+    fn start_discovery(&self, list_version: u64, binding_times: BindingTimesFile) {
         let config = &self.process.config;
         let inputs = &self.process.senders.inputs;
         // the time for dialling is a margin for a sender that is held up between its decision and the write
         let drain_grace = to_duration(config.settings.safety.drain_grace);
         let grace = drain_grace.saturating_sub(to_duration(config.names.dial_timeout));
         let pushed = !config.settings.list_by_subscription;
-        let binding_times =
-            BindingTimesFile::new(&config.state_folder, self.clock, self.taken_over);
+        let clients = self.discovery_clients();
         let (freshness, staleness) = Freshness::new(pushed, grace, inputs.clone(), binding_times);
         self.spawn(staleness);
-        let clients = self.discovery_clients();
         self.spawn(discovery::watch(
             self.process.subsystem_settings.discovery.subscribe(),
             list_version,
--- a/tests/class_changes.rs
+++ b/tests/class_changes.rs
@@ -82,50 +82,58 @@
     wait_until("the configuration is applied", || applied() > before);
 }
 
-// guards against review/6: SIGHUP made a class safe to repeat at once, and messages accepted before that binds ran twice
-#[test]
-fn message_accepted_before_looser_effect_binds_is_called_once() {
+/// Starts a fleet whose class `order` becomes idempotent right before this returns.
+fn start_with_looser_effect() -> (Fleet, Node) {
     let fleet = Fleet::new();
     let node = Node::new(&fleet.agent).ready();
     reload(&node, AT_MOST_ONCE_ORDER, IDEMPOTENT_ORDER);
-    submit(&node, "order", "between");
+    (fleet, node)
+}
+
+/// Asserts that a message which is accepted now is not repeated.
+fn assert_new_message_called_once(fleet: &Fleet, node: &Node) {
+    submit(node, "order", "between");
     fleet.assert_called_once("between");
+}
+
+/// Asserts that a message which is accepted once the earlier terms have ended is repeated.
+fn assert_repeated_after_earlier_terms(fleet: &Fleet, node: &Node) {
     wait_until("the new terms hold alone", || {
         node.logged(EARLIER_TERMS_ENDED)
     });
-    submit(&node, "order", "after");
+    submit(node, "order", "after");
     fleet.assert_repeated("after");
 }
 
+// guards against review/6: SIGHUP made a class safe to repeat at once, and messages accepted before that binds ran twice
+#[test]
+fn message_accepted_before_looser_effect_binds_is_called_once() {
+    let (fleet, node) = start_with_looser_effect();
+    assert_new_message_called_once(&fleet, &node);
+    assert_repeated_after_earlier_terms(&fleet, &node);
+}
+
 // guards against a stricter effect that binds late: clients may hold a message to it from the signal on
 #[test]
 fn message_accepted_before_stricter_effect_binds_is_called_once() {
     let fleet = Fleet::new();
-    let node = Node::new(&fleet.agent).ready();
-    write_config(&node, AT_MOST_ONCE_ORDER, IDEMPOTENT_ORDER);
-    let node = {
-        let mut node = node;
-        node.kill();
-        node.successor_as_configured().ready()
-    };
-    wait_until("the new terms hold alone", || {
-        node.logged(EARLIER_TERMS_ENDED)
-    });
+    let node = Node::configured_with(&fleet.agent, |text| {
+        text.replace(AT_MOST_ONCE_ORDER, IDEMPOTENT_ORDER)
+    })
+    .ready();
+    submit(&node, "order", "before");
+    fleet.assert_repeated("before");
     reload(&node, IDEMPOTENT_ORDER, AT_MOST_ONCE_ORDER);
-    submit(&node, "order", "between");
-    fleet.assert_called_once("between");
+    assert_new_message_called_once(&fleet, &node);
 }
 
 // guards against a restart that forgets the earlier terms of a class while new ones do not bind yet
 #[test]
 fn message_accepted_after_kill_before_looser_effect_binds_is_called_once() {
-    let fleet = Fleet::new();
-    let mut node = Node::new(&fleet.agent).ready();
-    reload(&node, AT_MOST_ONCE_ORDER, IDEMPOTENT_ORDER);
+    let (fleet, mut node) = start_with_looser_effect();
     node.kill();
     let node = node.successor_as_configured().ready();
-    submit(&node, "order", "between");
-    fleet.assert_called_once("between");
+    assert_new_message_called_once(&fleet, &node);
 }
 
 // guards against a start that takes a configuration replaced while the process was down as in force before the start
@@ -136,24 +144,40 @@
     node.kill();
     write_config(&node, AT_MOST_ONCE_ORDER, IDEMPOTENT_ORDER);
     let node = node.successor_as_configured().ready();
-    submit(&node, "order", "between");
-    fleet.assert_called_once("between");
+    assert_new_message_called_once(&fleet, &node);
 }
 
 // guards against an upgrade whose successor forgets the earlier terms of a class while new ones do not bind yet
 #[test]
 fn message_accepted_by_successor_before_looser_effect_binds_is_called_once() {
-    let fleet = Fleet::new();
-    let predecessor = Node::new(&fleet.agent).ready();
-    reload(&predecessor, AT_MOST_ONCE_ORDER, IDEMPOTENT_ORDER);
+    let (fleet, predecessor) = start_with_looser_effect();
     let node = predecessor.successor_as_configured().ready();
-    submit(&node, "order", "between");
-    fleet.assert_called_once("between");
-    wait_until("the new terms hold alone", || {
-        node.logged(EARLIER_TERMS_ENDED)
-    });
-    submit(&node, "order", "after");
-    fleet.assert_repeated("after");
+    assert_new_message_called_once(&fleet, &node);
+    assert_repeated_after_earlier_terms(&fleet, &node);
+}
+
+// guards against a restart or an upgrade that gives a message from the journal or a hand-over the new terms of its class
+#[test]
+fn pending_message_from_before_new_terms_keeps_stricter_effect_over_kill_and_upgrade() {
+    for is_upgrade in [false, true] {
+        let fleet = Fleet::new();
+        let mut node = Node::new(&fleet.agent).ready();
+        assert_eq!(node.admin_command("disable", "s-1"), 200);
+        submit(&node, "order", "before");
+        reload(&node, AT_MOST_ONCE_ORDER, IDEMPOTENT_ORDER);
+        submit(&node, "order", "between");
+        if !is_upgrade {
+            node.kill();
+        }
+        let next = node.successor_as_configured().ready();
+        wait_until("the new terms hold alone", || {
+            next.logged(EARLIER_TERMS_ENDED)
+        });
+        assert_eq!(next.admin_command("enable", "s-1"), 200);
+        for id in ["before", "between"] {
+            fleet.assert_called_once(id);
+        }
+    }
 }
 
 // guards against a class that is dropped and added again without its stricter terms, by two SIGHUPs before either binds
