Driver: the dispatch of inputs gets a module of its own

src/net/driver/mod.rs had grown over 400 lines; which function handles an input is a job of its own. No change of behaviour; mod.rs 345 lines, inputs.rs 76.

--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! In each turn the driver converts queued inputs into events, passes them to the decision module
 //! in one call, and carries out the actions that the decision module returns. The number of inputs
-//! in one turn is limited by [`MAX_INPUTS_PER_TURN`].
+//! in one turn is limited (see [`inputs`]).
 //!
 //! The main state is in the modules [`endpoints`], [`messages`], [`calls_in_flight`],
 //! [`journal_state`], [`completion`] and [`submissions`]. Most other modules contain one operation
@@ -20,6 +20,7 @@
 mod endpoints;
 mod freeze_filter;
 mod handover;
+mod inputs;
 mod journal_state;
 mod memory;
 mod messages;
@@ -35,7 +36,7 @@
 use super::class_terms_file::ClassTermsFile;
 use super::clock::Clock;
 use super::discovery::OutcomeNotification;
-use super::events::{AdminCommand, DemandReport, DriverInput, ListUpdate, SettingsUpdate};
+use super::events::{AdminCommand, DriverInput, ListUpdate, SettingsUpdate};
 use super::handover::{HandoverState, SuccessorRequest};
 use super::journal::Journal;
 use super::local_errors::RETRY_INTERVAL;
@@ -67,10 +68,6 @@
 /// Interval of the periodic maintenance, which closes idle connections, retries failed journal
 /// writes, and checks whether endpoints that a freeze held back can be admitted.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of queued inputs that are handled in one turn, in addition to the input that
-/// started the turn. The limit keeps a turn short. 1024 covers the end of one call to each of 1024
-/// endpoints.
-const MAX_INPUTS_PER_TURN: usize = 1024;
 
 /// Components and channels that the driver uses while it runs.
 pub struct Dependencies {
@@ -351,68 +348,6 @@
         self.admit_unfrozen() || journal_recovered || self.notifications.has_pending()
     }
 
-    /// Receives input that is already queued, up to [`MAX_INPUTS_PER_TURN`].
-    fn receive_waiting(&mut self, inputs: &mut mpsc::UnboundedReceiver<DriverInput>) {
-        for _ in 0..MAX_INPUTS_PER_TURN {
-            let Ok(input) = inputs.try_recv() else { break };
-            self.receive(input);
-        }
-    }
-
-    /// Applies one input and queues its events for the next turn.
-    fn receive(&mut self, input: DriverInput) {
-        match input {
-            DriverInput::Submitted(submission) => self.receive_submission(submission),
-            DriverInput::ClientDisconnected(client) => self.client_disconnected(&client),
-            DriverInput::ShuttingDown(at) => {
-                self.end_counts.log(Instant::now());
-                self.events.push(Event::ShuttingDown {
-                    at: self.clock.at(at),
-                });
-            }
-            DriverInput::AttemptEnded(end) => self.attempt_ended(end),
-            DriverInput::RetryAfter { endpoint, delay } => self.retry_after(endpoint, delay),
-            DriverInput::EndpointList(update) => self.receive_list(update),
-            DriverInput::ListStale(stale) => {
-                self.calls.connections().set_suspended(stale);
-                self.events.push(Event::EndpointListStale(stale));
-            }
-            DriverInput::NotificationsAccepted(accepted) => self.notifications_accepted(accepted),
-            DriverInput::AgreedRules { rules, applied } => {
-                self.list.is_agreement_on = rules.is_some();
-                self.events.push(Event::AgreedRules(rules));
-                self.waiting_for_turn.push(applied);
-            }
-            DriverInput::Quotas { quotas, applied } => {
-                self.events.push(Event::Quotas(quotas));
-                self.waiting_for_turn.push(applied);
-            }
-            DriverInput::Freeze(change) => self.change_freeze(change),
-            DriverInput::FleetHealth {
-                destination,
-                unavailable,
-            } => self.events.push(Event::FleetHealth {
-                destination,
-                unavailable,
-            }),
-            DriverInput::Demand {
-                max_fully_reported,
-                reply,
-            } => {
-                let (listed, by_destination) = self.sender.demand_in_use(max_fully_reported);
-                // the send fails only if the ledger client was switched off meanwhile
-                let _ = reply.send(DemandReport {
-                    listed,
-                    by_destination,
-                });
-            }
-            DriverInput::FleetView(view) => self.events.push(Event::FleetView(view)),
-            DriverInput::SettingsChanged(update) => self.apply_settings(*update),
-            DriverInput::Handover(message) => self.receive_from_predecessor(message),
-            DriverInput::HandoverLinkLost => self.predecessor_lost(),
-        }
-    }
-
     /// Logs an event of a message, if the driver still holds the message.
     fn log_event(&self, message: MessageId, event: &MessageEvent<'_>) {
         if let Some(held) = self.messages.get(message) {
