Discovery: a start after a stored binding time is stale before its first turn

Cause: Freshness::new sent "not stale" first and left a stored time that had passed to the task that reports changes; nothing orders that task before the driver's first turn.

Change: the first report is made of the restored state. Test: process_that_starts_after_a_binding_time_is_stale_before_its_first_turn failed before ([false] for [true]) and passes.

--- a/src/net/discovery/freshness.rs
+++ b/src/net/discovery/freshness.rs
@@ -61,6 +61,10 @@
         }
     }
 
+    fn is_stale(self, now: Instant, grace: Duration) -> bool {
+        self.stale_from(now, grace).is_some_and(|from| from <= now)
+    }
+
     /// Returns the state after a watch or call that has received nothing since `since`, not even an error. Discovery may be
     /// running, so changes may be announced in that time, also those since it was last unavailable.
     fn silent(self, since: Instant) -> Self {
@@ -130,8 +134,6 @@
         inputs: mpsc::UnboundedSender<DriverInput>,
         binding_times: BindingTimesFile,
     ) -> (Self, impl Future<Output = ()>) {
-        // the first turn of the decision module must already know whether the list is stale
-        let _ = inputs.send(DriverInput::ListStale(pushed));
         let now = Instant::now();
         let known = binding_times.known(now + BINDING_AFTER);
         let restored = State {
@@ -148,13 +150,15 @@
             restored.unavailable(now, now)
         };
         let (state, state_changes) = watch::channel(start);
-        let report = StalenessReport {
+        let mut report = StalenessReport {
             state_changes,
-            stale: pushed,
+            stale: false,
             grace,
             inputs,
             binding_times,
         };
+        // the first turn of the decision module must already know whether the list is stale
+        report.report(start.is_stale(now, grace), start);
         (Freshness(state), report.run())
     }
 
@@ -230,8 +234,9 @@
                 silent: state.silent,
                 moved: state.moved,
             });
-            let from = state.stale_from(Instant::now(), self.grace);
-            let is_stale = from.is_some_and(|from| from <= Instant::now());
+            let now = Instant::now();
+            let from = state.stale_from(now, self.grace);
+            let is_stale = state.is_stale(now, self.grace);
             if is_stale != self.stale && !self.report(is_stale, state) {
                 return;
             }
@@ -243,7 +248,7 @@
         }
     }
 
-    /// Returns false once the driver has ended.
+    /// Sends whether the list is stale. Returns false once the driver has ended.
     fn report(&mut self, is_stale: bool, state: State) -> bool {
         self.stale = is_stale;
         if let Some(from) = state.binding_from().filter(|_| is_stale) {
--- a/src/net/discovery/freshness/tests.rs
+++ b/src/net/discovery/freshness/tests.rs
@@ -370,3 +370,18 @@
         assert_eq!(last.binding_from(), None, "data ends the stored times");
     }
 }
+
+// guards against a start that sends by its old list in its first turn although what a move has told binds already
+#[tokio::test(start_paused = true)]
+async fn process_that_starts_after_a_binding_time_is_stale_before_its_first_turn() {
+    let folder = StateFolder::new();
+    let (earlier, _received) = start_with(false, folder.binding_times(false));
+    earlier.moved();
+    tokio::time::sleep(BINDING_AFTER_MOVE + GRACE).await;
+    for taken_over in [false, true] {
+        let (inputs, mut received) = mpsc::unbounded_channel();
+        let binding_times = folder.binding_times(taken_over);
+        let _later = Freshness::new(false, GRACE, inputs, binding_times);
+        assert_eq!(reported(&mut received), [true]);
+    }
+}
