Endpoints: a call waits for no endpoint that is listed under another destination now

Change: a new destination retires it too, before it serves the new one. Test: the case OtherDestination of tests/late_connections.rs failed before (the call went on waiting) and passes.

--- a/src/net/driver/endpoint_list.rs
+++ b/src/net/driver/endpoint_list.rs
@@ -109,7 +109,10 @@
         let zone = position(&self.names.zones, &listed.zone) as u16;
         let endpoint = self.endpoints.id_or_new(&listed.uid);
         if let Some(record) = self.endpoints.get_mut(endpoint) {
-            if let Some(address) = record.address.filter(|&old| old != listed.address) {
+            // calls that wait for a connection were decided for the old address and destination
+            let has_moved =
+                record.address != Some(listed.address) || record.destination != listed.destination;
+            if let Some(address) = record.address.filter(|_| has_moved) {
                 let old_address = EndpointAddress { address, endpoint };
                 self.calls
                     .connections()
--- a/tests/late_connections.rs
+++ b/tests/late_connections.rs
@@ -50,6 +50,7 @@
     Moved,
     Disabled,
     ListWithoutIt,
+    OtherDestination,
 }
 
 fn tell(news: News, agent: &Agent, node: &Node, late: SocketAddr, other: SocketAddr) {
@@ -66,6 +67,13 @@
         News::Draining => agent.announce(with_state("draining")),
         News::Removed => agent.announce(with_state("removed")),
         News::Moved => agent.announce(changes(8, &[("s-1", other, "one", 7, "up")])),
+        News::OtherDestination => agent.announce(changes(
+            8,
+            &[
+                ("s-1", late, "one", 8, "up"),
+                ("s-2", other, "one", 7, "up"),
+            ],
+        )),
         News::ListWithoutIt => agent.announce(list(&[("s-2", other, "one", 7, "up")])),
         News::Disabled => {
             assert_eq!(node.admin_command("disable", "s-1"), 200);
@@ -83,6 +91,7 @@
         News::Moved,
         News::Disabled,
         News::ListWithoutIt,
+        News::OtherDestination,
     ] {
         let (late, other) = (LateEndpoint::new(), Endpoint::new(|_, _| OK));
         let agent = agent_with(&late);
