Classes: each configuration that may hold limits the attempts of each class

Cause: the number of attempts counts for all classes, but only configurations that name the class were asked, so a class that is added or dropped could get the higher number early. And each class that a change adds passed the settings on, which rebuilds the index of all pending messages each time.

Change: the least number of all configurations that may hold; the settings are passed on once a change. The test on an idempotency key stands once.

--- a/src/class_transition.rs
+++ b/src/class_transition.rs
@@ -84,22 +84,23 @@
     /// Returns the terms for a message that carries no idempotency key: its destination can't
     /// recognise a repeat.
     pub fn without_idempotency_key(mut self) -> Self {
-        if self.requires_idempotency_key() {
+        if requires_key(&self.class) {
             self.class.effect = Effect::NonIdempotent;
         }
         self
     }
+}
 
-    fn requires_idempotency_key(&self) -> bool {
-        matches!(self.class.effect, Effect::IdempotencyKey { .. })
-    }
+/// Returns true if a repeat of the class's messages is recognised by their idempotency key alone.
+fn requires_key(class: &Class) -> bool {
+    matches!(class.effect, Effect::IdempotencyKey { .. })
 }
 
 /// Class that requests may name at present.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NamedClass {
-    /// Strictest terms that may hold for its messages.
-    pub terms: MessageTerms,
+    /// Class with the strictest terms that may hold for its messages.
+    pub class: Class,
     /// True if its messages carry an idempotency key by all terms that may hold.
     pub key_required: bool,
 }
@@ -160,21 +161,13 @@
     /// Returns the strictest of all terms that may hold for a message of a class whose request began
     /// at `received_at`, in microseconds. `None` if no configuration that may hold names the class.
     pub fn terms(&self, name: &str, received_at: Micros) -> Option<MessageTerms> {
-        let mut sets = self
-            .sets(received_at)
-            .filter(|set| set.class(name).is_some());
-        let newest = sets.next()?;
-        let mut terms = MessageTerms {
-            class: newest.class(name)?.clone(),
-            max_attempts: newest.max_attempts,
-        };
-        for set in sets {
-            if let Some(class) = set.class(name) {
-                terms.class = strictest(&terms.class, class);
-                terms.max_attempts = terms.max_attempts.min(set.max_attempts);
-            }
-        }
-        Some(terms)
+        let mut named = self.sets(received_at).filter_map(|set| set.class(name));
+        let newest = named.next()?.clone();
+        let attempts = self.sets(received_at).map(|set| set.max_attempts);
+        Some(MessageTerms {
+            class: named.fold(newest, |class, earlier| strictest(&class, earlier)),
+            max_attempts: attempts.min()?,
+        })
     }
 
     /// Returns the classes that requests may name at `now`, in microseconds.
@@ -182,14 +175,14 @@
         let mut classes: Vec<NamedClass> = Vec::new();
         for set in self.sets(now) {
             for class in &set.classes {
-                let is_known = |known: &NamedClass| known.terms.class.name == class.name;
+                let is_known = |known: &NamedClass| known.class.name == class.name;
                 if classes.iter().any(is_known) {
                     continue;
                 }
                 if let Some(terms) = self.terms(&class.name, now) {
                     let key_required = self.is_key_required(&class.name, now);
                     classes.push(NamedClass {
-                        terms,
+                        class: terms.class,
                         key_required,
                     });
                 }
@@ -201,7 +194,7 @@
     fn is_key_required(&self, name: &str, now: Micros) -> bool {
         self.sets(now)
             .filter_map(|set| set.class(name))
-            .all(|class| matches!(class.effect, Effect::IdempotencyKey { .. }))
+            .all(requires_key)
     }
 
     /// Returns the configurations that may hold for a request that began at `received_at`, the
--- a/src/class_transition/tests.rs
+++ b/src/class_transition/tests.rs
@@ -110,7 +110,7 @@
     );
     let names = |at| -> Vec<String> {
         let classes = transition.named_classes(at).into_iter();
-        classes.map(|class| class.terms.class.name).collect()
+        classes.map(|named| named.class.name).collect()
     };
     assert_eq!(names(SECOND), ["order", "other"]);
     assert_eq!(names(SECOND + TRANSITION_TIME), ["order"]);
@@ -129,6 +129,27 @@
     assert_eq!(without_key.class.effect, Effect::NonIdempotent);
 }
 
+#[test]
+fn attempts_are_restricted_by_configurations_that_do_not_name_the_class_too() {
+    let other = class("other", Effect::Idempotent);
+    let order = class("order", Effect::Idempotent);
+    for (before, after) in [
+        (
+            set(std::slice::from_ref(&other), 3),
+            set(std::slice::from_ref(&order), 12),
+        ),
+        (
+            set(std::slice::from_ref(&order), 12),
+            set(std::slice::from_ref(&other), 3),
+        ),
+    ] {
+        let mut transition = ClassTransition::new(before);
+        transition.change(after, 0);
+        let terms = transition.terms("order", 0).expect("named");
+        assert_eq!(terms.max_attempts, 3);
+    }
+}
+
 #[test]
 fn many_changes_in_a_row_are_merged_without_loosening_a_term() {
     let mut transition = ClassTransition::new(order(Effect::NonIdempotent));
--- a/src/net/driver/class_terms.rs
+++ b/src/net/driver/class_terms.rs
@@ -70,17 +70,20 @@
         let now = self.clock.at(Instant::now());
         if self.class_terms.transition.end_expired(now) {
             net::log(format_args!("classes: earlier terms have ended"));
+            let known_classes = self.settings.classes.len();
             self.replace_named_classes();
+            self.push_added_classes(known_classes);
         }
     }
 
-    /// Sets the classes that requests of clients may name.
+    /// Sets the classes that requests of clients may name. Adds those with terms that the settings
+    /// do not have yet.
     pub(super) fn replace_named_classes(&mut self) {
         let now = self.clock.at(Instant::now());
         let named = self.class_terms.transition.named_classes(now);
         let entry = |named: NamedClass| ClassEntry {
-            name: named.terms.class.name.clone(),
-            index: self.position_of_class(named.terms.class),
+            name: named.class.name.clone(),
+            index: self.position_of_class(named.class),
             key_required: named.key_required,
         };
         let entries = named.into_iter().map(entry).collect();
@@ -110,25 +113,33 @@
             Some(_) => terms,
             None => terms.without_idempotency_key(),
         };
+        let known_classes = self.settings.classes.len();
+        let position = self.position_of_class(terms.class);
+        self.push_added_classes(known_classes);
         AcceptanceTerms {
-            class: self.position_of_class(terms.class),
+            class: position,
             max_attempts: terms.max_attempts,
         }
     }
 
-    /// Returns the position of a class with these terms. Adds the class if it is missing, and passes
-    /// the settings to the decision module then.
+    /// Returns the position of a class with these terms, and adds the class if it is missing.
     fn position_of_class(&mut self, class: Class) -> usize {
         let known = self.settings.classes.len();
         let position = self.settings.class_position(class);
         if position == known {
             let classes = self.settings.classes.iter();
             self.names.classes = classes.map(|class| class.name.clone()).collect();
-            self.push_settings();
         }
         position
     }
 
+    /// Passes the settings to the decision module if they have more than `known_classes` now.
+    fn push_added_classes(&mut self, known_classes: usize) {
+        if self.settings.classes.len() > known_classes {
+            self.push_settings();
+        }
+    }
+
     /// Passes the settings to the decision module.
     pub(super) fn push_settings(&mut self) {
         let settings = Box::new(self.settings.clone());
--- a/src/net/driver/settings.rs
+++ b/src/net/driver/settings.rs
@@ -72,9 +72,9 @@
         let old = self.settings.clone();
         keep_positions(&mut settings, old.clone(), &mut self.names, names);
         self.settings = settings;
+        self.replace_named_classes();
         if self.settings != old {
             self.push_settings();
         }
-        self.replace_named_classes();
     }
 }
