--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -4,7 +4,7 @@
 mod node;
 
 use node::*;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -244,14 +244,15 @@
     signalled_at
 }
 
-/// Asserts that the sender suspends sending 4 s after the signal and the 0.5 s that its drain grace leaves for dials, and
-/// calls nobody until it receives a list at the new address.
-fn assert_suspended_until_list_is_received(
-    node: &Node,
-    old: &Endpoint,
-    elsewhere: &Agent,
-    signalled_at: Instant,
-) {
+/// Returns an address of this host that refuses connections.
+fn unused_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("bound")
+}
+
+/// Asserts that the sender suspends sending within 4 s of the signal, its drain grace of 1 s and the protocol's slack of
+/// 50 ms.
+fn assert_suspended_in_time(node: &Node, signalled_at: Instant) {
     wait_until("the suspension is logged", || {
         node.logged("sending is suspended")
     });
@@ -260,6 +261,16 @@
         after < Duration::from_millis(5050),
         "suspended after {after:?}"
     );
+}
+
+/// Asserts that the sender suspends sending in time and calls nobody until it receives a list at the new address.
+fn assert_suspended_until_list_is_received(
+    node: &Node,
+    old: &Endpoint,
+    elsewhere: &Agent,
+    signalled_at: Instant,
+) {
+    assert_suspended_in_time(node, signalled_at);
     let (calls, rejected) = (
         old.count(),
         elsewhere.rejected_watches.load(Ordering::SeqCst),
@@ -295,6 +306,34 @@
     }
 }
 
+// guards against a quiet or refusing agent at the new address that is taken for word that nothing has changed
+#[test]
+fn agent_that_tells_nothing_at_new_address_does_not_put_off_suspension() {
+    for refuses in [false, true] {
+        let (old, new) = (Endpoint::new(|_, _| OK), Endpoint::new(|_, _| OK));
+        let agent = Agent::new(vec![list_with_one("s-1", old.address, "up")]);
+        let node = Node::new(&agent).ready();
+        deliver(&node, "before", 7);
+        let quiet = Agent::new(Vec::new());
+        let signalled_at = Instant::now();
+        if refuses {
+            node.move_discovery_to(unused_address());
+        } else {
+            node.move_discovery(&quiet);
+        }
+        assert_suspended_in_time(&node, signalled_at);
+        let calls = old.count();
+        assert_eq!(node.submit("webhook", "held", 7, 20_000, b"x"), 202);
+        node.move_discovery(&quiet);
+        wait_until("a watch at the quiet agent", || {
+            quiet.watches.load(Ordering::SeqCst) > 0
+        });
+        quiet.announce(list_with_one("s-2", new.address, "up"));
+        wait_until("the message is delivered", || new.count_of("held") == 1);
+        assert_eq!(old.count(), calls);
+    }
+}
+
 // guards against a kill or an upgrade after a move of discovery that forgets when its news counts as told
 #[test]
 fn restart_and_upgrade_after_move_of_discovery_keep_its_binding_time() {
